controller, ctl, load: the fleet process, the operators' tool and the demonstration

Cause: the thin path lacked the process that closes the gap between the declaration and the engines, a tool that plays load, and a script that shows the whole on a machine with only Go.

Ruled out: holding drains in the table. A hold is only worth anything while its writer lives, so it is told by gossip and ends with the writer's entry.

Change: fleet.Planner (drain, order, load, probe), controller, pathhead-load, scripts/demo and scripts/test.

--- /dev/null
+++ b/controller/controller.go
@@ -0,0 +1,356 @@
+package controller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/wire"
+)
+
+// Settings are a fleet process's settings.
+type Settings struct {
+	Name        string
+	Operators   netip.AddrPort
+	Peers       netip.AddrPort
+	Seeds       []netip.AddrPort
+	Table       string
+	TableName   string
+	VMs         string
+	Credentials wire.Credentials
+	// Lease is the length of a pool's lease; it is renewed at a third of it.
+	Lease time.Duration
+	// Every is the time between rounds of planning.
+	Every       time.Duration
+	GossipEvery time.Duration
+	PeerTimeout time.Duration
+	PeerServer  *tls.Config
+	PeerClient  *tls.Config
+}
+
+// orderTimeout bounds the sending of an order; a new holder waits for longer.
+const orderTimeout = time.Second
+
+// guard is how much longer than a lease its next holder waits: an order that
+// the last one sent at its very end is over by then.
+const guard = 2 * orderTimeout
+
+// Check returns every fault of the settings in one error.
+func (s Settings) Check() error {
+	var faults []error
+	bad := func(format string, args ...any) { faults = append(faults, errs.Errorf(format, args...)) }
+	if s.Name == "" {
+		bad("name is missing")
+	}
+	if !s.Operators.IsValid() || !s.Peers.IsValid() {
+		bad("the doors have no address")
+	}
+	if s.Table == "" || s.VMs == "" {
+		bad("the URLs of the table and the VM list are needed")
+	}
+	if s.Lease < 3*orderTimeout {
+		bad("lease must be at least %s, since an order may take %s", 3*orderTimeout, orderTimeout)
+	}
+	if s.Every <= 0 || s.GossipEvery <= 0 || s.PeerTimeout <= s.GossipEvery {
+		bad("every and gossip-every must be more than 0 and peer-timeout longer than gossip-every")
+	}
+	return errors.Join(faults...)
+}
+
+// Controller is a fleet process.
+type Controller struct {
+	set     Settings
+	id      string
+	log     *slog.Logger
+	events  *event.Recorder
+	metrics *metrics.Set
+	table   fleet.Table
+	configs fleet.Configs
+	vms     *wire.VMList
+	engines *wire.Engines
+	peers   *wire.Peers
+	gossip  *wire.Gossip
+	prober  *http.Client
+	// configRead is when the head was last read; only the work loop uses it.
+	configRead time.Time
+
+	mu       sync.Mutex
+	snap     *policy.Snapshot
+	document fleet.Document
+	pools    map[string]*poolWork
+}
+
+// poolWork is one pool's lease and planner.
+type poolWork struct {
+	lease    *fleet.Lease
+	planner  *fleet.Planner
+	held     bool
+	readNext time.Time
+	engines  []fleet.Engine
+	steps    fleet.Steps
+	told     map[fleet.Rollout]bool
+}
+
+// Option changes a [Controller] at its construction.
+type Option func(*Controller)
+
+// WithLogger sets the log.
+func WithLogger(l *slog.Logger) Option {
+	return func(c *Controller) { c.log = l }
+}
+
+// probeTimeout bounds a probe; an engine that takes longer counts as slow.
+const probeTimeout = 10 * time.Second
+
+// New returns a controller with valid settings, which does nothing before [Controller.Run].
+func New(s Settings, opts ...Option) (*Controller, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	table := wire.NewDynamoTable(s.Table, s.TableName, s.Credentials)
+	c := &Controller{
+		set:     s,
+		id:      s.Name + "/" + rand.Text()[:8],
+		log:     slog.New(slog.DiscardHandler),
+		metrics: metrics.NewSet(),
+		table:   table,
+		configs: fleet.Configs{Table: table},
+		vms:     wire.NewVMList(s.VMs),
+		engines: wire.NewEngines(orderTimeout),
+		peers:   wire.NewPeers(time.Second, s.PeerClient),
+		prober:  &http.Client{Timeout: probeTimeout},
+		pools:   make(map[string]*poolWork),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.events = event.New(s.Name, event.WithLogger(c.log))
+	c.gossip = wire.NewGossip(wire.GossipConfig{
+		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: s.PeerTimeout,
+		Payload: c.payload, Heard: func(time.Time, fleet.PeerWord) {},
+	}, c.peers, c.events)
+	c.metrics.NewGauge("pathhead_fleet_leases_held", func() float64 { return float64(c.leasesHeld()) })
+	return c, nil
+}
+
+// Run works until ctx ends, then gives its leases up.
+func (c *Controller) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp", c.set.Peers.String())
+	if err != nil {
+		return errs.Errorf("peers' door: %w", err)
+	}
+	operators, err := net.Listen("tcp", c.set.Operators.String())
+	if err != nil {
+		peers.Close()
+		return errs.Errorf("operators' door: %w", err)
+	}
+	if c.set.PeerServer != nil {
+		peers = tls.NewListener(peers, c.set.PeerServer)
+		operators = tls.NewListener(operators, c.set.PeerServer)
+	}
+	server := &http.Server{Handler: c.operatorsHandler(), ReadHeaderTimeout: orderTimeout}
+	c.events.Record(event.Event{Code: event.ProcessStarted})
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = wire.ServePeers(peers, c) })
+	wg.Go(func() { _ = server.Serve(operators) })
+	wg.Go(func() { c.gossipLoop(ctx) })
+	c.workLoop(ctx)
+	c.freeAll()
+	peers.Close()
+	server.Close()
+	wg.Wait()
+	c.peers.Close()
+	c.events.Record(event.Event{Code: event.ProcessStopped})
+	return nil
+}
+
+func (c *Controller) gossipLoop(ctx context.Context) {
+	t := time.NewTicker(c.set.GossipEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			c.gossip.Round(ctx)
+		}
+	}
+}
+
+func (c *Controller) workLoop(ctx context.Context) {
+	t := time.NewTicker(c.set.Every)
+	defer t.Stop()
+	for {
+		c.round(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// round does one round of every pool's work.
+func (c *Controller) round(ctx context.Context) {
+	c.refreshConfig(ctx)
+	c.mu.Lock()
+	snap := c.snap
+	c.mu.Unlock()
+	if snap == nil {
+		return
+	}
+	vms, err := c.vms.Read(ctx)
+	if err != nil {
+		return
+	}
+	for _, p := range snap.Pools() {
+		if p.Kind == policy.KindEngine {
+			c.poolRound(ctx, snap, p, vms)
+		}
+	}
+}
+
+// configEvery is the least time between reads of the configuration's head.
+const configEvery = time.Second
+
+// refreshConfig adopts a newer revision in force; while the table is out the old one stays.
+func (c *Controller) refreshConfig(ctx context.Context) {
+	if time.Since(c.configRead) < configEvery {
+		return
+	}
+	c.configRead = time.Now()
+	head, err := c.configs.Head(ctx)
+	if err != nil || head.InForce <= c.revision() {
+		return
+	}
+	d, err := c.configs.Get(ctx, head.InForce)
+	if err != nil {
+		return
+	}
+	snap, err := d.Compile()
+	if err != nil {
+		c.events.Record(event.Event{Code: event.ConfigRejected, Revision: d.Revision, Detail: err.Error()})
+		return
+	}
+	c.mu.Lock()
+	c.snap, c.document = snap, d
+	c.mu.Unlock()
+	c.events.Record(event.Event{Code: event.ConfigAdopted, Revision: d.Revision})
+}
+
+func (c *Controller) revision() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document.Revision
+}
+
+func (c *Controller) work(pool string) *poolWork {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w, ok := c.pools[pool]
+	if !ok {
+		w = &poolWork{
+			lease:   fleet.NewLease("pool/"+pool, c.id, c.set.Lease, guard),
+			planner: fleet.NewPlanner(pool, fleet.DefaultPlannerSettings()),
+			told:    make(map[fleet.Rollout]bool),
+		}
+		c.pools[pool] = w
+	}
+	return w
+}
+
+// poolRound keeps the lease and, while it is held, the pool.
+func (c *Controller) poolRound(ctx context.Context, snap *policy.Snapshot, p *policy.CompiledPool, vms []wire.VM) {
+	w := c.work(p.Name)
+	c.keepLease(ctx, p.Name, w)
+	if !w.lease.Holds(time.Now()) {
+		return
+	}
+	engines := c.see(ctx, p, vms)
+	c.mu.Lock()
+	w.engines = engines
+	w.steps = w.planner.Plan(time.Now(), snap, engines)
+	steps := w.steps
+	c.mu.Unlock()
+	for _, s := range steps.Orders {
+		c.order(ctx, w, p, s)
+	}
+	for _, s := range steps.Probes {
+		c.probe(ctx, w, s)
+	}
+	c.tellStops(p.Name, w)
+}
+
+func (c *Controller) tellStops(pool string, w *poolWork) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for r, why := range w.planner.Stops() {
+		if !w.told[r] {
+			w.told[r] = true
+			c.events.Record(event.Event{Code: event.RolloutStopped, Revision: c.document.Revision, Detail: pool + " to " + r.Model + " " + r.Weights + ": " + why})
+		}
+	}
+}
+
+// payload tells the routers which engines to keep empty.
+func (c *Controller) payload(now time.Time) wire.Payload {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := wire.Payload{Kind: wire.KindFleet, Door: c.set.Operators, Word: fleet.PeerWord{Revision: c.document.Revision, ConfirmedAge: -1}}
+	for _, w := range c.pools {
+		if w.lease.Holds(now) {
+			p.State.Holds = append(p.State.Holds, marksOf(w.steps.Holds)...)
+		}
+	}
+	return p
+}
+
+// Exchange implements [wire.PeerHandler].
+func (c *Controller) Exchange(in wire.Exchange) wire.Exchange { return c.gossip.Exchange(in) }
+
+// Config implements [wire.PeerHandler].
+func (c *Controller) Config() (fleet.Document, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.document, c.document.Revision > 0
+}
+
+var _ wire.PeerHandler = (*Controller)(nil)
+
+func (c *Controller) operatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		c.metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, c.status()) })
+	mux.HandleFunc("GET /v1/events", func(w http.ResponseWriter, r *http.Request) {
+		f, err := event.ParseFilter(r.URL.Query())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, c.events.Events(f))
+	})
+	return mux
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/controller/status.go
@@ -0,0 +1,95 @@
+package controller
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/wire"
+)
+
+// Status is what a fleet process tells operators; its first fields are those of a router's status.
+type Status struct {
+	Name     string       `json:"name"`
+	Kind     string       `json:"kind"`
+	Revision int64        `json:"revision"`
+	Serving  bool         `json:"serving"`
+	Peers    []PeerStatus `json:"peers"`
+	Pools    []PoolStatus `json:"pools"`
+}
+
+// PeerStatus is a live peer.
+type PeerStatus struct {
+	Name string         `json:"name"`
+	Kind string         `json:"kind"`
+	Door netip.AddrPort `json:"door"`
+}
+
+// PoolStatus is a pool's lease and, at its holder, its engines.
+type PoolStatus struct {
+	Pool    string            `json:"pool"`
+	Holder  string            `json:"holder"`
+	Fence   int64             `json:"fence"`
+	Held    bool              `json:"held"`
+	Engines []EngineStatus    `json:"engines,omitempty"`
+	Stopped map[string]string `json:"stopped,omitempty"`
+}
+
+// EngineStatus says of one engine what was declared, seen and ordered.
+type EngineStatus struct {
+	Name     string            `json:"name"`
+	Addr     netip.AddrPort    `json:"addr"`
+	Declared map[string]string `json:"declared"`
+	Seen     map[string]string `json:"seen"`
+	Busy     int               `json:"busy"`
+	// Change is the phase of the work on the engine, empty if there is none.
+	Change string `json:"change,omitempty"`
+	Why    string `json:"why,omitempty"`
+}
+
+func (c *Controller) status() Status {
+	live := c.gossip.Live()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := Status{Name: c.set.Name, Kind: wire.KindFleet, Revision: c.document.Revision, Serving: c.snap != nil}
+	for _, e := range live {
+		s.Peers = append(s.Peers, PeerStatus{Name: e.ID, Kind: e.Payload.Kind, Door: e.Payload.Door})
+	}
+	if c.snap == nil {
+		return s
+	}
+	for _, p := range c.snap.Pools() {
+		if w, ok := c.pools[p.Name]; ok {
+			s.Pools = append(s.Pools, c.poolStatus(p.Name, w))
+		}
+	}
+	return s
+}
+
+func (c *Controller) poolStatus(pool string, w *poolWork) PoolStatus {
+	holder, fence := w.lease.Holder()
+	out := PoolStatus{Pool: pool, Holder: holder, Fence: fence, Held: w.lease.Holds(time.Now())}
+	if !out.Held {
+		return out
+	}
+	declared := make(map[string]string)
+	for _, m := range c.snap.Config.Models {
+		if m.Pool == pool {
+			declared[m.Name] = m.Weights
+		}
+	}
+	for _, e := range w.engines {
+		es := EngineStatus{Name: e.Name, Addr: e.Addr, Declared: declared, Seen: e.Weights, Busy: e.Busy}
+		for _, ch := range w.steps.Holds {
+			if ch.Engine == e.Addr {
+				es.Change = ch.Phase.String()
+				es.Why = "to " + ch.Want.Model + " " + ch.Want.Weights + " from " + ch.Want.From
+			}
+		}
+		out.Engines = append(out.Engines, es)
+	}
+	out.Stopped = make(map[string]string)
+	for r, why := range w.planner.Stops() {
+		out.Stopped[r.Model+" "+r.Weights] = why
+	}
+	return out
+}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -150,17 +150,13 @@
 	return out
 }
 
-// SetSeeds replaces the addresses that are tried besides live peers.
-func (v *View[P]) SetSeeds(seeds []netip.AddrPort) { v.seeds = seeds }
-
-// Size returns how many processes there are, this one included: those heard of
-// lately or named by the seeds, whichever is more.
-func (v *View[P]) Size(now time.Time) int {
-	seeds := 1
-	for _, s := range v.seeds {
-		if s != v.self.Addr {
-			seeds++
-		}
+// Everyone returns the addresses of all live peers and of all seeds.
+func (v *View[P]) Everyone(now time.Time) []netip.AddrPort {
+	all := slices.Clone(v.seeds)
+	for _, e := range v.Live(now) {
+		all = append(all, e.Addr)
 	}
-	return max(seeds, len(v.Live(now))+1)
+	slices.SortFunc(all, netip.AddrPort.Compare)
+	all = slices.Compact(all)
+	return slices.DeleteFunc(all, func(a netip.AddrPort) bool { return a == v.self.Addr })
 }
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,259 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pathhead/pathhead/internal/standin"
+	"github.com/pathhead/pathhead/route"
+	"github.com/pathhead/pathhead/wire"
+)
+
+// Result is what one caller saw.
+type Result struct {
+	Org        string        `json:"organisation"`
+	Due        time.Duration `json:"dueNs"`
+	FirstToken time.Duration `json:"firstTokenNs"`
+	Total      time.Duration `json:"totalNs"`
+	Status     int           `json:"status"`
+	Request    string        `json:"request"`
+	Verdict    string        `json:"verdict"`
+	Code       string        `json:"code,omitempty"`
+	Prompt     int           `json:"prompt"`
+	Cached     int           `json:"cached"`
+	// Wrong says that an answer that looked whole was not the right one.
+	Wrong bool `json:"wrong"`
+	// Cut says that the answer ended without its finish mark.
+	Cut  bool   `json:"cut"`
+	Text string `json:"-"`
+}
+
+// OK reports whether the caller got a whole answer.
+func (r Result) OK() bool { return r.Status == http.StatusOK && !r.Cut && !r.Wrong }
+
+// Client sends requests as callers behind a balancer do: to the doors in turn,
+// passing over those that refuse the connection.
+type Client struct {
+	doors   []netip.AddrPort
+	http    *http.Client
+	next    atomic.Uint64
+	weights string
+	retries int
+}
+
+// NewClient returns a client of the doors. Weights, if not empty, are those whose
+// answers are right; retries is how often a refused request is sent again after
+// the time it was told.
+func NewClient(doors []netip.AddrPort, weights string, retries int) *Client {
+	t := &http.Transport{MaxIdleConnsPerHost: 512, DisableCompression: true}
+	return &Client{doors: doors, http: &http.Client{Transport: t}, weights: weights, retries: retries}
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Play sends the arrivals when they are due and returns what became of each.
+func (c *Client) Play(ctx context.Context, arrivals []Arrival) []Result {
+	results := make([]Result, len(arrivals))
+	begun := time.Now()
+	var wg sync.WaitGroup
+	for i, a := range arrivals {
+		if !sleepUntil(ctx, begun.Add(a.Due)) {
+			break
+		}
+		wg.Go(func() {
+			results[i] = c.Ask(ctx, a)
+			results[i].Due = a.Due
+		})
+	}
+	wg.Wait()
+	return results
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Ask sends one request as a stream and reads its answer to the end.
+func (c *Client) Ask(ctx context.Context, a Arrival) Result {
+	begun := time.Now()
+	for try := 0; ; try++ {
+		r := c.once(ctx, a, begun)
+		wait, again := retryAfter(r)
+		if !again || try >= c.retries {
+			return r
+		}
+		if !sleepUntil(ctx, time.Now().Add(wait)) {
+			return r
+		}
+	}
+}
+
+// retryAfter reports whether a result invites a repeat: only a refusal that did not run does.
+func retryAfter(r Result) (time.Duration, bool) {
+	if r.Verdict != route.NotRun.String() || r.Status < http.StatusTooManyRequests {
+		return 0, false
+	}
+	return time.Second, true
+}
+
+func (c *Client) once(ctx context.Context, a Arrival, begun time.Time) Result {
+	out := Result{Org: a.Org}
+	resp, err := c.send(ctx, a)
+	if err != nil {
+		out.Cut = true
+		out.Code = "unreachable"
+		out.Total = time.Since(begun)
+		return out
+	}
+	defer resp.Body.Close()
+	out.Status = resp.StatusCode
+	out.Request = resp.Header.Get("X-Request-Id")
+	out.Verdict = resp.Header.Get("X-Pathhead-Verdict")
+	if resp.StatusCode != http.StatusOK {
+		out.Code = errorCode(resp.Body)
+	} else {
+		c.read(resp.Body, &out, begun)
+		c.judge(a, &out)
+	}
+	out.Total = time.Since(begun)
+	return out
+}
+
+func errorCode(body io.Reader) string {
+	var e struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.NewDecoder(body).Decode(&e)
+	return e.Error.Code
+}
+
+// send tries each door once, beginning with the next in turn.
+func (c *Client) send(ctx context.Context, a Arrival) (*http.Response, error) {
+	body, err := json.Marshal(struct {
+		Model     string          `json:"model"`
+		Messages  []Message       `json:"messages"`
+		MaxTokens int             `json:"max_tokens"`
+		Stream    bool            `json:"stream"`
+		Options   json.RawMessage `json:"stream_options"`
+	}{a.Model, a.Messages, a.MaxTokens, true, json.RawMessage(`{"include_usage":true}`)})
+	if err != nil {
+		return nil, err
+	}
+	first := c.next.Add(1)
+	for i := range c.doors {
+		door := c.doors[(int(first)+i)%len(c.doors)]
+		var resp *http.Response
+		resp, err = c.post(ctx, door, a.Org, body)
+		if err == nil {
+			return resp, nil
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, err
+}
+
+func (c *Client) post(ctx context.Context, door netip.AddrPort, org string, body []byte) (*http.Response, error) {
+	url := "http://" + door.String() + "/v1/chat/completions"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+Org{Name: org}.Key())
+	req.Header.Set("Content-Type", "application/json")
+	return c.http.Do(req)
+}
+
+// read takes the chunks of an answer; without the finish mark it is cut.
+func (c *Client) read(body io.Reader, out *Result, begun time.Time) {
+	in := wire.NewEventReader(body)
+	var text strings.Builder
+	for {
+		chunk, err := in.Next()
+		if err != nil {
+			out.Cut = true
+			if !errors.Is(err, io.ErrUnexpectedEOF) {
+				out.Code = "broken"
+			}
+			break
+		}
+		if chunk.Done {
+			break
+		}
+		if chunk.Text != "" && out.FirstToken == 0 {
+			out.FirstToken = time.Since(begun)
+		}
+		text.WriteString(chunk.Text)
+		if u := chunk.Usage; u != nil {
+			out.Prompt, out.Cached = u.Prompt, u.Cached
+		}
+	}
+	out.Text = text.String()
+}
+
+// judge compares an answer with the one that the stand-in engines give.
+func (c *Client) judge(a Arrival, out *Result) {
+	if c.weights == "" || out.Cut {
+		return
+	}
+	right := standin.Answer(a.Text(), c.weights, a.MaxTokens)
+	out.Wrong = out.Text != right
+}
+
+// Text returns the prompt as engines read it.
+func (a Arrival) Text() []byte {
+	messages := make([]route.Message, 0, len(a.Messages))
+	for _, m := range a.Messages {
+		messages = append(messages, route.Message{Role: m.Role, Content: json.RawMessage(strconv.Quote(m.Content))})
+	}
+	text, _ := route.ChatText(messages)
+	return text
+}
+
+// Call posts a keyed call to a plain service and returns a line about its answer.
+func Call(ctx context.Context, door netip.AddrPort, org Org, path, key string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+door.String()+path, strings.NewReader(`{"demo":true}`))
+	if err != nil {
+		return "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+org.Key())
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(wire.HeaderKey, key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("status %d, verdict %s, replayed %t: %s", resp.StatusCode,
+		resp.Header.Get("X-Pathhead-Verdict"), resp.Header.Get("Idempotent-Replayed") == "true", bytes.TrimSpace(data)), nil
+}
--- a/route/belief.go
+++ b/route/belief.go
@@ -83,9 +83,6 @@
 	return v
 }
 
-// len returns the number of entries, counting those in both generations twice.
-func (g *generations[K, V]) len() int { return len(g.young) + len(g.old) }
-
 // denseBlocks is the number of leading chain blocks of which each is noted;
 // after them only every sparseEvery-th is, which keeps a 32k prompt to some
 // 120 entries.
--- a/route/limit.go
+++ b/route/limit.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/pathhead/pathhead/policy"
 )
 
 // orgState is what a router knows of one organisation's use.
@@ -122,6 +120,8 @@
 	Loads    []Load
 	Demands  []Demand
 	Fills    []Fill
+	// Holds are the targets that a pool's lease holder is emptying before an order.
+	Holds []Mark
 }
 
 // Load is what a router has in flight at a target.
@@ -277,11 +277,3 @@
 
 // evenPart is the part of every limit that is shared evenly between routers.
 const evenPart = 0.2
-
-// limits returns an organisation's limits, for views.
-func (b *Board) limits(org string) policy.Limits {
-	if o, ok := b.snap.Org(org); ok {
-		return o.Limits
-	}
-	return policy.Limits{}
-}
--- a/route/target.go
+++ b/route/target.go
@@ -56,6 +56,7 @@
 	report      Report
 	reported    time.Time
 	leaving     bool
+	held        bool
 	failures    int
 	failing     bool
 	attempts    map[string]*attempt
@@ -83,7 +84,7 @@
 
 // usable reports whether the target may get new work.
 func (t *target) usable() bool {
-	return t.listed && !t.leaving && !t.failing && !t.reported.IsZero()
+	return t.listed && !t.leaving && !t.held && !t.failing && !t.reported.IsZero()
 }
 
 // serves returns the weights of a model that the target has loaded.
@@ -247,6 +248,14 @@
 	}
 }
 
+// Hold takes the whole set of targets that get no new work for now, because the
+// holder of their pool's lease is emptying them before an order.
+func (b *Board) Hold(held map[Mark]bool) {
+	for _, t := range b.targets {
+		t.held = held[Mark{t.addr, t.incarnation}]
+	}
+}
+
 // Marks returns the leaving marks of targets that are still on the board.
 func (b *Board) Marks() []Mark {
 	var out []Mark
--- a/router/answer.go
+++ b/router/answer.go
@@ -27,7 +27,7 @@
 	last    chunkBody
 	text    []byte
 	finish  *string
-	// resumed says that chunks come from another attempt than the first, whose id they take.
+	// attempt is the first whose chunks were passed on; later ones' chunks take its id.
 	attempt string
 }
 
@@ -58,10 +58,8 @@
 		return a.collect(c)
 	}
 	data := c.Data
-	if c.Usage != nil {
-		if !a.comp.WantUsage {
-			return nil
-		}
+	if c.Usage != nil && !a.comp.WantUsage {
+		return nil
 	}
 	if err := a.sameID(c, &data); err != nil {
 		return err
--- a/router/config.go
+++ b/router/config.go
@@ -110,17 +110,9 @@
 
 // fromPeers adopts the newest revision that a seed or live peer serves under.
 func (r *Router) fromPeers(ctx context.Context) {
-	r.mu.Lock()
-	addrs := r.view.Pick(time.Now(), r.rng, len(r.set.Seeds)+fanout)
-	addrs = append(addrs, r.set.Seeds...)
-	r.mu.Unlock()
 	var wg sync.WaitGroup
-	for _, addr := range addrs {
-		if addr == r.set.Peers {
-			continue
-		}
+	for _, addr := range r.gossip.Sweep(ctx) {
 		wg.Go(func() {
-			r.exchange(ctx, addr)
 			if d, err := r.peers.Config(ctx, addr, r.id); err == nil {
 				r.adopt(d)
 			}
--- a/router/engine.go
+++ b/router/engine.go
@@ -25,7 +25,6 @@
 	// text is the answer delivered so far and tokens the number of chunks it came in.
 	text   strings.Builder
 	tokens int
-	usage  *route.Usage
 }
 
 // complete carries a checked completion to its end.
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -56,7 +56,7 @@
 	}
 	r.metrics.NewGauge("pathhead_revision", locked(func() int { return int(r.adoption.Revision()) }))
 	r.metrics.NewGauge("pathhead_requests_in_flight", locked(func() int { return r.board.Requests() }))
-	r.metrics.NewGauge("pathhead_peers_live", locked(func() int { return len(r.view.Live(time.Now())) }))
+	r.metrics.NewGauge("pathhead_peers_live", func() float64 { return float64(len(r.gossip.Live())) })
 	r.metrics.NewGauge("pathhead_serving", locked(func() int {
 		if r.applyServing() {
 			return 1
--- a/router/operators.go
+++ b/router/operators.go
@@ -49,6 +49,7 @@
 }
 
 func (r *Router) status() Status {
+	live := r.gossip.Live()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := Status{
@@ -61,7 +62,7 @@
 		Queued:   r.board.Queued(),
 		InFlight: r.board.Requests(),
 	}
-	for _, e := range r.view.Live(time.Now()) {
+	for _, e := range live {
 		s.Peers = append(s.Peers, PeerStatus{
 			Name: e.ID, Kind: e.Payload.Kind, Door: e.Payload.Door,
 			Revision: e.Payload.Word.Revision, Draining: e.Payload.Draining,
--- a/router/router.go
+++ b/router/router.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,28 +116,28 @@
 
 // Router is a router process.
 type Router struct {
-	set       Settings
-	id        string
-	epoch     int64
-	log       *slog.Logger
-	events    *event.Recorder
-	metrics   *metrics.Set
-	counters  counters
-	configs   fleet.Configs
-	claims    fleet.Claims
-	vms       *wire.VMList
-	engines   *wire.Engines
-	targets   *wire.Targets
-	peers     *wire.Peers
-	wake      chan struct{}
-	dispatchQ chan struct{}
-	draining  atomic.Bool
-	joined    joins
+	set      Settings
+	id       string
+	log      *slog.Logger
+	events   *event.Recorder
+	metrics  *metrics.Set
+	counters counters
+	configs  fleet.Configs
+	claims   fleet.Claims
+	vms      *wire.VMList
+	engines  *wire.Engines
+	targets  *wire.Targets
+	peers    *wire.Peers
+	wake     chan struct{}
+	draining atomic.Bool
+	joined   joins
+	gossip   *wire.Gossip
+	// seedRouters is how many other routers the settings name.
+	seedRouters int
 
 	mu       sync.Mutex
 	board    *route.Board
 	adoption *fleet.Adoption
-	view     *fleet.View[wire.Payload]
 	document fleet.Document
 	calls    map[string]*call
 	rng      *rand.Rand
@@ -159,27 +160,22 @@
 // engineTimeout bounds a poll of a target; a target that takes longer counts as failed.
 const engineTimeout = time.Second
 
-// relayEntries bounds the entries of others in one gossip message.
-const relayEntries = 8
-
 // New returns a router with valid settings, which does nothing before [Router.Run].
 func New(s Settings, opts ...Option) (*Router, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	r := &Router{
-		set:      s,
-		epoch:    time.Now().UnixNano(),
-		log:      slog.New(slog.DiscardHandler),
-		metrics:  metrics.NewSet(),
-		vms:      wire.NewVMList(s.VMs),
-		engines:  wire.NewEngines(engineTimeout),
-		targets:  wire.NewTargets(),
-		peers:    wire.NewPeers(engineTimeout, s.PeerClient),
-		wake:     make(chan struct{}, 1),
-		calls:    make(map[string]*call),
-		pollers:  make(map[netip.AddrPort]context.CancelFunc),
-		adoption: fleet.NewAdoption(s.Validity, len(s.Seeds) == 0),
+		set:     s,
+		log:     slog.New(slog.DiscardHandler),
+		metrics: metrics.NewSet(),
+		vms:     wire.NewVMList(s.VMs),
+		engines: wire.NewEngines(engineTimeout),
+		targets: wire.NewTargets(),
+		peers:   wire.NewPeers(engineTimeout, s.PeerClient),
+		wake:    make(chan struct{}, 1),
+		calls:   make(map[string]*call),
+		pollers: make(map[netip.AddrPort]context.CancelFunc),
 	}
 	r.configs = fleet.Configs{
 		Table:   wire.NewDynamoTable(s.Table, s.TableName, s.Credentials),
@@ -193,7 +189,7 @@
 	r.events = event.New(s.Name, event.WithLogger(r.log))
 	seed := s.Seed
 	if seed == 0 {
-		seed = uint64(r.epoch)
+		seed = uint64(time.Now().UnixNano())
 	}
 	r.rng = rand.New(rand.NewPCG(seed, 2))
 	r.board = route.NewBoard(
@@ -201,7 +197,12 @@
 		route.WithPlacer(route.Placers()[s.Placement]),
 		route.WithNotes(r.events.Record),
 	)
-	r.view = fleet.NewView[wire.Payload](r.id, s.Peers, r.epoch, s.Seeds, s.PeerTimeout, relayEntries)
+	r.seedRouters = len(slices.DeleteFunc(slices.Clone(s.Seeds), func(a netip.AddrPort) bool { return a == s.Peers }))
+	r.adoption = fleet.NewAdoption(s.Validity, r.seedRouters == 0)
+	r.gossip = wire.NewGossip(wire.GossipConfig{
+		ID: r.id, Addr: s.Peers, Seeds: s.Seeds, Timeout: s.PeerTimeout, Seed: seed,
+		Payload: r.payload, Heard: r.heard,
+	}, r.peers, r.events)
 	r.counters = newCounters(r.metrics)
 	r.gauges()
 	return r, nil
--- /dev/null
+++ b/wire/gossip.go
@@ -0,0 +1,142 @@
+package wire
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/fleet"
+)
+
+// The bounds of gossip: how many peers a round exchanges with, and how many
+// entries of others a message carries.
+const (
+	fanout       = 2
+	relayEntries = 8
+)
+
+// Gossip keeps a process's view of its peers by exchanging with a few at a time.
+type Gossip struct {
+	id      string
+	peers   *Peers
+	rec     *event.Recorder
+	payload func(now time.Time) Payload
+	heard   func(begun time.Time, w fleet.PeerWord)
+
+	mu   sync.Mutex
+	view *fleet.View[Payload]
+	rng  *rand.Rand
+	last time.Time
+}
+
+// GossipConfig describes a process that gossips.
+type GossipConfig struct {
+	ID      string
+	Addr    netip.AddrPort
+	Seeds   []netip.AddrPort
+	Timeout time.Duration
+	Seed    uint64
+	// Payload returns what the process says of itself.
+	Payload func(now time.Time) Payload
+	// Heard takes a peer's word on configuration, got by a call that began at begun.
+	Heard func(begun time.Time, w fleet.PeerWord)
+}
+
+// NewGossip returns the gossip of a process that calls its peers through p.
+func NewGossip(cfg GossipConfig, p *Peers, rec *event.Recorder) *Gossip {
+	epoch := time.Now().UnixNano()
+	return &Gossip{
+		id:      cfg.ID,
+		peers:   p,
+		rec:     rec,
+		payload: cfg.Payload,
+		heard:   cfg.Heard,
+		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout, relayEntries),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
+		last:    time.Now(),
+	}
+}
+
+// Round exchanges with a few peers at once and notes which were lost.
+func (g *Gossip) Round(ctx context.Context) {
+	g.mu.Lock()
+	addrs := g.view.Pick(time.Now(), g.rng, fanout)
+	g.mu.Unlock()
+	g.exchangeAll(ctx, addrs)
+	g.expire()
+}
+
+// Sweep exchanges with every seed and live peer, and returns their addresses.
+func (g *Gossip) Sweep(ctx context.Context) []netip.AddrPort {
+	g.mu.Lock()
+	addrs := g.view.Everyone(time.Now())
+	g.mu.Unlock()
+	g.exchangeAll(ctx, addrs)
+	return addrs
+}
+
+func (g *Gossip) exchangeAll(ctx context.Context, addrs []netip.AddrPort) {
+	var wg sync.WaitGroup
+	for _, addr := range addrs {
+		wg.Go(func() { g.exchange(ctx, addr) })
+	}
+	wg.Wait()
+}
+
+func (g *Gossip) exchange(ctx context.Context, addr netip.AddrPort) {
+	begun := time.Now()
+	out, err := g.peers.Exchange(ctx, addr, g.half())
+	if err != nil {
+		return
+	}
+	g.take(out)
+	g.heard(begun, out.Word)
+}
+
+// Exchange answers a peer's half with the own. What the peer says of newer
+// configuration is heard as unconfirmed, since its clock for it is not ours.
+func (g *Gossip) Exchange(in Exchange) Exchange {
+	g.take(in)
+	g.heard(time.Time{}, fleet.PeerWord{Revision: in.Word.Revision, ConfirmedAge: -1})
+	return g.half()
+}
+
+func (g *Gossip) take(in Exchange) {
+	g.rec.Clock().Observe(in.Stamp)
+	g.mu.Lock()
+	joined := g.view.Merge(time.Now(), in.Entries)
+	g.mu.Unlock()
+	for _, id := range joined {
+		g.rec.Record(event.Event{Code: event.PeerSeen, Detail: id})
+	}
+}
+
+func (g *Gossip) half() Exchange {
+	stamp := g.rec.Clock().Now()
+	now := time.Now()
+	payload := g.payload(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Exchange{From: g.id, Stamp: stamp, Word: payload.Word, Entries: g.view.Message(now, payload)}
+}
+
+func (g *Gossip) expire() {
+	g.mu.Lock()
+	now := time.Now()
+	lost := g.view.Expire(g.last, now)
+	g.last = now
+	g.mu.Unlock()
+	for _, id := range lost {
+		g.rec.Record(event.Event{Code: event.PeerLost, Detail: id})
+	}
+}
+
+// Live returns the entries of the peers heard of lately.
+func (g *Gossip) Live() []Entry {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.Live(time.Now())
+}
