policy, wire, event, cmd: tests of the edges, settings checked against their ranges

Cause: the ranges that help text gave were not checked, a duration without a unit was reported without its line, and the doors, drivers and commands had no tests of their own.

Change: every duration setting is checked against the range its help names (router.Settings.Check; a 1ms poll passed before). Durations and sizes are read from the YAML node, so that a fault names its line (it said line 0 before). The certificates' three flags belong together. Fuzz targets for every outside message; goleak over the wire tests.

Ruled out: a text unmarshaller, since goccy/go-yaml drops the position there.

--- a/cmd/pathhead-fleet/main.go
+++ b/cmd/pathhead-fleet/main.go
@@ -37,7 +37,7 @@
 	c, err := controller.New(controller.Settings{
 		Name: f.Name, Operators: f.Operators, Peers: f.Peers, Seeds: f.Seeds,
 		Table: f.Table, TableName: f.TableName, VMs: f.VMs,
-		Credentials: wire.Credentials{AccessKey: f.TableKey, SecretKey: f.TableWord, Region: f.Region},
+		Credentials: wire.Credentials{AccessKey: f.AccessKey, SecretKey: f.SecretKey, Region: f.Region},
 		Lease:       f.Lease, Every: f.Every, GossipEvery: f.GossipEvery, PeerTimeout: f.PeerTimeout,
 		PeerServer: server, PeerClient: client,
 	}, controller.WithLogger(f.Logger(f.Name)))
--- a/cmd/pathhead-router/main.go
+++ b/cmd/pathhead-router/main.go
@@ -65,7 +65,7 @@
 	set := router.Settings{
 		Name: f.Name, Hall: f.Hall, Callers: f.Callers, Operators: f.Operators, Peers: f.Peers, Seeds: f.Seeds,
 		Table: f.Table, TableName: f.TableName, Objects: f.Objects, Bucket: f.Bucket, VMs: f.VMs,
-		Credentials: wire.Credentials{AccessKey: f.TableKey, SecretKey: f.TableWord, Region: f.Region},
+		Credentials: wire.Credentials{AccessKey: f.AccessKey, SecretKey: f.SecretKey, Region: f.Region},
 		PollEvery:   f.PollEvery, ConfigEvery: f.ConfigEvery, GossipEvery: f.GossipEvery, PeerTimeout: f.PeerTimeout,
 		Validity: f.Validity, BalancerLag: f.BalancerLag, DrainTime: f.DrainTime,
 		Placement: f.Placement, CacheEvents: f.CacheEvents, Seed: f.Seed,
--- a/cmd/pathheadctl/main.go
+++ b/cmd/pathheadctl/main.go
@@ -45,7 +45,7 @@
 }
 
 func (f *flags) tool() (*ctl.Tool, error) {
-	cred := wire.Credentials{AccessKey: f.TableKey, SecretKey: f.TableWord, Region: f.Region}
+	cred := wire.Credentials{AccessKey: f.AccessKey, SecretKey: f.SecretKey, Region: f.Region}
 	opts := []ctl.Option{
 		ctl.WithStores(wire.NewDynamoTable(f.Table, f.TableName, cred), wire.NewS3Objects(f.Objects, f.Bucket, cred)),
 		ctl.WithDoors(f.Doors...),
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -62,8 +62,8 @@
 	PeerCert  string `help:"Certificate file (PEM) for mutual TLS with peers and operators; read again when it changes." env:"PATHHEAD_PEER_CERT" placeholder:"FILE"`
 	PeerKey   string `help:"Key file of the peers' certificate." env:"PATHHEAD_PEER_KEY" placeholder:"FILE"`
 	PeerCA    string `help:"Authority file that peers' and operators' certificates must be signed by." env:"PATHHEAD_PEER_CA" placeholder:"FILE"`
-	TableKey  string `help:"Access key id at the platform." env:"AWS_ACCESS_KEY_ID" placeholder:"ID"`
-	TableWord string `help:"Secret access key at the platform." env:"AWS_SECRET_ACCESS_KEY" placeholder:"SECRET"`
+	AccessKey string `help:"Access key id at the platform." env:"AWS_ACCESS_KEY_ID" placeholder:"ID"`
+	SecretKey string `help:"Secret access key at the platform; give it by the environment." env:"AWS_SECRET_ACCESS_KEY" placeholder:"SECRET"`
 	Region    string `help:"Region of the platform's services." env:"AWS_REGION" default:"local"`
 }
 
@@ -72,6 +72,9 @@
 	if k.PeerCert == "" && k.PeerKey == "" && k.PeerCA == "" {
 		return nil, nil, nil
 	}
+	if k.PeerCert == "" || k.PeerKey == "" || k.PeerCA == "" {
+		return nil, nil, errs.Errorf("peer-cert, peer-key and peer-ca belong together")
+	}
 	pool, err := authority(k.PeerCA)
 	if err != nil {
 		return nil, nil, err
@@ -161,7 +164,7 @@
 func Parse(settings any, description string) *kong.Context {
 	return kong.Parse(settings, append(Mappers(),
 		kong.Description(description),
-		kong.UsageOnError(),
+		kong.ShortUsageOnError(),
 		kong.Vars{"version": Version()},
 		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
 		kong.Exit(func(code int) {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -25,9 +25,9 @@
 
 // attr is one attribute value in the API's JSON form; B is base64 text.
 type attr struct {
-	S string `json:"S,omitempty"`
-	N string `json:"N,omitempty"`
-	B string `json:"B,omitempty"`
+	S string  `json:"S,omitempty"`
+	N string  `json:"N,omitempty"`
+	B *string `json:"B,omitempty"`
 }
 
 type item map[string]attr
--- a/policy/config.go
+++ b/policy/config.go
@@ -1,12 +1,13 @@
 package policy
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/zeebo/errs/v2"
+	"github.com/goccy/go-yaml/ast"
 )
 
 // Version is the only value of the version field that this program reads.
@@ -131,11 +132,11 @@
 // Duration is a time.Duration written with its unit, as in "250ms".
 type Duration time.Duration
 
-// UnmarshalText reads a duration and refuses a number without a unit.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
+// UnmarshalYAML reads a duration and refuses a number without a unit.
+func (d *Duration) UnmarshalYAML(node ast.Node) error {
+	v, err := time.ParseDuration(scalar(node))
 	if err != nil {
-		return errs.Errorf("%q is not a duration with a unit such as 250ms or 5s", text)
+		return nodeProblem(node, "%q is not a duration with a unit such as 250ms or 5s", scalar(node))
 	}
 	*d = Duration(v)
 	return nil
@@ -159,11 +160,10 @@
 	{"B", 1},
 }
 
-// UnmarshalText reads a size and refuses a number without a unit.
-func (b *Bytes) UnmarshalText(text []byte) error {
-	s := string(text)
+// UnmarshalYAML reads a size and refuses a number without a unit.
+func (b *Bytes) UnmarshalYAML(node ast.Node) error {
 	for _, u := range byteUnits {
-		digits, ok := strings.CutSuffix(s, u.suffix)
+		digits, ok := strings.CutSuffix(scalar(node), u.suffix)
 		if !ok {
 			continue
 		}
@@ -174,7 +174,14 @@
 		*b = Bytes(n * u.factor)
 		return nil
 	}
-	return errs.Errorf("%q is not a size with a unit such as 512KiB or 4MiB", text)
+	return nodeProblem(node, "%q is not a size with a unit such as 512KiB or 4MiB", scalar(node))
+}
+
+// scalar returns a node's text without quotes.
+func scalar(node ast.Node) string { return node.GetToken().Value }
+
+func nodeProblem(node ast.Node, format string, args ...any) *Problem {
+	return &Problem{Line: node.GetToken().Position.Line, Message: fmt.Sprintf(format, args...)}
 }
 
 // MarshalText writes the size in bytes.
--- a/policy/parse.go
+++ b/policy/parse.go
@@ -67,7 +67,12 @@
 	if err == nil {
 		return cfg, nil
 	}
-	p := &Problem{File: file, Message: err.Error()}
+	var p *Problem
+	if errors.As(err, &p) {
+		p.File = file
+		return nil, p
+	}
+	p = &Problem{File: file, Message: err.Error()}
 	var located yaml.Error
 	if errors.As(err, &located) {
 		p.Message = located.GetMessage()
--- a/router/router.go
+++ b/router/router.go
@@ -97,12 +97,9 @@
 	if _, ok := route.Placers()[s.Placement]; !ok {
 		bad("placement %q is not known", s.Placement)
 	}
-	for what, d := range map[string]time.Duration{
-		"poll-every": s.PollEvery, "config-every": s.ConfigEvery, "gossip-every": s.GossipEvery,
-		"peer-timeout": s.PeerTimeout, "validity": s.Validity, "drain-time": s.DrainTime,
-	} {
-		if d <= 0 {
-			bad("%s must be more than 0", what)
+	for _, r := range s.ranges() {
+		if r.value < r.least || r.value > r.most {
+			bad("%s is %s, must be from %s to %s", r.name, r.value, r.least, r.most)
 		}
 	}
 	if s.Validity <= s.ConfigEvery {
@@ -114,6 +111,24 @@
 	return errors.Join(faults...)
 }
 
+// durationRange is a setting with its bounds.
+type durationRange struct {
+	name               string
+	value, least, most time.Duration
+}
+
+func (s Settings) ranges() []durationRange {
+	return []durationRange{
+		{"poll-every", s.PollEvery, 50 * time.Millisecond, 10 * time.Second},
+		{"config-every", s.ConfigEvery, 100 * time.Millisecond, 10 * time.Second},
+		{"gossip-every", s.GossipEvery, 50 * time.Millisecond, 10 * time.Second},
+		{"peer-timeout", s.PeerTimeout, 100 * time.Millisecond, time.Minute},
+		{"validity", s.Validity, 500 * time.Millisecond, time.Minute},
+		{"balancer-lag", s.BalancerLag, 0, time.Minute},
+		{"drain-time", s.DrainTime, time.Second, time.Hour},
+	}
+}
+
 // Router is a router process.
 type Router struct {
 	set      Settings
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,258 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func TestParseCompletion(t *testing.T) {
+	cases := map[string]struct {
+		chat  bool
+		body  string
+		err   string
+		check func(t *testing.T, c *Completion)
+	}{
+		"chat": {
+			chat: true, body: `{"model":"m","messages":[{"role":"system","content":"a"},{"role":"user","content":"bc"}],"max_tokens":5}`,
+			check: func(t *testing.T, c *Completion) {
+				require.Equal(t, "system\x1ea\x1fuser\x1ebc\x1f", string(c.Text))
+				require.Equal(t, []int{9, 17}, c.Bounds)
+				require.Equal(t, 5, c.MaxTokens)
+				require.True(t, c.Plain)
+			},
+		},
+		"content in parts": {
+			chat: true, body: `{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}]}`,
+			check: func(t *testing.T, c *Completion) { require.Contains(t, string(c.Text), `"type":"text"`) },
+		},
+		"completion": {body: `{"model":"m","prompt":"x"}`, check: func(t *testing.T, c *Completion) { require.Equal(t, "x", string(c.Text)) }},
+		"tools are not one text": {
+			chat: true, body: `{"model":"m","tools":[],"messages":[{"role":"user","content":"x"}]}`,
+			check: func(t *testing.T, c *Completion) { require.False(t, c.Plain) },
+		},
+		"longer name of the bound": {
+			chat: true, body: `{"model":"m","max_completion_tokens":9,"messages":[{"role":"user","content":"x"}]}`,
+			check: func(t *testing.T, c *Completion) { require.Equal(t, 9, c.MaxTokens) },
+		},
+		"prompt of tokens":  {body: `{"model":"m","prompt":[1,2]}`, err: "one string"},
+		"no prompt":         {body: `{"model":"m"}`, err: "prompt is missing"},
+		"no model":          {body: `{"prompt":"x"}`, err: "model is missing"},
+		"reserved field":    {body: `{"model":"m","prompt":"x","resume":{}}`, err: "not a field that callers set"},
+		"negative bound":    {body: `{"model":"m","prompt":"x","max_tokens":-1}`, err: "negative"},
+		"wrong type of n":   {body: `{"model":"m","prompt":"x","n":"2"}`, err: "n is of a wrong type"},
+		"an array":          {body: `[]`, err: "not a JSON object"},
+		"data after it":     {body: `{"model":"m","prompt":"x"} {}`, err: "not a JSON object"},
+		"nothing but space": {body: ` `, err: "not a JSON object"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got, err := ParseCompletion([]byte(c.body), c.chat)
+			if c.err != "" {
+				require.ErrorContains(t, err, c.err)
+				return
+			}
+			require.NoError(t, err)
+			c.check(t, got)
+		})
+	}
+}
+
+func TestCompletionBody(t *testing.T) {
+	c, err := ParseCompletion([]byte(`{"model":"m","prompt":"x","temperature":0.5,"stream":false,"user":"<&>"}`), false)
+	require.NoError(t, err)
+	body, err := c.Body(Sending{Salt: "s", Priority: 3, Stream: true, Resume: &Resume{Text: "t", Tokens: 2}})
+	require.NoError(t, err)
+	var got map[string]any
+	require.NoError(t, json.Unmarshal(body, &got))
+	require.Equal(t, map[string]any{
+		"model": "m", "prompt": "x", "temperature": 0.5, "user": "<&>", "cache_salt": "s", "priority": 3.0,
+		"stream": true, "stream_options": map[string]any{"include_usage": true},
+		"resume": map[string]any{"text": "t", "tokens": 2.0},
+	}, got)
+	require.Equal(t, 1, strings.Count(string(body), `"stream":`), "a field stands once, so that no two readers differ")
+}
+
+func FuzzParseCompletion(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}],"stream":true}`), true)
+	f.Add([]byte(`{"model":"m","prompt":"x","n":2}`), false)
+	f.Fuzz(func(t *testing.T, data []byte, chat bool) {
+		c, err := ParseCompletion(data, chat)
+		if err != nil {
+			return
+		}
+		body, err := c.Body(Sending{Salt: "s", Stream: true})
+		require.NoError(t, err)
+		require.True(t, json.Valid(body), "%s", body)
+	})
+}
+
+func TestEventReader(t *testing.T) {
+	const chunk = `{"choices":[{"delta":{"content":"hi"},"finish_reason":null}]}`
+	cases := map[string]struct {
+		in     string
+		chunks []route.Chunk
+		err    error
+		fails  bool
+	}{
+		"numbered":       {in: "id: a-1/3\ndata: " + chunk + "\n\ndata: [DONE]\n\n", chunks: []route.Chunk{{Attempt: "a-1", Seq: 3, Data: []byte(chunk), Text: "hi"}, {Done: true}}},
+		"unnumbered":     {in: "data:" + chunk + "\n\n", chunks: []route.Chunk{{Data: []byte(chunk), Text: "hi"}}, err: io.ErrUnexpectedEOF},
+		"comments":       {in: ": ping\n\nevent: x\n\n", err: io.ErrUnexpectedEOF},
+		"not JSON":       {in: "data: {\n\n", fails: true},
+		"engine error":   {in: "data: {\"error\":{\"message\":\"x\"}}\n\n", fails: true},
+		"cut in a chunk": {in: "data: " + chunk[:20], fails: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := NewEventReader(strings.NewReader(c.in))
+			for _, want := range c.chunks {
+				got, err := r.Next()
+				require.NoError(t, err)
+				require.Equal(t, want, got)
+			}
+			if c.err != nil || c.fails {
+				_, err := r.Next()
+				require.Error(t, err)
+				if c.err != nil {
+					require.True(t, errors.Is(err, c.err))
+				}
+			}
+		})
+	}
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add([]byte("id: a/1\ndata: {\"choices\":[]}\n\ndata: [DONE]\n\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		r := NewEventReader(strings.NewReader(string(data)))
+		for {
+			if c, err := r.Next(); err != nil || c.Done {
+				return
+			}
+		}
+	})
+}
+
+func FuzzDecodeVMs(f *testing.F) {
+	f.Add([]byte(`[{"targets":["10.0.0.1:80"],"labels":{"kind":"engine"}}]`))
+	f.Add([]byte(`[{"targets":["host:80"]}]`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		vms, err := DecodeVMs(data)
+		for _, vm := range vms {
+			require.NoError(t, err)
+			require.True(t, vm.Addr.IsValid())
+		}
+	})
+}
+
+// TestTargetsUnsent checks when a failed send is known to have left nothing.
+func TestTargetsUnsent(t *testing.T) {
+	closing := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer closing.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	nobody := l.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, l.Close())
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := map[string]struct {
+		ctx    context.Context
+		target netip.AddrPort
+		unsent bool
+	}{
+		"nobody listens":        {ctx: t.Context(), target: nobody, unsent: true},
+		"cancelled before dial": {ctx: cancelled, target: addrOf(closing), unsent: true},
+		"closed after it read":  {ctx: t.Context(), target: addrOf(closing)},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			targets := NewTargets()
+			defer targets.Close()
+			_, err := targets.Send(c.ctx, Call{Target: c.target, Method: "POST", Path: "/", Header: http.Header{}, Body: []byte("x")})
+			require.Error(t, err)
+			require.Equal(t, c.unsent, errors.Is(err, ErrUnsent))
+		})
+	}
+}
+
+// TestTargetsSendOnce checks that the transport repeats no call that may run
+// once, also one with a key and an empty body, which it takes for repeatable.
+func TestTargetsSendOnce(t *testing.T) {
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if calls++; calls > 1 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	targets := NewTargets()
+	defer targets.Close()
+	h := http.Header{"Idempotency-Key": {"k"}}
+	call := Call{Target: addrOf(server), Method: "POST", Path: "/", Header: h, Once: true}
+	resp, err := targets.Send(t.Context(), call)
+	require.NoError(t, err)
+	resp.Body.Close()
+	_, err = targets.Send(t.Context(), call)
+	require.Error(t, err)
+	require.Equal(t, 2, calls)
+}
+
+func addrOf(s *httptest.Server) netip.AddrPort {
+	return s.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// fakePeer answers with a fixed half and document.
+type fakePeer struct{ half Exchange }
+
+func (f fakePeer) Exchange(Exchange) Exchange { return f.half }
+
+func (f fakePeer) Config() (fleet.Document, bool) { return fleet.Document{Revision: 3}, true }
+
+func TestPeers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	half := Exchange{
+		From: "p", Stamp: event.Stamp{Time: time.Unix(5, 0).UTC(), N: 2}, Word: fleet.PeerWord{Revision: 3},
+		Entries: []Entry{{ID: "p", Addr: addr, Payload: Payload{Kind: KindRouter, State: route.PeerState{
+			Leaving: []route.Mark{{Target: addr, Incarnation: "i"}},
+		}}}},
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = ServePeers(l, fakePeer{half})
+	}()
+	p := NewPeers(time.Second, nil)
+	got, err := p.Exchange(t.Context(), addr, Exchange{From: "q"})
+	require.NoError(t, err)
+	require.Equal(t, half, got)
+	d, err := p.Config(t.Context(), addr, "q")
+	require.NoError(t, err)
+	require.EqualValues(t, 3, d.Revision)
+	sent, read := p.Traffic()
+	require.Positive(t, sent)
+	require.Positive(t, read)
+	p.Close()
+	require.NoError(t, l.Close())
+	<-done
+	_, err = p.Exchange(t.Context(), addr, Exchange{})
+	require.Error(t, err)
+}
