route: the price of prefill grows with the requests that it delays

Cause: in the rush the slowest requests were placed on engines with waits of 0.4 to 1.6 s, many recomputing 1792 to 2634 tokens that another engine held: each took its own shortest way and lengthened everybody's queue.

Ruled out: wrong beliefs (believed and counted tokens agreed for most of the 25 slowest) and wrong waits (predicted 0.4 to 1.6 s, seen 0.9 to 1.6 s).

Change: the weight of recomputation is multiplied by one plus the mean number of requests that arrive at a target while its queue drains.

--- a/cmd/pathhead-load/main.go
+++ b/cmd/pathhead-load/main.go
@@ -37,6 +37,7 @@
 	Retries  int              `help:"Repeats of a request that was refused as not run." default:"0"`
 	Seed     uint64           `help:"Seed of the workload." default:"1"`
 	Label    string           `help:"Name of the run in reports." default:"run"`
+	Results  string           `help:"File for each request's result (JSON lines)."`
 	Out      string           `help:"File that the report (JSON) is added to; standard output without one."`
 }
 
@@ -51,9 +52,30 @@
 	arrivals := w.Arrivals(c.Seed)
 	results := client.Play(ctx, arrivals)
 	arrivals, results = load.Window(arrivals, results, c.Skip, 0)
+	if err := c.writeResults(results); err != nil {
+		return err
+	}
 	return c.write(load.Summarise(c.Label, w, c.Seed, arrivals, results))
 }
 
+func (c *playCmd) writeResults(results []load.Result) error {
+	if c.Results == "" {
+		return nil
+	}
+	f, err := os.Create(c.Results)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	defer f.Close()
+	enc := json.NewEncoder(f)
+	for _, r := range results {
+		if err := enc.Encode(r); err != nil {
+			return errs.Wrap(err)
+		}
+	}
+	return nil
+}
+
 func (c *playCmd) write(rep load.Report) error {
 	out := os.Stdout
 	if c.Out != "" {
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -34,6 +34,7 @@
 	b.note(event.Event{Code: event.RequestArrived, Request: r.ID, Org: r.Org, Revision: b.snap.Revision})
 	r.queuedTo = now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
 	r.cost = b.cost(r)
+	b.pools[r.Pool].offered.add(now, 1)
 	b.enqueue(r)
 	out := b.dispatch(now)
 	if r.attempt == nil {
--- a/route/board.go
+++ b/route/board.go
@@ -45,6 +45,8 @@
 	queue    *fairQueue
 	// drained measures the cost sent while requests wait, which is the pool's capacity.
 	drained meter
+	// offered measures the requests that arrive.
+	offered meter
 	retries retryBudget
 }
 
@@ -113,8 +115,8 @@
 	for _, cp := range b.snap.Pools() {
 		p, ok := b.pools[cp.Name]
 		if !ok {
-			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), retries: newRetryBudget()}
-			p.drained.at = now
+			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget()}
+			p.drained.at, p.offered.at = now, now
 			b.pools[cp.Name] = p
 		}
 		p.compiled = cp
--- a/route/place.go
+++ b/route/place.go
@@ -138,12 +138,32 @@
 		cs = b.engineCandidates(cs, now, p, r)
 	}
 	b.scratch = cs
+	price := b.snap.Config.Placement.RecomputeWeight
 	for i := range cs {
-		b.predict(&cs[i], r)
+		cs[i].wait = cs[i].target.queueWait()
+	}
+	price *= 1 + b.delayed(now, p, cs)
+	for i := range cs {
+		b.predict(&cs[i], r, price)
 	}
 	return cs
 }
 
+// delayed is the mean number of requests that arrive at one target while its
+// queue drains: each second of prefill that could have been spared is a second
+// that all of them wait, so the busier the pool, the more it costs.
+func (b *Board) delayed(now time.Time, p *pool, cs []candidate) float64 {
+	if len(cs) == 0 {
+		return 0
+	}
+	wait := time.Duration(0)
+	for _, c := range cs {
+		wait += c.wait
+	}
+	perTarget := p.offered.rate(now) * float64(b.routers) / float64(len(p.members))
+	return perTarget * (wait / time.Duration(len(cs))).Seconds()
+}
+
 func (b *Board) serviceCandidates(cs []candidate, p *pool, r *request) []candidate {
 	for _, t := range p.members {
 		if t.usable() {
@@ -338,13 +358,13 @@
 	}
 }
 
-// predict fills in the wait and the cost of a candidate.
-func (b *Board) predict(c *candidate, r *request) {
+// predict fills in the cost of a candidate whose wait is known; price is what a
+// second of prefill costs in seconds of waiting.
+func (b *Board) predict(c *candidate, r *request, price float64) {
 	t := c.target
-	c.wait = t.queueWait()
 	uncached := float64(r.promptTokens() - min(c.trusted, r.promptTokens()))
 	prefill := seconds(uncached / t.rate())
-	c.cost = c.wait + prefill + seconds(prefill.Seconds()*b.snap.Config.Placement.RecomputeWeight)
+	c.cost = c.wait + prefill + seconds(prefill.Seconds()*price)
 	if r.tried[t.addr] {
 		c.cost += pricePerRetry
 	}
