--- a/route/attempt.go
+++ b/route/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -13,8 +14,11 @@
 	maxTries     = 5
 	firstBackoff = 20 * time.Millisecond
 	drainWindow  = 2 * time.Second
-	// headTries is how many of an organisation's first requests are tried when its head finds no target.
-	headTries = 4
+	// headTries is how many of an organisation's first requests, and maxScan how
+	// many of a pool's, are tried for a target with room.
+	headTries   = 4
+	maxScan     = 24
+	spillFactor = 3
 	// decodePrice is what one generated token costs in prefill tokens.
 	decodePrice = 4
 	minCost     = 64
@@ -95,19 +99,41 @@
 	return out
 }
 
-// sendNext sends the request that is due first among those that find a target.
+// sendNext sends one waiting request. The first in fair order whose best target
+// has room goes at once. Else one may go to a worse target, if it has waited for
+// as long as that costs more: so a hot prefix spreads to further targets only
+// when waiting for its own has become as dear.
 func (b *Board) sendNext(now time.Time, p *pool) (Send, bool) {
+	var (
+		spill *request
+		least = time.Duration(math.MaxInt64)
+		seen  int
+	)
 	for _, o := range p.queue.next() {
 		for _, r := range o.items[:min(headTries, len(o.items))] {
 			if now.Before(r.notBefore) {
 				continue
 			}
-			if c, _ := b.choose(now, p, r); c != nil {
+			if seen++; seen > maxScan {
+				break
+			}
+			c, extra := b.choose(now, p, r)
+			if c == nil {
+				continue
+			}
+			if extra <= tieWidth {
 				return b.send(now, p, r, c), true
 			}
+			if short := spillFactor*extra - now.Sub(r.arrived); short < least {
+				spill, least = r, short
+			}
 		}
 	}
-	return Send{}, false
+	if spill == nil || least > 0 {
+		return Send{}, false
+	}
+	c, _ := b.choose(now, p, spill)
+	return b.send(now, p, spill, c), true
 }
 
 // send makes an attempt of a waiting request at the chosen target.
@@ -149,11 +175,11 @@
 	b.beliefs.learn(c.chain, len(c.chain.blocks), c.target.slot, now)
 }
 
-// FirstToken notes that an attempt's prefill is over.
-func (b *Board) FirstToken(now time.Time, requestID, attemptID string) {
+// FirstToken notes that an attempt's prefill is over, which makes room for the next.
+func (b *Board) FirstToken(now time.Time, requestID, attemptID string) []Action {
 	r, a := b.current(requestID, attemptID)
 	if a == nil || a.first {
-		return
+		return nil
 	}
 	a.first = true
 	a.progress = now
@@ -162,6 +188,7 @@
 	if a.Salt != "" {
 		b.tellFill(now, r, a)
 	}
+	return b.dispatch(now)
 }
 
 // tellFill keeps the ends of the prompt's messages for the peers.
--- a/route/limit.go
+++ b/route/limit.go
@@ -198,7 +198,7 @@
 	}
 	b.forgetPeers(states)
 	b.mergeMarks(states)
-	b.mergeLoads()
+	b.mergeLoads(now)
 	b.mergeFills(now, states)
 	b.shareLimits(now)
 	return b.dispatch(now)
@@ -228,9 +228,9 @@
 	}
 }
 
-func (b *Board) mergeLoads() {
+func (b *Board) mergeLoads(now time.Time) {
 	for _, t := range b.targets {
-		t.peerInFlight, t.peerPrefill = 0, 0
+		t.peerInFlight, t.peerPrefill, t.peersAt = 0, 0, now
 	}
 	for _, s := range b.peers {
 		for _, l := range s.Loads {
--- a/route/meter.go
+++ b/route/meter.go
@@ -10,12 +10,17 @@
 	over  time.Duration
 	value float64
 	at    time.Time
+	// begun is when the first event was counted.
+	begun time.Time
 }
 
 func newMeter(over time.Duration) meter { return meter{over: over} }
 
 func (m *meter) add(now time.Time, n float64) {
 	m.decay(now)
+	if m.begun.IsZero() {
+		m.begun = now
+	}
 	m.value += n
 }
 
@@ -26,9 +31,11 @@
 	}
 }
 
+// rate corrects for the time before the first event, which is no sign of a low rate.
 func (m *meter) rate(now time.Time) float64 {
 	m.decay(now)
-	return m.value / m.over.Seconds()
+	seen := max(now.Sub(m.begun), m.over/16)
+	return m.value / (m.over.Seconds() * (1 - math.Exp(-float64(seen)/float64(m.over))))
 }
 
 // bucket is a token bucket whose rate may change at any time.
--- a/route/place.go
+++ b/route/place.go
@@ -104,29 +104,46 @@
 // fullScan is the pool size up to which every member is a candidate; of larger
 // pools only known holders, the first in rendezvous order and a random few are.
 const (
-	fullScan       = 24
-	rendezvousTop  = 4
-	randomMore     = 4
-	pricePerRetry  = 2 * time.Second
-	slotWaitFactor = 1.0
+	fullScan      = 24
+	rendezvousTop = 4
+	randomMore    = 4
+	pricePerRetry = 2 * time.Second
 )
 
-// choose places a request, or reports whether the pool has any target for it at all.
-func (b *Board) choose(now time.Time, p *pool, r *request) (best *candidate, any bool) {
+// choose places a request: it returns the best candidate that has room, and how
+// much more that one costs than the best of all, which may be full. It returns
+// nil if none has room.
+func (b *Board) choose(now time.Time, p *pool, r *request) (best *candidate, extra time.Duration) {
 	cs := b.candidates(now, p, r)
 	if len(cs) == 0 {
-		return nil, false
+		return nil, 0
 	}
-	free := cs[:0]
-	for _, c := range cs {
-		if c.target.inFlight() < p.compiled.Window {
-			free = append(free, c)
+	least := cs[0].cost
+	room := 0
+	for i := range cs {
+		least = min(least, cs[i].cost)
+		if b.hasRoom(cs[i].target, p) {
+			cs[room], cs[i] = cs[i], cs[room]
+			room++
 		}
 	}
-	if len(free) == 0 {
-		return nil, true
+	if room == 0 {
+		return nil, 0
 	}
-	return b.place(b.rng, free), true
+	best = b.place(b.rng, cs[:room])
+	return best, best.cost - least
+}
+
+// roomWait is the longest wait, for prefills that all routers sent to an engine,
+// at which it gets one more request. What waits longer waits here, in its
+// organisation's queue, and keeps its choice. Each router keeps to its part by
+// what it sent itself: what peers sent is known too late to hold anything back.
+const roomWait = 200 * time.Millisecond
+
+func (b *Board) hasRoom(t *target, p *pool) bool {
+	n := t.inFlight()
+	own := seconds(float64(t.prefill) / t.rate())
+	return len(t.attempts) == 0 || n < p.compiled.Window && own <= roomWait/time.Duration(b.routers)
 }
 
 // candidates lists the targets that serve the request, with predictions.
@@ -140,7 +157,7 @@
 	b.scratch = cs
 	price := b.snap.Config.Placement.RecomputeWeight
 	for i := range cs {
-		cs[i].wait = cs[i].target.queueWait()
+		cs[i].wait = cs[i].target.queueWait(now)
 	}
 	price *= 1 + b.delayed(now, p, cs)
 	for i := range cs {
@@ -149,8 +166,8 @@
 	return cs
 }
 
-// delayed is the mean number of requests that arrive at one target while its
-// queue drains: each second of prefill that could have been spared is a second
+// delayed is the mean number of requests that wait for one target here or arrive
+// while its queue drains: each second of prefill that could have been spared is a second
 // that all of them wait, so the busier the pool, the more it costs.
 func (b *Board) delayed(now time.Time, p *pool, cs []candidate) float64 {
 	if len(cs) == 0 {
@@ -160,8 +177,9 @@
 	for _, c := range cs {
 		wait += c.wait
 	}
-	perTarget := p.offered.rate(now) * float64(b.routers) / float64(len(p.members))
-	return perTarget * (wait / time.Duration(len(cs))).Seconds()
+	fleet := float64(b.routers) / float64(len(p.members))
+	arriving := p.offered.rate(now) * (wait / time.Duration(len(cs))).Seconds()
+	return fleet * (arriving + float64(p.queue.n))
 }
 
 func (b *Board) serviceCandidates(cs []candidate, p *pool, r *request) []candidate {
@@ -370,11 +388,13 @@
 	}
 }
 
-// queueWait predicts how long a new request waits at the target before its own prefill.
-func (t *target) queueWait() time.Duration {
-	wait := seconds(float64(t.prefill+t.peerPrefill) / t.rate())
+// queueWait predicts how long a new request waits at the target before its own
+// prefill. What peers told is taken to have gone on since.
+func (t *target) queueWait(now time.Time) time.Duration {
+	pending := float64(t.prefill) + max(0, float64(t.peerPrefill)-now.Sub(t.peersAt).Seconds()*t.rate())
+	wait := seconds(pending / t.rate())
 	if over := t.inFlight() - t.slots() + 1; over > 0 {
-		wait += time.Duration(slotWaitFactor * float64(over) / float64(t.slots()) * float64(t.service))
+		wait += time.Duration(float64(over) / float64(t.slots()) * float64(t.service))
 	}
 	return wait
 }
--- a/route/target.go
+++ b/route/target.go
@@ -77,6 +77,7 @@
 	round       uint64
 	candidate   int
 	peerPrefill int
+	peersAt     time.Time
 }
 
 // name is the target as events and operators see it.
--- a/router/engine.go
+++ b/router/engine.go
@@ -215,9 +215,8 @@
 		c.r.counters.firstToken(time.Since(c.visit.begun))
 	}
 	c.r.do(func(b *route.Board, now time.Time) []route.Action {
-		b.FirstToken(now, a.Request, a.ID)
 		b.Progress(now, a.Request, a.ID)
-		return nil
+		return b.FirstToken(now, a.Request, a.ID)
 	})
 }
 
