--- a/controller/status.go
+++ b/controller/status.go
@@ -32,6 +32,8 @@
 	Held    bool              `json:"held"`
 	Engines []EngineStatus    `json:"engines,omitempty"`
 	Stopped map[string]string `json:"stopped,omitempty"`
+	// Blocked says why no further engine is changed now.
+	Blocked string `json:"blocked,omitempty"`
 }
 
 // EngineStatus says of one engine what was declared, seen and ordered.
@@ -87,6 +89,7 @@
 		}
 		out.Engines = append(out.Engines, es)
 	}
+	out.Blocked = w.planner.Blocked()
 	out.Stopped = make(map[string]string)
 	for r, why := range w.planner.Stops() {
 		out.Stopped[r.Model+" "+r.Weights] = why
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -111,6 +111,8 @@
 	failures map[Rollout]int
 	stopped  map[Rollout]string
 	revision int64
+	// blocked says why nothing more is begun, empty if nothing holds back.
+	blocked string
 }
 
 // PlannerSettings bound a planner.
@@ -230,7 +232,9 @@
 	c.Since = now
 }
 
-// fail gives a change up for a while; too many failures of one kind stop the rollout.
+// fail gives a change up for a while; too many failures of one kind stop the
+// rollout. Successes in between do not make up for them: an engine that failed
+// has the new weights and serves badly.
 func (p *Planner) fail(now time.Time, c *Change, why string) {
 	delete(p.changes, c.Engine)
 	p.backoff[c.Engine] = now.Add(p.settings.Backoff)
@@ -264,13 +268,13 @@
 		p.fail(now, c, "failed its probe: "+err.Error())
 		return
 	}
-	delete(p.failures, c.Want.rollout())
 	delete(p.changes, engine)
 }
 
 // begin starts changes while the bounds on loads and the floors allow.
 func (p *Planner) begin(now time.Time, snap *policy.Snapshot, engines []Engine) {
 	members := p.members(snap, engines)
+	p.blocked = ""
 	for _, e := range engines {
 		if p.active(engines) >= p.settings.MaxLoads {
 			return
@@ -279,7 +283,11 @@
 			continue
 		}
 		w, ok := p.difference(snap, e, members)
-		if !ok || p.Stopped(w) != "" || !p.aboveFloor(snap, w, engines) {
+		if !ok || p.Stopped(w) != "" {
+			continue
+		}
+		if !p.aboveFloor(snap, w, engines) {
+			p.blocked = "the floor of " + w.Model + " leaves no engine to change"
 			continue
 		}
 		p.changes[e.Addr] = &Change{Engine: e.Addr, Incarnation: e.Incarnation, Want: w, Since: now, idleSince: now}
@@ -390,6 +398,9 @@
 // Stops returns the stopped rollouts and why.
 func (p *Planner) Stops() map[Rollout]string { return maps.Clone(p.stopped) }
 
+// Blocked says why no further change is begun, empty if nothing holds back.
+func (p *Planner) Blocked() string { return p.blocked }
+
 // Changes returns the changes under way, by engine.
 func (p *Planner) Changes() []Change {
 	var out []Change
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -194,6 +194,26 @@
 	require.True(t, w.converged(), "a roll back is a new revision")
 }
 
+func TestPlannerSaysWhatBlocks(t *testing.T) {
+	w := newFleetWorld(t, 2, 2)
+	w.snap = testSnapshot(t, 2, "w2", 0, 2)
+	require.NoError(t, w.round())
+	require.Contains(t, w.planner.Blocked(), "floor")
+	w.snap = testSnapshot(t, 3, "w2", 0, 1)
+	require.NoError(t, w.round())
+	require.Len(t, w.planner.Changes(), 1)
+}
+
+func TestPlannerCountsFailuresBetweenSuccesses(t *testing.T) {
+	w := newFleetWorld(t, 4, 1)
+	w.snap = testSnapshot(t, 2, "w2", 0, 1)
+	w.engines[0].refuses, w.engines[3].refuses = true, true
+	for range 60 {
+		require.NoError(t, w.round())
+	}
+	require.Contains(t, w.planner.Stops(), Rollout{"m", "w2"})
+}
+
 func TestPlannerReplicas(t *testing.T) {
 	w := newFleetWorld(t, 4, 1)
 	w.snap = testSnapshot(t, 2, "w1", 3, 1)
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -89,6 +89,15 @@
 	return p
 }
 
+func containsAll(s string, parts ...string) bool {
+	for _, p := range parts {
+		if !strings.Contains(s, p) {
+			return false
+		}
+	}
+	return true
+}
+
 func tail(s string) string {
 	const most = 4000
 	return s[max(0, len(s)-most):]
@@ -229,7 +238,15 @@
 	return &targetProc{proc: start(s.t, name, "pathhead-standin", args...), addr: addr, name: name, kind: kind}
 }
 
+// startRouters starts the routers and waits until their operators' doors answer.
 func (s *system) startRouters() {
+	s.startProcesses()
+	for _, r := range s.routers {
+		s.await(r.operators, "/healthz")
+	}
+}
+
+func (s *system) startProcesses() {
 	addrs := freeAddrs(s.t, 3*s.set.routers)
 	var seeds []string
 	for i := range s.set.routers {
@@ -246,9 +263,6 @@
 		p := start(s.t, args[1], "pathhead-router", args...)
 		s.routers = append(s.routers, &routerProc{proc: p, callers: a[0], operators: a[1], peers: a[2]})
 	}
-	for _, r := range s.routers {
-		s.await(r.operators, "/healthz")
-	}
 }
 
 func (s *system) platform(objects bool) []string {
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -16,8 +16,8 @@
 	drainWindow  = 2 * time.Second
 	// headTries is how many of an organisation's first requests, and maxScan how
 	// many of a pool's, are tried for a target with room.
-	headTries   = 4
-	maxScan     = 24
+	headTries = 4
+	maxScan   = 24
 	// spillFactor was measured: 1 spread too early and computed more, see docs/design/queueing.md.
 	spillFactor = 3
 	// decodePrice is what one generated token costs in prefill tokens.
