route, router: hot prefixes are kept and imported after an engine came back empty

Cause: after a crash of engines their hot prefixes were computed again.

Change: prefixes asked for at a router at least every 5 s are exported under their block, which names organisation, model, adapter and weights, to the pool that the model names; peers hear of them by gossip.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -18,6 +18,7 @@
 	"github.com/rogpeppe/go-internal/diff"
 	"github.com/zeebo/errs/v2"
 
+	"github.com/pathhead/pathhead/controller"
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/policy"
@@ -245,10 +246,16 @@
 // process is a process's door and what it answered.
 type process struct {
 	door   netip.AddrPort
-	status router.Status
+	status processStatus
 	err    error
 }
 
+// processStatus is what either kind of process says of itself.
+type processStatus struct {
+	router.Status
+	Pools []controller.PoolStatus `json:"pools,omitempty"`
+}
+
 // processes asks every door, those given and those the processes behind them know of.
 func (t *Tool) processes(ctx context.Context) []process {
 	asked := make(map[netip.AddrPort]bool)
@@ -379,7 +386,7 @@
 func (t *Tool) Status(ctx context.Context) error {
 	all := t.processes(ctx)
 	if t.form == OutputJSON {
-		statuses := make([]router.Status, 0, len(all))
+		statuses := make([]processStatus, 0, len(all))
 		for _, p := range all {
 			statuses = append(statuses, p.status)
 		}
@@ -399,7 +406,40 @@
 	if err != nil {
 		return err
 	}
-	return t.targets(all)
+	if err := t.targets(all); err != nil {
+		return err
+	}
+	return t.pools(all)
+}
+
+// pools prints, for each pool whose lease holder answers, its engines and the work on them.
+func (t *Tool) pools(all []process) error {
+	for _, p := range all {
+		for _, pool := range p.status.Pools {
+			if !pool.Held {
+				continue
+			}
+			fmt.Fprintf(t.out, "\npool %s, held by %s with fencing number %d\n", pool.Pool, pool.Holder, pool.Fence)
+			for rollout, why := range pool.Stopped {
+				fmt.Fprintf(t.out, "the rollout of %s stopped: %s\n", rollout, why)
+			}
+			if pool.Blocked != "" {
+				fmt.Fprintf(t.out, "nothing more is changed: %s\n", pool.Blocked)
+			}
+			if err := t.engines(pool.Engines); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (t *Tool) engines(engines []controller.EngineStatus) error {
+	return t.table("ENGINE\tDECLARED\tSEEN\tBUSY\tCHANGE\tWHY", func(row func(string, ...any)) {
+		for _, e := range engines {
+			row("%s\t%v\t%v\t%d\t%s\t%s", e.Name, e.Declared, e.Seen, e.Busy, e.Change, e.Why)
+		}
+	})
 }
 
 // targets prints the targets as the first router that answers sees them.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -154,7 +154,8 @@
 	}
 	if c.chain != nil {
 		a.Salt = c.chain.salt
-		a.uncached = r.promptTokens() - min(c.trusted, r.promptTokens())
+		a.uncached = c.uncached(r)
+		a.Import = c.imported
 		b.expectFill(now, c)
 	}
 	r.attempt = a
@@ -188,6 +189,7 @@
 	b.recovered(a.target)
 	if a.Salt != "" {
 		b.tellFill(now, r, a)
+		return append(b.offerExport(now, r, a), b.dispatch(now)...)
 	}
 	return b.dispatch(now)
 }
@@ -243,7 +245,7 @@
 		b.note(event.Event{Code: event.RequestAnswered, Request: r.ID, Attempt: a.ID, Org: r.Org, Target: a.target.name(), Detail: usageText(o.Usage)})
 		return append([]Action{Finish{Request: r.ID}}, b.dispatch(now)...)
 	}
-	b.blame(a, o)
+	b.blame(now, a, o)
 	r.verdict = max(r.verdict, b.verdictOf(r, o.Kind))
 	return append(b.again(now, r, a, o), b.dispatch(now)...)
 }
@@ -302,7 +304,7 @@
 }
 
 // blame counts a failure against the target and drops what was believed of it.
-func (b *Board) blame(a *attempt, o Outcome) {
+func (b *Board) blame(now time.Time, a *attempt, o Outcome) {
 	code := event.AttemptBroken
 	if o.Kind == OutcomeRefused || o.Kind == OutcomeUnsent {
 		code = event.AttemptRefused
@@ -311,7 +313,7 @@
 		Code: code, Request: o.Request, Attempt: o.Attempt, Target: a.target.name(),
 		Detail: o.Kind.String() + ": " + o.Detail,
 	})
-	b.identify(a.target, o.Incarnation)
+	b.identify(now, a.target, o.Incarnation)
 	if r, ok := b.requests[o.Request]; ok && a.Salt != "" {
 		b.beliefs.unlearn(r.chain(a.Weights), a.target.slot)
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -28,11 +28,16 @@
 	requests map[string]*request
 	beliefs  *beliefs
 	fills    []Fill
-	routers  int
-	peers    map[string]PeerState
-	closed   *Refusal
-	round    uint64
-	scratch  []candidate
+	// kept are the prefixes that are hot or in a kept KV store, newlyKept those to
+	// tell peers of, exporting the exports under way.
+	kept      *generations[Block, keptPrefix]
+	newlyKept []Kept
+	exporting int
+	routers   int
+	peers     map[string]PeerState
+	closed    *Refusal
+	round     uint64
+	scratch   []candidate
 	// version grows when a target's state changes in a way that decides who serves.
 	version uint64
 	serving map[serversKey]*serversList
@@ -81,6 +86,7 @@
 		orgs:     make(map[string]*orgState),
 		requests: make(map[string]*request),
 		beliefs:  newBeliefs(),
+		kept:     newGenerations[Block, keptPrefix](keptEntries),
 		routers:  1,
 		peers:    make(map[string]PeerState),
 		serving:  make(map[serversKey]*serversList),
--- /dev/null
+++ b/route/kept.go
@@ -0,0 +1,195 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/policy"
+)
+
+// Export asks to copy a hot prefix from a target to the kept KV store.
+type Export struct {
+	Target  Mark
+	Pool    string
+	Key     Block
+	Salt    string
+	Text    []byte
+	Request string
+}
+
+func (Export) isAction() {}
+
+// Import asks to fill a target's cache from the kept KV store before an attempt is sent.
+type Import struct {
+	Pool   string
+	Key    Block
+	Tokens int
+}
+
+// Kept says that a prefix is in a kept KV store; its key names organisation,
+// model, adapter and weights, since it is the prefix's block.
+type Kept struct {
+	Key    Block
+	Tokens int
+}
+
+// keptPrefix is what a board knows of one prefix at the end of a message.
+type keptPrefix struct {
+	uses    meter
+	tokens  int
+	stored  bool
+	askedAt time.Time
+}
+
+// The bounds of exporting: how often a prefix must be asked for at one router to
+// be worth it, how long it must be, how soon it is tried again, how many exports
+// a router makes in a second, and how many prefixes it remembers.
+const (
+	keptRate       = 0.2
+	keptLeast      = 512
+	keptAgain      = 30 * time.Second
+	keptWindow     = 10 * time.Second
+	exportsAtOnce  = 2
+	keptEntries    = 4096
+	importFactor   = 4
+	importOverhead = 5 * time.Millisecond
+	importWindow   = 15 * time.Second
+	maxKeptTold    = 16
+)
+
+// keptPool returns the pool that keeps a model's KV cache and has a usable target.
+func (b *Board) keptPool(m *policy.Model) (string, bool) {
+	p, ok := b.pools[m.KeptPool]
+	if m.KeptPool == "" || !ok {
+		return "", false
+	}
+	for _, t := range p.members {
+		if t.usable() {
+			return m.KeptPool, true
+		}
+	}
+	return "", false
+}
+
+// offerExport counts a prefix that a target has just computed and asks for its
+// export once it is hot. The prefix ends with the last message but one.
+func (b *Board) offerExport(now time.Time, r *request, a *attempt) []Action {
+	pool, ok := b.keptPool(r.Model)
+	c := r.chain(a.Weights)
+	if !ok || len(c.bounds) < 2 {
+		return nil
+	}
+	end := c.bounds[len(c.bounds)-2]
+	k := b.kept.use(c.blocks[end])
+	if k.tokens == 0 {
+		k.uses = newMeter(keptWindow)
+		k.tokens = (end + 1) * chainTokens
+	}
+	k.uses.add(now, 1)
+	switch {
+	case k.stored || k.tokens < keptLeast || k.uses.rate(now) < keptRate:
+		return nil
+	case now.Sub(k.askedAt) < keptAgain || b.exporting >= exportsAtOnce:
+		return nil
+	}
+	k.askedAt = now
+	b.exporting++
+	return []Action{Export{
+		Target: Mark{a.Target, a.Incarnation}, Pool: pool, Key: c.blocks[end], Salt: c.salt,
+		Text: r.Text[:(end+1)*BlockBytes*ChainEvery], Request: r.ID,
+	}}
+}
+
+// Exported takes the end of an export.
+func (b *Board) Exported(e Export, stored bool) {
+	b.exporting--
+	if k := b.kept.get(e.Key); k != nil && stored {
+		k.stored = true
+		b.newlyKept = append(b.newlyKept, Kept{e.Key, k.tokens})
+		b.newlyKept = b.newlyKept[max(0, len(b.newlyKept)-maxKeptTold):]
+	}
+}
+
+// ImportFailed forgets a kept prefix that the store no longer has.
+func (b *Board) ImportFailed(key Block) {
+	if k := b.kept.get(key); k != nil {
+		k.stored = false
+	}
+}
+
+// mergeKept takes the prefixes that peers have stored.
+func (b *Board) mergeKept(states map[string]PeerState) {
+	for _, s := range states {
+		for _, told := range s.Kept {
+			k := b.kept.use(told.Key)
+			if k.tokens == 0 {
+				k.uses = newMeter(keptWindow)
+				k.tokens = told.Tokens
+			}
+			k.stored = true
+		}
+	}
+}
+
+// keptFor returns the longest kept prefix of a chain.
+func (b *Board) keptFor(c *chain, m *policy.Model) (Import, bool) {
+	pool, ok := b.keptPool(m)
+	if !ok {
+		return Import{}, false
+	}
+	for i := len(c.bounds) - 1; i >= 0; i-- {
+		key := c.blocks[c.bounds[i]]
+		if k := b.kept.get(key); k != nil && k.stored {
+			return Import{Pool: pool, Key: key, Tokens: k.tokens}, true
+		}
+	}
+	return Import{}, false
+}
+
+// considerImports lets candidates take a kept prefix in place of computing it,
+// where that is quicker and no candidate holds it: an import to a further engine
+// displaces what others will miss there, as spreading does. It is for engines
+// whose caches were emptied lately; an engine that evicted a prefix needs the room.
+func (b *Board) considerImports(now time.Time, cs []candidate, r *request) {
+	if len(cs) == 0 {
+		return
+	}
+	kept, ok := b.keptFor(cs[0].chain, r.Model)
+	if !ok {
+		return
+	}
+	for i := range cs {
+		if cs[i].trusted >= kept.Tokens {
+			return
+		}
+	}
+	for i := range cs {
+		if cs[i].chain == cs[0].chain && now.Sub(cs[i].target.emptied) < importWindow {
+			cs[i].considerImport(kept)
+		}
+	}
+}
+
+func (c *candidate) considerImport(kept Import) {
+	rate := c.target.rate()
+	transfer := importOverhead + seconds(float64(kept.Tokens)/(importFactor*rate))
+	if transfer < seconds(float64(kept.Tokens-c.trusted)/rate) {
+		c.imported = kept
+		c.transfer = transfer
+	}
+}
+
+// KeptStore returns the target of a kept pool that a key belongs to; all routers agree on it.
+func (b *Board) KeptStore(pool string, key Block) (addr netip.AddrPort, ok bool) {
+	p, ok := b.pools[pool]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	best := uint64(0)
+	for _, t := range p.members {
+		if rank := mix(uint64(key) ^ t.hash); t.usable() && rank >= best {
+			best, addr = rank, t.addr
+		}
+	}
+	return addr, addr.IsValid()
+}
--- a/route/limit.go
+++ b/route/limit.go
@@ -123,6 +123,8 @@
 	Loads    []Load
 	Demands  []Demand
 	Fills    []Fill
+	// Kept are the prefixes that this router stored last.
+	Kept []Kept
 	// Holds are the targets that a pool's lease holder is emptying before an order.
 	Holds []Mark
 }
@@ -160,7 +162,7 @@
 
 // State returns what this router tells its peers.
 func (b *Board) State(now time.Time) PeerState {
-	s := PeerState{Revision: b.Revision(), Leaving: b.Marks()}
+	s := PeerState{Revision: b.Revision(), Leaving: b.Marks(), Kept: b.newlyKept}
 	s.Leaving = s.Leaving[:min(len(s.Leaving), maxMarks)]
 	for _, t := range b.targets {
 		if len(t.attempts) > 0 && len(s.Loads) < maxLoads {
@@ -200,6 +202,7 @@
 	b.mergeMarks(states)
 	b.mergeLoads(now)
 	b.mergeFills(now, states)
+	b.mergeKept(states)
 	b.shareLimits(now)
 	return b.dispatch(now)
 }
--- a/route/place.go
+++ b/route/place.go
@@ -28,6 +28,15 @@
 	rank uint64
 	wait time.Duration
 	cost time.Duration
+	// imported is a kept prefix that is worth importing first, and transfer the time that takes.
+	imported Import
+	transfer time.Duration
+}
+
+// uncached is the part of the prompt that the candidate would compute, in tokens.
+func (c *candidate) uncached(r *request) int {
+	have := max(c.trusted, c.imported.Tokens)
+	return r.promptTokens() - min(have, r.promptTokens())
 }
 
 // Placer chooses among the candidates of a request; it may order the slice.
@@ -203,6 +212,7 @@
 		}
 	}
 	b.believe(cs, now)
+	b.considerImports(now, cs, r)
 	return cs
 }
 
@@ -380,9 +390,8 @@
 // second of prefill costs in seconds of waiting.
 func (b *Board) predict(c *candidate, r *request, price float64) {
 	t := c.target
-	uncached := float64(r.promptTokens() - min(c.trusted, r.promptTokens()))
-	prefill := seconds(uncached / t.rate())
-	c.cost = c.wait + prefill + seconds(prefill.Seconds()*price)
+	prefill := seconds(float64(c.uncached(r)) / t.rate())
+	c.cost = c.wait + c.transfer + prefill + seconds(prefill.Seconds()*price)
 	if r.tried[t.addr] {
 		c.cost += pricePerRetry
 	}
@@ -405,6 +414,10 @@
 
 // reason explains a placement to operators.
 func (c *candidate) reason(r *request, n int) string {
-	return fmt.Sprintf("predicted cost %s: wait %s, %d of %d prompt tokens believed cached, best of %d",
+	text := fmt.Sprintf("predicted cost %s: wait %s, %d of %d prompt tokens believed cached, best of %d",
 		c.cost.Round(time.Microsecond), c.wait.Round(time.Microsecond), c.trusted, r.promptTokens(), n)
+	if c.imported.Tokens > 0 {
+		text += fmt.Sprintf(", %d imported in %s", c.imported.Tokens, c.transfer.Round(time.Microsecond))
+	}
+	return text
 }
--- a/route/request.go
+++ b/route/request.go
@@ -52,6 +52,8 @@
 	Salt        string
 	// Resume says that the answer goes on after what was delivered.
 	Resume bool
+	// Import is a kept prefix to import first; without tokens there is none.
+	Import Import
 	// Reason explains the placement to operators.
 	Reason string
 }
--- a/route/target.go
+++ b/route/target.go
@@ -48,11 +48,13 @@
 
 // target is a back end on the board.
 type target struct {
-	addr        netip.AddrPort
-	labels      map[string]string
-	pools       []*pool
-	listed      bool
-	slot        uint32
+	addr   netip.AddrPort
+	labels map[string]string
+	pools  []*pool
+	listed bool
+	slot   uint32
+	// emptied is when the target was first seen with its present, empty cache.
+	emptied     time.Time
 	hash        uint64
 	incarnation string
 	report      Report
@@ -137,7 +139,7 @@
 	for _, s := range list {
 		t, ok := b.targets[s.Addr]
 		if !ok {
-			t = b.addTarget(s.Addr)
+			t = b.addTarget(now, s.Addr)
 		}
 		t.labels = s.Labels
 		t.listed = true
@@ -153,7 +155,7 @@
 	return b.dispatch(now)
 }
 
-func (b *Board) addTarget(addr netip.AddrPort) *target {
+func (b *Board) addTarget(now time.Time, addr netip.AddrPort) *target {
 	t := &target{
 		addr:     addr,
 		hash:     hashAddr(addr),
@@ -161,7 +163,7 @@
 		service:  defaultService,
 	}
 	b.targets[addr] = t
-	b.renewSlot(t)
+	b.renewSlot(now, t)
 	return t
 }
 
@@ -171,7 +173,8 @@
 }
 
 // renewSlot gives the target a new number, which forgets every belief about it.
-func (b *Board) renewSlot(t *target) {
+func (b *Board) renewSlot(now time.Time, t *target) {
+	t.emptied = now
 	delete(b.slots, t.slot)
 	b.lastSlot++
 	t.slot = b.lastSlot
@@ -185,9 +188,9 @@
 	if !ok {
 		return nil
 	}
-	b.identify(t, r.Incarnation)
+	b.identify(now, t, r.Incarnation)
 	if !sameWeights(t.report.Weights, r.Weights) {
-		b.renewSlot(t)
+		b.renewSlot(now, t)
 		b.version++
 	}
 	if t.reported.IsZero() || !sameAdapters(t.report.Adapters, r.Adapters) {
@@ -215,7 +218,7 @@
 // beliefs and no marks, except that a word of the list that began after the old
 // one was last heard may have meant the new. A word that began before it meant
 // the old one, and holds the new one back only while the list goes on saying it.
-func (b *Board) identify(t *target, incarnation string) {
+func (b *Board) identify(now time.Time, t *target, incarnation string) {
 	if incarnation == "" || incarnation == t.incarnation {
 		return
 	}
@@ -224,7 +227,7 @@
 	if t.incarnation == "" {
 		code = event.TargetSeen
 	} else {
-		b.renewSlot(t)
+		b.renewSlot(now, t)
 	}
 	b.version++
 	t.incarnation = incarnation
--- a/router/engine.go
+++ b/router/engine.go
@@ -91,6 +91,9 @@
 		out.Detail = err.Error()
 		return nil, out
 	}
+	if a.Import.Tokens > 0 {
+		c.r.importKept(ctx, a)
+	}
 	resp, err := c.r.targets.Send(ctx, call)
 	if err != nil {
 		if errors.Is(err, wire.ErrUnsent) {
--- /dev/null
+++ b/router/kept.go
@@ -0,0 +1,87 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/route"
+)
+
+// keptTimeout bounds an export, and an import that a request waits for.
+const keptTimeout = 2 * time.Second
+
+// export copies a hot prefix from an engine to the kept KV store.
+func (r *Router) export(e route.Export) {
+	ctx, cancel := context.WithTimeout(context.Background(), keptTimeout)
+	defer cancel()
+	stored := r.exportBlocks(ctx, e)
+	r.do(func(b *route.Board, _ time.Time) []route.Action {
+		b.Exported(e, stored)
+		return nil
+	})
+}
+
+// exportBlocks reports whether all of a prefix was stored; a part of it is no use.
+func (r *Router) exportBlocks(ctx context.Context, e route.Export) bool {
+	store, ok := r.keptStore(e.Pool, e.Key)
+	if !ok {
+		return false
+	}
+	blocks := route.Chain(e.Salt, e.Text, route.BlockBytes, 1)
+	held, err := r.engines.Export(ctx, e.Target.Target, blocks)
+	if err != nil || len(held) < len(blocks) {
+		return false
+	}
+	if err := r.engines.Keep(ctx, store, keptName(e.Key), held); err != nil {
+		return false
+	}
+	r.events.Record(event.Event{
+		Code: event.CacheExported, Request: e.Request, Target: e.Target.Target.String(),
+		Detail: strconv.Itoa(len(held)) + " blocks as " + keptName(e.Key),
+	})
+	r.counters.exports.Inc()
+	return true
+}
+
+// importKept fills an engine's cache before an attempt; the attempt goes on whether it worked or not.
+func (r *Router) importKept(ctx context.Context, a route.Attempt) {
+	ctx, cancel := context.WithTimeout(ctx, keptTimeout)
+	defer cancel()
+	if err := r.importBlocks(ctx, a); err != nil {
+		r.do(func(b *route.Board, _ time.Time) []route.Action {
+			b.ImportFailed(a.Import.Key)
+			return nil
+		})
+		return
+	}
+	r.events.Record(event.Event{
+		Code: event.CacheImported, Request: a.Request, Attempt: a.ID, Target: a.Target.String(),
+		Detail: strconv.Itoa(a.Import.Tokens) + " tokens as " + keptName(a.Import.Key),
+	})
+	r.counters.imports.Inc()
+}
+
+func (r *Router) importBlocks(ctx context.Context, a route.Attempt) error {
+	store, ok := r.keptStore(a.Import.Pool, a.Import.Key)
+	if !ok {
+		return context.Canceled
+	}
+	blocks, err := r.engines.Kept(ctx, store, keptName(a.Import.Key))
+	if err != nil {
+		return err
+	}
+	return r.engines.Import(ctx, a.Target, blocks)
+}
+
+// keptName is the key of a prefix in the store.
+func keptName(key route.Block) string { return strconv.FormatUint(uint64(key), 16) }
+
+// keptStore returns the target of a kept pool that has a key.
+func (r *Router) keptStore(pool string, key route.Block) (netip.AddrPort, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.board.KeptStore(pool, key)
+}
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -15,6 +15,8 @@
 	badRequests *metrics.Counter
 	dropped     *metrics.Counter
 	tableReads  *metrics.Counter
+	exports     *metrics.Counter
+	imports     *metrics.Counter
 	ttft        *metrics.Histogram
 }
 
@@ -24,6 +26,8 @@
 		badRequests: set.NewCounter("pathhead_bad_requests_total"),
 		dropped:     set.NewCounter("pathhead_dropped_chunks_total"),
 		tableReads:  set.NewCounter("pathhead_table_reads_total"),
+		exports:     set.NewCounter("pathhead_kept_exports_total"),
+		imports:     set.NewCounter("pathhead_kept_imports_total"),
 		ttft:        set.NewHistogram("pathhead_first_token_seconds"),
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -146,7 +146,9 @@
 	wake     chan struct{}
 	draining atomic.Bool
 	joined   joins
-	gossip   *wire.Gossip
+	// loops are the goroutines that end before Run returns.
+	loops  sync.WaitGroup
+	gossip *wire.Gossip
 	// seedRouters is how many other routers the settings name.
 	seedRouters int
 
@@ -236,9 +238,9 @@
 	r.events.Record(event.Event{Code: event.ProcessStarted, Detail: "doors " + r.set.Callers.String()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	var loops, servers sync.WaitGroup
+	var servers sync.WaitGroup
 	for _, loop := range []func(context.Context){r.configLoop, r.listLoop, r.gossipLoop, r.tickLoop} {
-		loops.Go(func() { loop(work) })
+		r.loops.Go(func() { loop(work) })
 	}
 	failed := make(chan error, 3)
 	for _, d := range doors {
@@ -253,7 +255,7 @@
 		d.close()
 	}
 	stop()
-	loops.Wait()
+	r.loops.Wait()
 	servers.Wait()
 	r.peers.Close()
 	r.targets.Close()
@@ -352,6 +354,8 @@
 		r.calls[a.Attempt.Request].push(a)
 	case route.Refuse:
 		r.calls[a.Request].push(a)
+	case route.Export:
+		r.loops.Go(func() { r.export(a) })
 	case route.Finish:
 	case route.Cancel:
 		if c, ok := r.calls[a.Request]; ok {
