load: the bound counts what was cached before the reported part of a run

Cause: the share of the bound came out above 1 (1.078), since the pooled cache of the bound started empty at the reported part while the engines did not.

Change: the bound sees all arrivals and counts those reported.

--- a/cmd/pathhead-load/main.go
+++ b/cmd/pathhead-load/main.go
@@ -52,11 +52,10 @@
 	defer client.Close()
 	arrivals := w.Arrivals(c.Seed)
 	results := client.Play(ctx, arrivals)
-	arrivals, results = load.Window(arrivals, results, c.Skip, 0)
 	if err := c.writeResults(results); err != nil {
 		return err
 	}
-	return c.write(load.Summarise(c.Label, w, c.Seed, arrivals, results))
+	return c.write(load.Summarise(c.Label, w, c.Seed, arrivals, results, c.Skip))
 }
 
 func (c *playCmd) writeResults(results []load.Result) error {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -64,21 +64,9 @@
 	return float64(h.ValueAtQuantile(q)) / 1000
 }
 
-// Window keeps the results that were due within a span; zero ends are open.
-func Window(arrivals []Arrival, results []Result, from, to time.Duration) ([]Arrival, []Result) {
-	var as []Arrival
-	var rs []Result
-	for i, r := range results {
-		if arrivals[i].Due >= from && (to == 0 || arrivals[i].Due < to) {
-			as = append(as, arrivals[i])
-			rs = append(rs, r)
-		}
-	}
-	return as, rs
-}
-
-// Summarise makes a report of a run.
-func Summarise(label string, w Workload, seed uint64, arrivals []Arrival, results []Result) Report {
+// Summarise makes a report of the part of a run that was due at skip or later.
+func Summarise(label string, w Workload, seed uint64, arrivals []Arrival, results []Result, skip time.Duration) Report {
+	results = slices.DeleteFunc(slices.Clone(results), func(r Result) bool { return r.Due < skip })
 	rep := Report{Label: label, Workload: w.Name, Seed: seed, Requests: len(results), Codes: make(map[string]int)}
 	ttft, total, refusal := newHist(), newHist(), newHist()
 	orgs := make(map[string]*orgSum)
@@ -106,7 +94,7 @@
 	}
 	rep.TTFT50, rep.TTFT95, rep.TTFT99 = ms(ttft, 50), ms(ttft, 95), ms(ttft, 99)
 	rep.Total99, rep.Refusal99 = ms(total, 99), ms(refusal, 99)
-	bound, all := Bound(arrivals)
+	bound, all := Bound(arrivals, skip)
 	if prompt > 0 {
 		rep.HitRate = float64(cached) / float64(prompt)
 		rep.Bound = float64(bound) / float64(all)
@@ -145,20 +133,23 @@
 	}
 }
 
-// Bound returns the prompt tokens that one cache which forgets nothing would
-// answer from, and all prompt tokens.
-func Bound(arrivals []Arrival) (cached, all int64) {
+// Bound returns, of the requests due at skip or later, the prompt tokens that one
+// cache which forgets nothing and saw all arrivals would answer from, and all
+// prompt tokens.
+func Bound(arrivals []Arrival, skip time.Duration) (cached, all int64) {
 	seen := make(map[route.Block]bool)
 	for _, a := range arrivals {
 		text := a.Text()
 		salt := route.Salt{Org: a.Org, Model: a.Model, Weights: "any"}
 		for _, b := range route.Chain(salt.String(), text, route.BlockBytes, 1) {
-			if seen[b] {
+			if seen[b] && a.Due >= skip {
 				cached += route.BlockTokens
 			}
 			seen[b] = true
 		}
-		all += int64(route.Tokens(len(text)))
+		if a.Due >= skip {
+			all += int64(route.Tokens(len(text)))
+		}
 	}
 	return cached, all
 }
