--- a/fleet/view.go
+++ b/fleet/view.go
@@ -32,7 +32,6 @@
 type View[P any] struct {
 	self    Entry[P]
 	timeout time.Duration
-	relay   int
 	seeds   []netip.AddrPort
 	peers   map[string]*known[P]
 }
@@ -44,26 +43,24 @@
 }
 
 // NewView returns the view of a process that knows its seeds alone. A peer
-// whose entry has not advanced for timeout counts as lost; at most relay
-// entries of others go into a message.
-func NewView[P any](id string, addr netip.AddrPort, epoch int64, seeds []netip.AddrPort, timeout time.Duration, relay int) *View[P] {
+// whose entry has not advanced for timeout counts as lost.
+func NewView[P any](id string, addr netip.AddrPort, epoch int64, seeds []netip.AddrPort, timeout time.Duration) *View[P] {
 	return &View[P]{
 		self:    Entry[P]{ID: id, Addr: addr, Epoch: epoch},
 		timeout: timeout,
-		relay:   relay,
 		seeds:   seeds,
 		peers:   make(map[string]*known[P]),
 	}
 }
 
 // Message returns what to send: the own entry with a new payload and a random
-// choice of live others. Choosing the freshest instead left the rest untold.
-func (v *View[P]) Message(now time.Time, rng *rand.Rand, payload P) []Entry[P] {
+// choice of at most relay live others. Choosing the freshest instead left the rest untold.
+func (v *View[P]) Message(now time.Time, rng *rand.Rand, payload P, relay int) []Entry[P] {
 	v.self.Seq++
 	v.self.Payload = payload
 	live := v.Live(now)
 	rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
-	return append([]Entry[P]{v.self}, live[:min(len(live), v.relay)]...)
+	return append([]Entry[P]{v.self}, live[:min(len(live), relay)]...)
 }
 
 // Merge takes a message and returns the ids of peers that were not live before.
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -15,12 +15,12 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000)
 }
 
-func newTestView(i, n, relay int, epoch int64) *View[int] {
+func newTestView(i, n int, epoch int64) *View[int] {
 	var seeds []netip.AddrPort
 	for j := range n {
 		seeds = append(seeds, testAddr(j))
 	}
-	return NewView[int](fmt.Sprintf("p%d", i), testAddr(i), epoch, seeds, 2*time.Second, relay)
+	return NewView[int](fmt.Sprintf("p%d", i), testAddr(i), epoch, seeds, 2*time.Second)
 }
 
 // TestViewFuzz checks that whatever messages are lost, repeated and reordered,
@@ -33,13 +33,13 @@
 		views := make([]*View[int], n)
 		epochs := make([]int64, n)
 		for i := range views {
-			views[i] = newTestView(i, n, 2, 0)
+			views[i] = newTestView(i, n, 0)
 		}
 		var flying [][]Entry[int]
 		newest := make(map[string]Entry[int])
 		pick := func() int { return rapid.IntRange(0, n-1).Draw(rt, "process") }
 		rt.Repeat(map[string]func(*rapid.T){
-			"send": func(*rapid.T) { flying = append(flying, views[pick()].Message(now, rng, 1)) },
+			"send": func(*rapid.T) { flying = append(flying, views[pick()].Message(now, rng, 1, 2)) },
 			"deliver": func(rt *rapid.T) {
 				if len(flying) == 0 {
 					rt.Skip()
@@ -57,7 +57,7 @@
 			"restart": func(*rapid.T) {
 				i := pick()
 				epochs[i]++
-				views[i] = newTestView(i, n, 2, epochs[i])
+				views[i] = newTestView(i, n, epochs[i])
 				for j := range n {
 					delete(newest, fmt.Sprint(i, fmt.Sprintf("p%d", j)))
 				}
@@ -73,7 +73,7 @@
 	now := epoch
 	views := make([]*View[int], n)
 	for i := range views {
-		views[i] = newTestView(i, 3, 8, 0)
+		views[i] = newTestView(i, 3, 0)
 	}
 	rounds := 0
 	for ; rounds < 30; rounds++ {
@@ -82,8 +82,8 @@
 			for _, addr := range v.Pick(now, rng, 2) {
 				for j := range views {
 					if testAddr(j) == addr && j != i {
-						views[j].Merge(now, v.Message(now, rng, i))
-						v.Merge(now, views[j].Message(now, rng, j))
+						views[j].Merge(now, v.Message(now, rng, i, 8))
+						v.Merge(now, views[j].Message(now, rng, j, 8))
 					}
 				}
 			}
@@ -105,8 +105,8 @@
 }
 
 func TestViewExpires(t *testing.T) {
-	a, b := newTestView(0, 2, 8, 0), newTestView(1, 2, 8, 0)
-	joined := a.Merge(epoch, b.Message(epoch, rand.New(rand.NewPCG(1, 1)), 1))
+	a, b := newTestView(0, 2, 0), newTestView(1, 2, 0)
+	joined := a.Merge(epoch, b.Message(epoch, rand.New(rand.NewPCG(1, 1)), 1, 8))
 	require.Equal(t, []string{"p1"}, joined)
 	require.Len(t, a.Live(epoch.Add(time.Second)), 1)
 	late := epoch.Add(3 * time.Second)
--- a/router/peers.go
+++ b/router/peers.go
@@ -15,7 +15,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(r.jitter(r.set.GossipEvery)):
+		case <-time.After(r.jitter(r.gossip.Period(r.set.GossipEvery))):
 		}
 		r.gossip.Round(ctx)
 		r.tellBoard()
--- a/wire/gossip.go
+++ b/wire/gossip.go
@@ -12,10 +12,14 @@
 )
 
 // The bounds of gossip: how many peers a round exchanges with, and how many
-// entries of others a message carries.
+// entries of others a message carries. A fleet of more than smallFleet processes
+// takes the lower ones and half as many rounds, which keeps a process under 10 KB/s.
 const (
+	smallFleet   = 16
 	fanout       = 2
+	largeFanout  = 1
 	relayEntries = 8
+	largeRelay   = 3
 )
 
 // Gossip keeps a process's view of its peers by exchanging with a few at a time.
@@ -54,7 +58,7 @@
 		rec:     rec,
 		payload: cfg.Payload,
 		heard:   cfg.Heard,
-		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout, relayEntries),
+		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
 		last:    time.Now(),
 	}
@@ -62,13 +66,27 @@
 
 // Round exchanges with a few peers at once and notes which were lost.
 func (g *Gossip) Round(ctx context.Context) {
+	n := fanout
+	if g.large() {
+		n = largeFanout
+	}
 	g.mu.Lock()
-	addrs := g.view.Pick(time.Now(), g.rng, fanout)
+	addrs := g.view.Pick(time.Now(), g.rng, n)
 	g.mu.Unlock()
 	g.exchangeAll(ctx, addrs)
 	g.expire()
 }
 
+// Period returns the time between rounds for a small fleet's period.
+func (g *Gossip) Period(small time.Duration) time.Duration {
+	if g.large() {
+		return 2 * small
+	}
+	return small
+}
+
+func (g *Gossip) large() bool { return len(g.Live()) >= smallFleet }
+
 // Sweep exchanges with every seed and live peer, and returns their addresses.
 func (g *Gossip) Sweep(ctx context.Context) []netip.AddrPort {
 	g.mu.Lock()
@@ -118,9 +136,13 @@
 	stamp := g.rec.Clock().Now()
 	now := time.Now()
 	payload := g.payload(now)
+	relay := relayEntries
+	if g.large() {
+		relay = largeRelay
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Exchange{From: g.id, Stamp: stamp, Word: payload.Word, Entries: g.view.Message(now, g.rng, payload)}
+	return Exchange{From: g.id, Stamp: stamp, Word: payload.Word, Entries: g.view.Message(now, g.rng, payload, relay)}
 }
 
 func (g *Gossip) expire() {
