e2e: one loop for callers that ask until a test stops them

Change: during runs a function over and over until it is stopped. The tests' assertions are as they were.

Ruled out: joining the settings of the two long-running programs; their flags share names, not defaults or help.

--- a/internal/e2e/answers_test.go
+++ b/internal/e2e/answers_test.go
@@ -176,28 +176,17 @@
 			notRun[id] = code
 		}
 	}
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 6 {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if i%2 == 0 {
-					r := s.ask(c, question("formosa-air", fmt.Sprint(n%3), fmt.Sprint(i, n), 5))
-					note(r.Request, r.Verdict, r.Code)
-					continue
-				}
-				r := s.call(s.routers[n%2], "/checkin/seat", fmt.Sprintf("k-%d-%d", i, n), "{}")
-				if r.header != nil {
-					note(r.header.Get("X-Request-Id"), r.verdict, r.code)
-				}
-			}
-		})
-	}
+	stop := during(6, func(i, n int) {
+		if i%2 == 0 {
+			r := s.ask(c, question("formosa-air", fmt.Sprint(n%3), fmt.Sprint(i, n), 5))
+			note(r.Request, r.Verdict, r.Code)
+			return
+		}
+		r := s.call(s.routers[n%2], "/checkin/seat", fmt.Sprintf("k-%d-%d", i, n), "{}")
+		if r.header != nil {
+			note(r.header.Get("X-Request-Id"), r.verdict, r.code)
+		}
+	})
 	for _, f := range []standin.Faults{{RefuseAll: true}, {BreakAt: 1}, {BreakAt: 2}, {CrossReplies: true}, {FailAfterRun: true}, {Down: true}} {
 		for _, e := range append(s.engines, s.service...) {
 			s.faults(e, f)
@@ -207,8 +196,7 @@
 	for _, e := range append(s.engines, s.service...) {
 		s.faults(e, standin.Faults{})
 	}
-	close(stop)
-	wg.Wait()
+	stop()
 	t.Logf("verdicts: %v", counts)
 	require.Positive(t, counts["not-run"])
 	for _, e := range append(s.engines, s.service...) {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -107,45 +107,28 @@
 	s.holder()
 	// Answers are right under either weights while both serve.
 	c := s.client(s.routers...)
-	stop := make(chan struct{})
 	var (
-		wg         sync.WaitGroup
 		mu         sync.Mutex
 		cut, least = 0, len(s.engines)
 	)
-	for i := range 3 {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				r := s.ask(c, question("formosa-air", "rules", fmt.Sprint(i, n), 6))
-				mu.Lock()
-				if r.Cut || r.Status != 200 {
-					cut++
-					t.Errorf("request during the rollout: %+v", r)
-				}
-				mu.Unlock()
-			}
-		})
-	}
-	wg.Go(func() {
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(20 * time.Millisecond):
-				_, any := s.serving("w2")
-				least = min(least, any)
-			}
+	stopAsking := during(3, func(i, n int) {
+		r := s.ask(c, question("formosa-air", "rules", fmt.Sprint(i, n), 6))
+		mu.Lock()
+		if r.Cut || r.Status != 200 {
+			cut++
+			t.Errorf("request during the rollout: %+v", r)
 		}
+		mu.Unlock()
+	})
+	stopCounting := during(1, func(int, int) {
+		time.Sleep(20 * time.Millisecond)
+		_, any := s.serving("w2")
+		least = min(least, any)
 	})
 	s.rollout("w2")
 	s.converges("w2")
-	close(stop)
-	wg.Wait()
+	stopAsking()
+	stopCounting()
 	require.Zero(t, cut, "no answer is cut or refused by a rollout")
 	require.GreaterOrEqual(t, least, 2, "the floor is kept")
 	s.checkOrders()
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -467,6 +467,28 @@
 	return c.Ask(ctx, a)
 }
 
+// during calls f with rising n, over and over in each of some goroutines, until stop is called.
+func during(workers int, f func(worker, n int)) (stop func()) {
+	var wg sync.WaitGroup
+	ended := make(chan struct{})
+	for i := range workers {
+		wg.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-ended:
+					return
+				default:
+					f(i, n)
+				}
+			}
+		})
+	}
+	return func() {
+		close(ended)
+		wg.Wait()
+	}
+}
+
 // reply is the answer to a plain call.
 type reply struct {
 	status   int
--- a/internal/e2e/once_test.go
+++ b/internal/e2e/once_test.go
@@ -104,23 +104,12 @@
 func TestOnceWithRouterKilled(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, setup{services: 1, routers: 2})
-	var wg sync.WaitGroup
-	stop := make(chan struct{})
-	for i := range 4 {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				// A key is tried through the killed router and then, as the balancer does, through the other.
-				key := fmt.Sprintf("k%d-%d", i, n)
-				s.call(s.routers[0], "/checkin/seat", key, "x")
-				s.call(s.routers[1], "/checkin/seat", key, "x")
-			}
-		})
-	}
+	stop := during(4, func(i, n int) {
+		// A key is tried through the killed router and then, as the balancer does, through the other.
+		key := fmt.Sprintf("k%d-%d", i, n)
+		s.call(s.routers[0], "/checkin/seat", key, "x")
+		s.call(s.routers[1], "/checkin/seat", key, "x")
+	})
 	for i := range 6 {
 		time.Sleep(150 * time.Millisecond)
 		if i%2 == 0 {
@@ -131,8 +120,7 @@
 		time.Sleep(150 * time.Millisecond)
 		s.routers[0].signal(syscall.SIGCONT)
 	}
-	close(stop)
-	wg.Wait()
+	stop()
 	require.NotEmpty(t, s.runs(s.service[0]))
 	s.checkOnce()
 }
--- a/internal/e2e/restart_test.go
+++ b/internal/e2e/restart_test.go
@@ -171,25 +171,13 @@
 	t.Parallel()
 	s := newSystem(t, setup{engines: 2, routers: 3})
 	c := s.client(s.routers...)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 3 {
-		wg.Go(func() {
-			for n := 0; ; n++ {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if r := s.ask(c, question("formosa-air", "rules", fmt.Sprint(i, n), 2)); !r.OK() {
-					t.Errorf("refused by a change of configuration: %+v", r)
-				}
-			}
-		})
-	}
+	stop := during(3, func(i, n int) {
+		if r := s.ask(c, question("formosa-air", "rules", fmt.Sprint(i, n), 2)); !r.OK() {
+			t.Errorf("refused by a change of configuration: %+v", r)
+		}
+	})
 	for i := range 6 {
 		s.apply(s.set.config + fmt.Sprintf("# change %d\n", i))
 	}
-	close(stop)
-	wg.Wait()
+	stop()
 }
