policy: the schema names the fields that the code reads

Cause: docs/schema.json is written by hand and nothing compared it with the code.

Change: TestSchema. It was seen to fail with one name in the schema misspelt.

Ruled out: generating the schema; a generator would have to learn the units and patterns that the validator knows.

Seen: the package's tests pass with the race detector.

--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,9 +1,11 @@
 package policy
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -182,6 +184,52 @@
 	}
 }
 
+// TestSchema keeps docs/schema.json true: it names the fields that the code reads, no more and no fewer.
+func TestSchema(t *testing.T) {
+	data, err := os.ReadFile("../docs/schema.json")
+	require.NoError(t, err)
+	var schema any
+	require.NoError(t, json.Unmarshal(data, &schema))
+	documented := make(map[string]bool)
+	schemaNames(schema, documented)
+	read := make(map[string]bool)
+	fieldNames(reflect.TypeFor[Config](), read)
+	require.Equal(t, read, documented)
+}
+
+// schemaNames collects the names of all properties of a schema.
+func schemaNames(node any, into map[string]bool) {
+	switch node := node.(type) {
+	case map[string]any:
+		if properties, ok := node["properties"].(map[string]any); ok {
+			for name := range properties {
+				into[name] = true
+			}
+		}
+		for _, child := range node {
+			schemaNames(child, into)
+		}
+	case []any:
+		for _, child := range node {
+			schemaNames(child, into)
+		}
+	}
+}
+
+// fieldNames collects the YAML names of all fields of a type.
+func fieldNames(typ reflect.Type, into map[string]bool) {
+	switch typ.Kind() {
+	case reflect.Slice:
+		fieldNames(typ.Elem(), into)
+	case reflect.Struct:
+		for i := range typ.NumField() {
+			name, _, _ := strings.Cut(typ.Field(i).Tag.Get("yaml"), ",")
+			into[name] = true
+			fieldNames(typ.Field(i).Type, into)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
 	f.Add([]byte("version: pathhead/v1\norganisations: [{name: a, keys: [{}]}]\npools: []"))
