ctl: a read that the platform fails is tried again

Ruled out: trying the command again in the test; operators would meet the same.

Change: apply and diff read their base up to four times.

--- a/ctl/apply.go
+++ b/ctl/apply.go
@@ -75,8 +75,24 @@
 	}
 }
 
+// A read that the platform fails is tried again: it changes nothing.
+const (
+	readTries = 4
+	readPause = 100 * time.Millisecond
+)
+
 // base returns the revision that a new one follows and its text.
-func (t *Tool) base(ctx context.Context, want int64) (int64, string, error) {
+func (t *Tool) base(ctx context.Context, want int64) (revision int64, text string, err error) {
+	for try := 1; ; try++ {
+		revision, text, err = t.readBase(ctx, want)
+		if err == nil || try == readTries || ctx.Err() != nil {
+			return revision, text, err
+		}
+		time.Sleep(readPause)
+	}
+}
+
+func (t *Tool) readBase(ctx context.Context, want int64) (int64, string, error) {
 	if want < 0 {
 		head, err := t.configs.Head(ctx)
 		if err != nil {
