wire, fleet, event: one form of a peer's status; what nothing used is gone

Cause: reading the whole change once more found a peer's status and its loop written twice (router, controller); a token that Lease.Next kept and nobody read; a pool that the controller's order took and did not use; a count of lost cache events that nobody read, with an event in the catalogue that nothing recorded and whose text, that beliefs are trusted less after a gap, was not true.

Change: Gossip.Status serves both; the unused ones and event 307 are removed, the number is not given again. A fleet process's status gained the revision and draining of its peers.

Ruled out: recording event 307 at each gap; with a third of the events lost it would fill the log.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -287,7 +287,7 @@
 	steps := w.steps
 	c.mu.Unlock()
 	for _, s := range steps.Orders {
-		c.order(ctx, w, p, s)
+		c.order(ctx, w, s)
 	}
 	for _, s := range steps.Probes {
 		c.probe(ctx, w, s)
--- a/controller/pool.go
+++ b/controller/pool.go
@@ -48,7 +48,7 @@
 		c.mu.Unlock()
 		return
 	}
-	write, ok := w.lease.Next(time.Now(), "")
+	write, ok := w.lease.Next(time.Now())
 	c.mu.Unlock()
 	if !ok {
 		return
@@ -171,7 +171,7 @@
 }
 
 // order sends one order if the lease lasts for as long as the order may take.
-func (c *Controller) order(ctx context.Context, w *poolWork, p *policy.CompiledPool, s fleet.Step) {
+func (c *Controller) order(ctx context.Context, w *poolWork, s fleet.Step) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	ch := s.Change
--- a/controller/status.go
+++ b/controller/status.go
@@ -9,19 +9,12 @@
 
 // Status is what a fleet process tells operators; its first fields are those of a router's status.
 type Status struct {
-	Name     string       `json:"name"`
-	Kind     string       `json:"kind"`
-	Revision int64        `json:"revision"`
-	Serving  bool         `json:"serving"`
-	Peers    []PeerStatus `json:"peers"`
-	Pools    []PoolStatus `json:"pools"`
-}
-
-// PeerStatus is a live peer.
-type PeerStatus struct {
-	Name string         `json:"name"`
-	Kind string         `json:"kind"`
-	Door netip.AddrPort `json:"door"`
+	Name     string            `json:"name"`
+	Kind     string            `json:"kind"`
+	Revision int64             `json:"revision"`
+	Serving  bool              `json:"serving"`
+	Peers    []wire.PeerStatus `json:"peers"`
+	Pools    []PoolStatus      `json:"pools"`
 }
 
 // PoolStatus is a pool's lease and, at its holder, its engines.
@@ -49,13 +42,10 @@
 }
 
 func (c *Controller) status() Status {
-	live := c.gossip.Live()
+	peers := c.gossip.Status()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := Status{Name: c.set.Name, Kind: wire.KindFleet, Revision: c.document.Revision, Serving: c.snap != nil}
-	for _, e := range live {
-		s.Peers = append(s.Peers, PeerStatus{Name: e.ID, Kind: e.Payload.Kind, Door: e.Payload.Door})
-	}
+	s := Status{Name: c.set.Name, Kind: wire.KindFleet, Revision: c.document.Revision, Serving: c.snap != nil, Peers: peers}
 	if c.snap == nil {
 		return s
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -38,7 +38,6 @@
 	TargetGone      Code = 304
 	TargetFailing   Code = 305
 	TargetHealthy   Code = 306
-	EventGap        Code = 307
 	EngineRan       Code = 308
 	EngineCancelled Code = 309
 
@@ -105,7 +104,6 @@
 	{TargetGone, "target-gone", slog.LevelInfo, "A target left the list and is not reachable."},
 	{TargetFailing, "target-failing", slog.LevelWarn, "A target failed several times in a row and gets probes only."},
 	{TargetHealthy, "target-healthy", slog.LevelInfo, "A failing target answered again."},
-	{EventGap, "event-gap", slog.LevelInfo, "Cache events were lost; beliefs about the target are trusted less."},
 	{EngineRan, "engine-ran", slog.LevelInfo, "A stand-in engine ran a request to its end."},
 	{EngineCancelled, "engine-cancelled", slog.LevelInfo, "A stand-in engine stopped a request whose caller left."},
 
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -46,7 +46,6 @@
 type renewal struct {
 	row   leaseRow
 	begun time.Time
-	token string
 }
 
 // partLease is the table part of leases.
@@ -101,7 +100,7 @@
 
 // Next returns the write that takes or renews the lease, or ok false while
 // there is nothing to write: another holds it, or the last write is not settled.
-func (l *Lease) Next(now time.Time, token string) (w Write, ok bool) {
+func (l *Lease) Next(now time.Time) (w Write, ok bool) {
 	if !l.known || l.pending != nil {
 		return Write{}, false
 	}
@@ -113,7 +112,7 @@
 	if err != nil {
 		panic("fleet: a lease row does not encode")
 	}
-	l.pending = &renewal{row: row, begun: now, token: token}
+	l.pending = &renewal{row: row, begun: now}
 	return Write{Part: partLease, Sort: l.name, Data: data, If: l.rev}, true
 }
 
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -55,7 +55,7 @@
 
 // write sends the write that a process wants, which takes effect at once or never; its reply comes later.
 func (w *leaseWorld) write(p *leaseProcess, effect, reply bool) {
-	write, ok := p.lease.Next(w.clock(p), "")
+	write, ok := p.lease.Next(w.clock(p))
 	if !ok {
 		return
 	}
--- a/route/belief.go
+++ b/route/belief.go
@@ -253,9 +253,6 @@
 		if c.Seq <= after {
 			continue
 		}
-		if after > 0 && c.Seq != after+1 {
-			t.gaps++
-		}
 		after = c.Seq
 		e := b.beliefs.blocks.get(c.Block)
 		switch {
--- a/route/target.go
+++ b/route/target.go
@@ -72,7 +72,6 @@
 	// service is the mean time an attempt holds a slot.
 	service time.Duration
 	horizon horizon
-	gaps    int
 	// peers is what other routers have in flight here.
 	peerInFlight int
 	// round and candidate are scratch of one placement.
--- a/router/operators.go
+++ b/router/operators.go
@@ -20,21 +20,12 @@
 	Revision int64              `json:"revision"`
 	Serving  bool               `json:"serving"`
 	Draining bool               `json:"draining"`
-	Peers    []PeerStatus       `json:"peers"`
+	Peers    []wire.PeerStatus  `json:"peers"`
 	Targets  []route.TargetView `json:"targets"`
 	Queued   map[string]int     `json:"queued"`
 	InFlight int                `json:"inFlight"`
 }
 
-// PeerStatus is a live peer as a router sees it.
-type PeerStatus struct {
-	Name     string         `json:"name"`
-	Kind     string         `json:"kind"`
-	Door     netip.AddrPort `json:"door"`
-	Revision int64          `json:"revision"`
-	Draining bool           `json:"draining"`
-}
-
 // operatorsHandler is the door for operators, apart from the callers'.
 func (r *Router) operatorsHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -52,26 +43,20 @@
 }
 
 func (r *Router) status() Status {
-	live := r.gossip.Live()
+	peers := r.gossip.Status()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := Status{
+	return Status{
 		Name:     r.id,
 		Kind:     wire.KindRouter,
 		Revision: r.adoption.Revision(),
 		Serving:  r.applyServing(),
 		Draining: r.draining.Load(),
+		Peers:    peers,
 		Targets:  r.board.View(),
 		Queued:   r.board.Queued(),
 		InFlight: r.board.Requests(),
 	}
-	for _, e := range live {
-		s.Peers = append(s.Peers, PeerStatus{
-			Name: e.ID, Kind: e.Payload.Kind, Door: e.Payload.Door,
-			Revision: e.Payload.Word.Revision, Draining: e.Payload.Draining,
-		})
-	}
-	return s
 }
 
 // handleEvents answers with the kept events that pass the query's filter.
--- a/wire/gossip.go
+++ b/wire/gossip.go
@@ -156,6 +156,27 @@
 	}
 }
 
+// PeerStatus is a live peer as operators see it.
+type PeerStatus struct {
+	Name     string         `json:"name"`
+	Kind     string         `json:"kind"`
+	Door     netip.AddrPort `json:"door"`
+	Revision int64          `json:"revision"`
+	Draining bool           `json:"draining"`
+}
+
+// Status returns the live peers as operators see them.
+func (g *Gossip) Status() []PeerStatus {
+	var out []PeerStatus
+	for _, e := range g.Live() {
+		out = append(out, PeerStatus{
+			Name: e.ID, Kind: e.Payload.Kind, Door: e.Payload.Door,
+			Revision: e.Payload.Word.Revision, Draining: e.Payload.Draining,
+		})
+	}
+	return out
+}
+
 // Live returns the entries of the peers heard of lately.
 func (g *Gossip) Live() []Entry {
 	g.mu.Lock()
