node, route, fleet: whole events, public routes, order counts, weights by first newer naming

Cause: (1) a broken stream passed the first byte of an unfinished event on; (2) routes without keys have no organisation and were refused; (3) the order count of the list is another counter than the report's; (4) the age of weights was counted from the newest naming, and a busy target was passed over by each naming.

--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -13,12 +13,16 @@
 	Incarnation string
 	Model       string
 	Weights     string
-	// Orders is the number of orders that the incarnation has taken.
+	// Orders is the number of orders that the incarnation has taken, or
+	// [OrdersUnknown] before it was asked.
 	Orders int64
 	// Load is the number of requests in flight there.
 	Load int
 }
 
+// OrdersUnknown stands for an order count that was not read yet.
+const OrdersUnknown = -1
+
 // rollID names one incarnation of a target.
 type rollID struct {
 	addr        netip.AddrPort
@@ -154,8 +158,11 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b RollTarget) int {
+		// The oldest weights go first: else one target is passed over by each
+		// newer naming until its weights are too old to be used.
 		return cmp.Or(
 			r.skipped[a.id()].Compare(r.skipped[b.id()]),
+			compareWeights(a.Weights, b.Weights, older),
 			cmp.Compare(a.Load, b.Load),
 			a.Addr.Compare(b.Addr),
 		)
@@ -169,9 +176,24 @@
 	}
 }
 
+func compareWeights(a, b string, older func(a, b string) bool) int {
+	switch {
+	case older(a, b):
+		return -1
+	case older(b, a):
+		return 1
+	}
+	return 0
+}
+
 // step adds what one change needs now.
 func (r *Roll) step(now time.Time, c *rollChange, out *RollSteps) {
 	switch {
+	case c.target.Orders == OrdersUnknown:
+		if now.Sub(c.looked) >= r.settings.LookEvery {
+			c.looked = now
+			out.Looks = append(out.Looks, c.target)
+		}
 	case c.ordered.IsZero():
 		if now.Sub(c.begun) >= r.settings.HoldTime {
 			r.order(now, c, out)
--- a/node/duty.go
+++ b/node/duty.go
@@ -129,9 +129,9 @@
 			named[model] = b.NewestWeights(model)
 			rt := fleet.RollTarget{
 				Addr: t.Seen.Addr, Incarnation: t.Report.Incarnation, Model: model, Weights: weights,
-				Orders: t.Orders, Load: b.InFlight(t.Seen.Addr),
+				Orders: fleet.OrdersUnknown, Load: b.InFlight(t.Seen.Addr),
 			}
-			if asked && state.Orders >= rt.Orders {
+			if asked {
 				rt.Orders = state.Orders
 				if route.OlderWeights(rt.Weights, state.Weights[model]) {
 					rt.Weights = state.Weights[model]
--- a/node/ports.go
+++ b/node/ports.go
@@ -113,8 +113,6 @@
 type Target struct {
 	Seen   route.Seen
 	Report route.Report
-	// Orders is the number of orders that the incarnation has taken.
-	Orders int64
 	// Revision grows with each sign of life of the target.
 	Revision int64
 }
--- a/node/stream.go
+++ b/node/stream.go
@@ -36,17 +36,15 @@
 		}
 		n, err := resp.Body.Read(buf)
 		held = append(held, buf[:n]...)
-		end := bytes.LastIndex(held, eventEnd)
+		whole := wholeEvents(held)
 		if errors.Is(err, io.EOF) {
-			end = len(held) - len(eventEnd)
+			whole = len(held)
 		}
-		if end+len(eventEnd) > 0 && end >= -len(eventEnd) {
-			if werr := f.pass(resp, a, held[:end+len(eventEnd)]); werr != nil {
-				out.Kind, out.Detail = route.OutcomeBroken, "the caller left: "+werr.Error()
-				return out
-			}
-			held = append(held[:0], held[end+len(eventEnd):]...)
+		if werr := f.pass(resp, a, held[:whole]); werr != nil {
+			out.Kind, out.Detail = route.OutcomeBroken, "the caller left: "+werr.Error()
+			return out
 		}
+		held = append(held[:0], held[whole:]...)
 		switch {
 		case errors.Is(err, io.EOF):
 			if !f.begun {
@@ -61,6 +59,15 @@
 	}
 }
 
+// wholeEvents returns the length of the whole events at the beginning of data.
+func wholeEvents(data []byte) int {
+	end := bytes.LastIndex(data, eventEnd)
+	if end < 0 {
+		return 0
+	}
+	return end + len(eventEnd)
+}
+
 // gap is how long a stream that can go on elsewhere may pause; zero means that it is left alone.
 func (f *forwarding) gap(a route.Attempt) time.Duration {
 	if !f.req.Resumable || a.Number >= f.req.MaxTries {
--- a/route/board.go
+++ b/route/board.go
@@ -39,7 +39,8 @@
 	round     uint64
 	scratch   []candidate
 	staleness *Staleness
-	named     map[string]namedWeights
+	// named are the namings of each model's weights, the newest last.
+	named     map[string][]naming
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// minRetryAfter is the least time a caller is told to stay away.
@@ -106,7 +107,7 @@
 		routers:  1,
 		peers:    make(map[string]PeerState),
 		serving:  make(map[serversKey]*serversList),
-		named:    make(map[string]namedWeights),
+		named:    make(map[string][]naming),
 
 		minRetryAfter: defaultMinRetryAfter,
 	}
--- a/route/limit.go
+++ b/route/limit.go
@@ -29,6 +29,10 @@
 
 // admitOrg takes a request from its organisation's limits or says why not.
 func (b *Board) admitOrg(now time.Time, r *request) *Refusal {
+	if r.Org == "" {
+		// Routes without keys have no organisation and no limits.
+		return nil
+	}
 	org, ok := b.snap.Org(r.Org)
 	if !ok {
 		return &Refusal{Cause: CauseLimit, Detail: "the organisation is not configured any more"}
--- a/route/weights.go
+++ b/route/weights.go
@@ -23,12 +23,16 @@
 	return func(b *Board) { b.staleness = &s }
 }
 
-// namedWeights are the newest weights of a model and when they were named.
-type namedWeights struct {
+// naming says when weights of a model were named.
+type naming struct {
 	weights string
 	at      time.Time
 }
 
+// namingsKept bounds the namings remembered for a model; what came before the
+// oldest of them is too old to be used in any case.
+const namingsKept = 32
+
 // OlderWeights reports whether the numbered weights a came before b.
 func OlderWeights(a, b string) bool {
 	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) < 0
@@ -36,23 +40,43 @@
 
 // Name takes the news that a model's newest weights were named at a time.
 func (b *Board) Name(at time.Time, model, weights string) {
-	if n, ok := b.named[model]; ok && !OlderWeights(n.weights, weights) {
+	if !OlderWeights(b.NewestWeights(model), weights) {
 		return
 	}
-	b.named[model] = namedWeights{weights: weights, at: at}
+	list := append(b.named[model], naming{weights: weights, at: at})
+	b.named[model] = list[max(0, len(list)-namingsKept):]
 	b.version++
 }
 
 // NewestWeights returns the newest weights of a model that the board was told of.
-func (b *Board) NewestWeights(model string) string { return b.named[model].weights }
+func (b *Board) NewestWeights(model string) string {
+	list := b.named[model]
+	if len(list) == 0 {
+		return ""
+	}
+	return list[len(list)-1].weights
+}
+
+// replacedAt returns when the first weights newer than the given ones were named.
+func (b *Board) replacedAt(model, weights string) (at time.Time, ok bool) {
+	for _, n := range b.named[model] {
+		if OlderWeights(weights, n.weights) {
+			return n.at, true
+		}
+	}
+	return time.Time{}, false
+}
 
 // stalePrice returns what a target's weights cost a request now; usable is false if they are too old.
 func (b *Board) stalePrice(now time.Time, model, weights string) (price time.Duration, usable bool) {
-	n, ok := b.named[model]
-	if b.staleness == nil || !ok || !OlderWeights(weights, n.weights) {
+	if b.staleness == nil {
+		return 0, true
+	}
+	at, replaced := b.replacedAt(model, weights)
+	if !replaced {
 		return 0, true
 	}
-	switch age := now.Sub(n.at); {
+	switch age := now.Sub(at); {
 	case age >= b.staleness.Limit:
 		return 0, false
 	case age >= b.staleness.Grace:
