--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -50,6 +50,15 @@
 	}
 	ctx, stop := cli.Signalled()
 	defer stop()
+	cli.WatchFile(ctx, f.Settings, func() {
+		set, err := platform.ReadSettings(f.Settings)
+		if err == nil {
+			err = n.Reload(set)
+		}
+		if err != nil {
+			n.SettingsFault(err)
+		}
+	})
 	if err := n.Run(ctx); err != nil {
 		cli.Fail(cli.ExitFailed, err)
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -8,11 +8,13 @@
 // The numbers are grouped by hundreds: processes, requests, targets,
 // configuration, peers, control of the fleet.
 const (
-	ProcessStarted  Code = 101
-	ProcessReady    Code = 102
-	ProcessDraining Code = 103
-	ProcessStopped  Code = 104
-	ProcessFenced   Code = 105
+	ProcessStarted   Code = 101
+	ProcessReady     Code = 102
+	ProcessDraining  Code = 103
+	ProcessStopped   Code = 104
+	ProcessFenced    Code = 105
+	SettingsReloaded Code = 106
+	SettingsRejected Code = 107
 
 	RequestArrived   Code = 201
 	RequestQueued    Code = 202
@@ -83,6 +85,8 @@
 	{ProcessDraining, "process-draining", slog.LevelInfo, "A planned stop began; readiness is off and answers in flight go on."},
 	{ProcessStopped, "process-stopped", slog.LevelInfo, "The process ended after its last answer."},
 	{ProcessFenced, "process-fenced", slog.LevelWarn, "The router could confirm its configuration with neither the stores nor a peer and refuses requests as not run."},
+	{SettingsReloaded, "settings-reloaded", slog.LevelInfo, "Changed settings are in effect; addresses stay as they were at the start."},
+	{SettingsRejected, "settings-rejected", slog.LevelWarn, "Changed settings have faults; the old ones stay in effect."},
 
 	{RequestArrived, "request-arrived", slog.LevelDebug, "A request passed the checks of the caller's door."},
 	{RequestQueued, "request-queued", slog.LevelDebug, "No target had room; the request waits in its organisation's queue."},
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -53,6 +53,9 @@
 	}
 }
 
+// SetSeeds replaces the seeds.
+func (v *View[P]) SetSeeds(seeds []netip.AddrPort) { v.seeds = seeds }
+
 // Message returns what to send: the own entry with a new payload and a random
 // choice of at most relay live others. Choosing the freshest instead left the rest untold.
 func (v *View[P]) Message(now time.Time, rng *rand.Rand, payload P, relay int) []Entry[P] {
--- a/node/callers.go
+++ b/node/callers.go
@@ -138,7 +138,7 @@
 		n.refuse(v, route.Refusal{Cause: route.CauseFenced, RetryAfter: minRetryAfter, Detail: "no configuration is known yet"})
 		return false
 	}
-	sure := age <= part(n.set.Bounds.Apply, surePart)
+	sure := age <= part(n.settings().Bounds.Apply, surePart)
 	path, _, _ := strings.Cut(v.uri, "?")
 	rt, ok := v.snap.RouteFor(hostOf(v.r.Host), path)
 	if !ok {
--- a/node/duty.go
+++ b/node/duty.go
@@ -62,7 +62,7 @@
 		n:    n,
 		wake: make(chan struct{}, 1),
 		// The next holder waits for longer than the bound between two holders' orders.
-		lease:  fleet.NewLease(leaseName, n.set.Name+"@"+n.set.Peers.Addr().String(), leaseTime, n.set.Bounds.Lease+orderMargin),
+		lease:  fleet.NewLease(leaseName, n.settings().Name+"@"+n.settings().Peers.Addr().String(), leaseTime, n.settings().Bounds.Lease+orderMargin),
 		roll:   fleet.NewRoll(fleet.DefaultRollSettings()),
 		states: make(map[route.Mark]TargetState),
 	}
@@ -305,7 +305,7 @@
 	defer cancel()
 	answer, err := d.n.engines.Order(ctx, Order{
 		Target: mark, Model: o.Target.Model, Weights: o.Weights, Orders: o.Target.Orders,
-		Holder: d.n.set.Name, Fence: fence,
+		Holder: d.n.settings().Name, Fence: fence,
 	})
 	if err != nil {
 		d.n.events.Record(event.Event{Code: event.OrderFailed, Target: o.Target.Addr.String(), Detail: detail + ": " + err.Error()})
--- a/node/node.go
+++ b/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -27,7 +28,7 @@
 
 // Node is the process of one VM.
 type Node struct {
-	set      Settings
+	set      atomic.Pointer[Settings]
 	log      *slog.Logger
 	events   *event.Recorder
 	metrics  *metrics.Set
@@ -99,7 +100,7 @@
 	}
 	seed := uint64(time.Now().UnixNano())
 	n := &Node{
-		set: s, store: store, protocol: protocol, engines: engines,
+		store: store, protocol: protocol, engines: engines,
 		log:       slog.New(slog.DiscardHandler),
 		metrics:   metrics.NewSet(),
 		peers:     peer.NewClient(peerCallTime, nil),
@@ -108,6 +109,7 @@
 		placement: route.Predict,
 		limits:    defaultLimits,
 	}
+	n.set.Store(&s)
 	n.adoption.Strict()
 	for _, opt := range opts {
 		opt(n)
@@ -134,6 +136,29 @@
 	return n, nil
 }
 
+// settings returns the settings in effect.
+func (n *Node) settings() *Settings { return n.set.Load() }
+
+// Reload takes changed settings: seeds and the bounds that are looked up when
+// they are used. Addresses and the node's name stay until the process ends.
+func (n *Node) Reload(s Settings) error {
+	old := n.settings()
+	s.Name, s.Zone, s.Store = old.Name, old.Zone, old.Store
+	s.Callers, s.Readiness, s.Peers, s.Operators = old.Callers, old.Readiness, old.Peers, old.Operators
+	if err := s.Check(); err != nil {
+		return err
+	}
+	n.set.Store(&s)
+	n.gossip.SetSeeds(s.Seeds)
+	n.events.Record(event.Event{Code: event.SettingsReloaded, Detail: fmt.Sprintf("%d seeds", len(s.Seeds))})
+	return nil
+}
+
+// SettingsFault notes that changed settings could not be taken.
+func (n *Node) SettingsFault(err error) {
+	n.events.Record(event.Event{Code: event.SettingsRejected, Detail: err.Error()})
+}
+
 // eventsKept is the number of events kept in memory for operators, some 200 bytes each.
 const eventsKept = 1024
 
@@ -149,12 +174,12 @@
 
 // Run serves until ctx ends and then stops as planned.
 func (n *Node) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryPart * float64(n.set.Memory)))
+	debug.SetMemoryLimit(int64(memoryPart * float64(n.settings().Memory)))
 	doors, err := n.listen()
 	if err != nil {
 		return err
 	}
-	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: "callers at " + n.set.Callers.String()})
+	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: "callers at " + n.settings().Callers.String()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop} {
@@ -198,13 +223,13 @@
 		}
 		return nil, err
 	}
-	callers, err := n.httpDoor(n.set.Callers, n.callersServer())
+	callers, err := n.httpDoor(n.settings().Callers, n.callersServer())
 	if err != nil {
 		return fail(err)
 	}
 	doors = append(doors, callers)
 	ready := &http.Server{Handler: http.HandlerFunc(n.handleReady), ReadHeaderTimeout: ownHeaderTime}
-	readiness, err := n.httpDoor(n.set.Readiness, ready)
+	readiness, err := n.httpDoor(n.settings().Readiness, ready)
 	if err != nil {
 		return fail(err)
 	}
@@ -217,7 +242,7 @@
 		}
 		doors = append(doors, d)
 	}
-	l, err := net.Listen("tcp4", n.set.Peers.String())
+	l, err := net.Listen("tcp4", n.settings().Peers.String())
 	if err != nil {
 		return fail(errs.Errorf("peers' door: %w", err))
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -26,7 +26,7 @@
 	return peer.Payload{
 		Kind:     peer.KindRouter,
 		Draining: n.stopping.Load(),
-		Door:     n.set.Operators,
+		Door:     n.settings().Operators,
 		Word:     n.adoption.Word(now),
 		State:    state,
 	}
@@ -75,7 +75,7 @@
 			out = append(out, b.Loaded(now, w)...)
 		}
 		b.Hold(held)
-		return append(out, b.Peers(now, states, 1+max(len(states), len(n.set.Seeds)-1))...)
+		return append(out, b.Peers(now, states, 1+max(len(states), len(n.settings().Seeds)-1))...)
 	})
 }
 
--- a/node/stream.go
+++ b/node/stream.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/route"
 	"github.com/pathhead/pathhead/transport"
 )
@@ -105,42 +104,3 @@
 	f.n.Unlock()
 	return http.NewResponseController(f.v.w).Flush()
 }
-
-// drain is the planned stop of [Node.Run]: readiness goes off, requests are
-// served until the grace is nearly used, then idle connections are closed.
-func (n *Node) drain() {
-	n.stopping.Store(true)
-	n.events.Record(event.Event{Code: event.ProcessDraining})
-	begun := time.Now()
-	end := begun.Add(n.set.Bounds.Grace - stopMargin)
-	for time.Now().Before(end) {
-		time.Sleep(tickEvery)
-		if time.Since(begun) < balancerLag {
-			continue
-		}
-		// Requests that come on kept connections are still served; what has been
-		// quiet for a while is closed.
-		n.callers.closeIdle(time.Now().Add(-quietTime))
-		if n.Calls() == 0 && n.callers.count() == 0 {
-			return
-		}
-	}
-}
-
-// The times of a planned stop.
-const (
-	// balancerLag is how long the balancer may go on sending after readiness went
-	// off: it asks once a second and acts on the second miss.
-	balancerLag = 3 * time.Second
-	// quietTime is how long a caller's connection must be quiet to be closed in a stop.
-	quietTime = 500 * time.Millisecond
-	// stopMargin is how long before the end of the grace the process ends by itself.
-	stopMargin = 700 * time.Millisecond
-)
-
-// count returns the number of open connections of callers.
-func (c *callerConns) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open
-}
--- a/node/watch.go
+++ b/node/watch.go
@@ -39,7 +39,7 @@
 		cursor int64
 		retry  backoff
 	)
-	hold := part(n.set.Bounds.Revoke, watchPart)
+	hold := part(n.settings().Bounds.Revoke, watchPart)
 	for ctx.Err() == nil {
 		begun := time.Now()
 		changes, err := n.store.Watch(ctx, cursor, hold)
@@ -104,10 +104,10 @@
 
 // adopt serves under a configuration if it is newer than the present one and compiles.
 func (n *Node) adopt(d Declared, source string) {
-	d.Config.Requests.RetryBudget = n.set.Bounds.RetryRatio
-	d.Config.Requests.RetryReserve = n.set.Bounds.RetryReserve
+	d.Config.Requests.RetryBudget = n.settings().Bounds.RetryRatio
+	d.Config.Requests.RetryReserve = n.settings().Bounds.RetryReserve
 	d.Config.Requests.MaxBody = policy.Bytes(d.Limits.MaxBody)
-	d.Config.Placement = policy.Placement{RecomputeWeight: recomputeWeight, Horizon: policy.Duration(n.set.Bounds.Again)}
+	d.Config.Placement = policy.Placement{RecomputeWeight: recomputeWeight, Horizon: policy.Duration(n.settings().Bounds.Again)}
 	snap, err := policy.Compile(d.Config, d.Revision)
 	if err != nil {
 		n.events.Record(event.Event{Code: event.ConfigRejected, Revision: d.Revision, Detail: err.Error()})
@@ -144,7 +144,7 @@
 		return
 	}
 	for _, addr := range n.gossip.Sweep(ctx) {
-		d, err := n.peers.Config(ctx, addr, n.set.Name)
+		d, err := n.peers.Config(ctx, addr, n.settings().Name)
 		if err != nil {
 			continue
 		}
@@ -279,7 +279,7 @@
 // listLoop reads the list of targets.
 func (n *Node) listLoop(ctx context.Context) {
 	var retry backoff
-	every := part(n.set.Bounds.Drain, listPart)
+	every := part(n.settings().Bounds.Drain, listPart)
 	seen := make(map[netip.AddrPort]int64)
 	for ctx.Err() == nil {
 		read, err := n.store.Targets(ctx)
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -87,6 +87,13 @@
 
 func (g *Gossip) large() bool { return len(g.Live()) >= smallFleet }
 
+// SetSeeds replaces the addresses that are tried besides those of live peers.
+func (g *Gossip) SetSeeds(seeds []netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view.SetSeeds(seeds)
+}
+
 // Sweep exchanges with every seed and live peer, and returns their addresses.
 func (g *Gossip) Sweep(ctx context.Context) []netip.AddrPort {
 	g.mu.Lock()
