route, node: what engines hold is read from their own cache events

Change: each node follows the engines' events as long as they let it (held calls); own sends count only while no event can have told of them.

--- /dev/null
+++ b/node/caches.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/policy"
+)
+
+// The times of reading caches' events.
+const (
+	// cacheWait is how long a target may hold a reading: the longest that the installation's targets allow.
+	cacheWait = time.Second
+	// cachePause is the least time between two readings, so that a busy target's
+	// events come in batches.
+	cachePause = 150 * time.Millisecond
+	// cacheRetry is the pause after a failed reading.
+	cacheRetry = 500 * time.Millisecond
+)
+
+// cacheReaders reads the events of the engines' caches, one loop for each engine.
+type cacheReaders struct {
+	stop map[netip.AddrPort]context.CancelFunc
+}
+
+// follow starts readers of the engines on the list and stops those of others. A
+// target holds a bounded number of readings at once, so in a large installation
+// a node reads only as many targets as are its part.
+func (c *cacheReaders) follow(ctx context.Context, n *Node, list []Target) {
+	if c.stop == nil {
+		c.stop = make(map[netip.AddrPort]context.CancelFunc)
+	}
+	snap := n.snapshot()
+	if snap == nil {
+		return
+	}
+	wanted := make(map[netip.AddrPort]bool)
+	for _, t := range list {
+		p, ok := snap.Pool(t.Seen.Labels[labelPool])
+		if !ok || p.Kind != policy.KindEngine || p.CacheReaders == 0 {
+			continue
+		}
+		if nodes := 1 + len(n.gossip.Live()); nodes <= p.CacheReaders {
+			wanted[t.Seen.Addr] = true
+		}
+	}
+	for addr, stop := range c.stop {
+		if !wanted[addr] {
+			stop()
+			delete(c.stop, addr)
+		}
+	}
+	for addr := range wanted {
+		if _, ok := c.stop[addr]; ok {
+			continue
+		}
+		readCtx, stop := context.WithCancel(ctx)
+		c.stop[addr] = stop
+		n.loops.Go(func() { n.readCache(readCtx, addr) })
+	}
+}
+
+// readCache follows the events of one engine's cache.
+func (n *Node) readCache(ctx context.Context, target netip.AddrPort) {
+	var since, epoch int64
+	for ctx.Err() == nil {
+		page, err := n.engines.CacheEvents(ctx, target, since, cacheWait)
+		if err != nil {
+			if !pause(ctx, n.jitter(cacheRetry)) {
+				return
+			}
+			continue
+		}
+		anew := page.Epoch != epoch || page.Gap
+		if page.Epoch != epoch && since > 0 {
+			// These events were asked for by a number of the last epoch.
+			since, epoch = 0, page.Epoch
+			continue
+		}
+		since, epoch = page.Next, page.Epoch
+		n.Lock()
+		n.Board().PartChanges(time.Now(), target, anew, page.Changes)
+		n.Unlock()
+		if !pause(ctx, cachePause) {
+			return
+		}
+	}
+}
--- a/node/ports.go
+++ b/node/ports.go
@@ -172,8 +172,21 @@
 	panic("node: unknown answer to an order")
 }
 
+// CachePage is a run of a target's events about its cache.
+type CachePage struct {
+	// Epoch changes when the target starts with an empty cache, Next is where to go on.
+	Epoch int64
+	Next  int64
+	// Gap says that events before these are lost.
+	Gap     bool
+	Changes []route.PartChange
+}
+
 // Engines is how an installation's targets are asked and ordered.
 type Engines interface {
 	State(ctx context.Context, target netip.AddrPort) (TargetState, error)
 	Order(ctx context.Context, o Order) (OrderAnswer, error)
+	// CacheEvents returns what changed in a target's cache after an event, or
+	// after wait with nothing.
+	CacheEvents(ctx context.Context, target netip.AddrPort, since int64, wait time.Duration) (CachePage, error)
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -278,7 +278,10 @@
 
 // listLoop reads the list of targets.
 func (n *Node) listLoop(ctx context.Context) {
-	var retry backoff
+	var (
+		retry   backoff
+		readers cacheReaders
+	)
 	every := part(n.settings().Bounds.Drain, listPart)
 	seen := make(map[netip.AddrPort]int64)
 	for ctx.Err() == nil {
@@ -295,7 +298,9 @@
 			continue
 		}
 		retry.ok()
-		n.takeList(n.list.merge(time.Now(), read), seen)
+		list := n.list.merge(time.Now(), read)
+		n.takeList(list, seen)
+		readers.follow(ctx, n, list)
 		if !pause(ctx, n.jitter(every)) {
 			return
 		}
--- a/policy/config.go
+++ b/policy/config.go
@@ -90,6 +90,8 @@
 	LinkRate float64 `yaml:"linkRate,omitempty" json:"linkRate,omitempty"`
 	// CacheTokens is the number of tokens that one engine of the pool holds, zero if not known.
 	CacheTokens int `yaml:"cacheTokens,omitempty" json:"cacheTokens,omitempty"`
+	// CacheReaders is the number of routers that may follow one engine's cache events at once; zero means none.
+	CacheReaders int `yaml:"cacheReaders,omitempty" json:"cacheReaders,omitempty"`
 	// MaxConns is the number of connections that one target takes from all routers; zero means no bound.
 	MaxConns int `yaml:"maxConns,omitempty" json:"maxConns,omitempty"`
 }
--- a/route/board.go
+++ b/route/board.go
@@ -40,7 +40,7 @@
 	scratch   []candidate
 	staleness *Staleness
 	// named are the namings of each model's weights, the newest last.
-	named     map[string][]naming
+	named map[string][]naming
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// minRetryAfter is the least time a caller is told to stay away.
--- /dev/null
+++ b/route/parts.go
@@ -0,0 +1,81 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// PartChange is one change of the named parts that a target's cache holds.
+type PartChange struct {
+	Salt string
+	ID   string
+	// Tokens is how much of the part is held now, zero once it is gone.
+	Tokens int
+}
+
+// partKey names a part under a salt.
+type partKey uint64
+
+func keyOfPart(salt, id string) partKey {
+	return partKey(xxh3.HashStringSeed(id, xxh3.HashString(salt)))
+}
+
+// heldParts is what a target's own events say that its cache holds.
+type heldParts struct {
+	tokens map[partKey]int
+	// at is when the events were last read; without that they are no news.
+	at time.Time
+}
+
+// The times of a target's events about its cache.
+const (
+	// eventsGood is how long after the last reading events are relied on alone:
+	// readings are held for a second at most.
+	eventsGood = 3 * time.Second
+	// eventsLag is how long it may take until an event tells of what was sent. On
+	// the users' sites they are told up to 0.2 s late, after the prefill itself.
+	eventsLag = 700 * time.Millisecond
+)
+
+// PartChanges takes a target's events in their order; anew says that they begin
+// with an empty cache, or after a gap, so that what was known before is dropped.
+func (b *Board) PartChanges(now time.Time, addr netip.AddrPort, anew bool, changes []PartChange) {
+	t, ok := b.targets[addr]
+	if !ok {
+		return
+	}
+	if anew || t.parts.tokens == nil {
+		t.parts.tokens = make(map[partKey]int)
+	}
+	t.parts.at = now
+	for _, c := range changes {
+		key := keyOfPart(c.Salt, c.ID)
+		if c.Tokens > 0 {
+			t.parts.tokens[key] = c.Tokens
+			continue
+		}
+		delete(t.parts.tokens, key)
+	}
+}
+
+// known reports whether the target's events are read.
+func (h *heldParts) known(now time.Time) bool { return h.tokens != nil && now.Sub(h.at) < eventsGood }
+
+// leading returns how many tokens of a chain's leading parts the target holds.
+func (h *heldParts) leading(c *chain) int {
+	total := 0
+	for i, key := range c.keys {
+		size := c.tokens[i]
+		if i > 0 {
+			size -= c.tokens[i-1]
+		}
+		held := h.tokens[key]
+		total += min(held, size)
+		if held < size {
+			break
+		}
+	}
+	return total
+}
--- a/route/place.go
+++ b/route/place.go
@@ -359,6 +359,9 @@
 			b.findHeld(cs, c.chain, now)
 		}
 		c.rank = mix(uint64(b.beliefs.anchor(c.chain)) ^ c.target.hash)
+		if c.target.parts.known(now) {
+			c.trusted = max(c.trusted, c.target.parts.leading(c.chain))
+		}
 	}
 }
 
@@ -385,7 +388,7 @@
 			if !ok || t.round != b.round {
 				continue
 			}
-			if cs[t.candidate].note(c.tokens[i], time.Duration(ms-h.at)*time.Millisecond) {
+			if cs[t.candidate].note(now, c.tokens[i], time.Duration(ms-h.at)*time.Millisecond) {
 				open--
 			}
 		}
@@ -393,17 +396,26 @@
 }
 
 // note takes a block known at the candidate and reports whether it is the first trusted one.
-func (c *candidate) note(tokens int, age time.Duration) bool {
+func (c *candidate) note(now time.Time, tokens int, age time.Duration) bool {
 	if c.held.tokens == 0 {
 		c.held = held{tokens: tokens, age: age}
 	}
-	if c.trusted > 0 || !c.target.horizon.trusts(age) {
+	if c.trusted > 0 || !c.target.trusts(now, age) {
 		return false
 	}
 	c.trusted = tokens
 	return true
 }
 
+// trusts reports whether a belief of this age is relied on: only while no event
+// can have told of it, where the target's events are read.
+func (t *target) trusts(now time.Time, age time.Duration) bool {
+	if t.parts.known(now) {
+		return age <= eventsLag
+	}
+	return t.horizon.trusts(age)
+}
+
 // mix scrambles a number so that its bits can order targets.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/route/request.go
+++ b/route/request.go
@@ -249,6 +249,8 @@
 	levels []int
 	// tokens is the length of the prompt up to the end of each block.
 	tokens []int
+	// keys name the parts, where the prompt is a chain of named ones.
+	keys []partKey
 }
 
 // newPartsChain chains named parts, each of which is a block of its own length.
@@ -261,6 +263,7 @@
 		total += p.Tokens
 		c.blocks = append(c.blocks, Block(head))
 		c.tokens = append(c.tokens, total)
+		c.keys = append(c.keys, keyOfPart(salt, p.ID))
 		c.bounds = append(c.bounds, i)
 		c.levels = append(c.levels, i)
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -80,6 +80,7 @@
 	// service is the mean time an attempt holds a slot.
 	service time.Duration
 	horizon horizon
+	parts   heldParts
 	// peers is what other routers have in flight here.
 	peerInFlight int
 	// round and candidate are scratch of one placement.
