route: running requests take at most half of an engine's memory

Copies are priced at 1.5 times what they fetch (0.5 before). Ruled out: the learned rate of prefill (22k to 32k tokens/s throughout), waits at the nodes (2 ms).

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -162,6 +162,7 @@
 	r.attempt = a
 	c.target.attempts[a.ID] = a
 	c.target.prefill += a.uncached
+	c.target.tokens += r.size()
 	b.note(event.Event{
 		Code: event.RequestPlaced, Request: r.ID, Attempt: a.ID, Org: r.Org,
 		Target: c.target.name(), Revision: b.snap.Revision, Detail: a.Reason,
@@ -267,6 +268,7 @@
 func (b *Board) release(now time.Time, r *request, a *attempt) {
 	t := a.target
 	delete(t.attempts, a.ID)
+	t.tokens -= r.size()
 	if !a.first {
 		t.prefill -= a.uncached
 	}
--- a/route/limit.go
+++ b/route/limit.go
@@ -164,6 +164,8 @@
 	Target   Mark
 	InFlight int
 	Prefill  int
+	// Tokens is the memory that the requests take of an engine.
+	Tokens int
 }
 
 // Demand is the rate at which an organisation calls a router, in requests per second.
@@ -196,7 +198,7 @@
 	s.Leaving = s.Leaving[:min(len(s.Leaving), maxMarks)]
 	for _, t := range b.targets {
 		if len(t.attempts) > 0 && len(s.Loads) < maxLoads {
-			s.Loads = append(s.Loads, Load{Mark{t.addr, t.incarnation}, len(t.attempts), t.prefill})
+			s.Loads = append(s.Loads, Load{Mark{t.addr, t.incarnation}, len(t.attempts), t.prefill, t.tokens})
 		}
 	}
 	for name, o := range b.orgs {
@@ -263,7 +265,7 @@
 
 func (b *Board) mergeLoads(now time.Time) {
 	for _, t := range b.targets {
-		t.peerInFlight, t.peerPrefill, t.peersAt = 0, 0, now
+		t.peerInFlight, t.peerPrefill, t.peerTokens, t.peersAt = 0, 0, 0, now
 	}
 	for _, s := range b.peers {
 		for _, l := range s.Loads {
@@ -271,6 +273,7 @@
 			if ok && t.incarnation == l.Target.Incarnation {
 				t.peerInFlight += l.InFlight
 				t.peerPrefill += l.Prefill
+				t.peerTokens += l.Tokens
 			}
 		}
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -137,7 +137,7 @@
 	room := 0
 	for i := range cs {
 		least = min(least, cs[i].cost)
-		if b.hasRoom(cs[i].target, p) {
+		if b.hasRoom(cs[i].target, p, r) {
 			cs[room], cs[i] = cs[i], cs[room]
 			room++
 		}
@@ -175,7 +175,22 @@
 	return roomWait / time.Duration(b.routers)
 }
 
-func (b *Board) hasRoom(t *target, p *pool) bool {
+// memoryPart is the part of an engine's cache that running requests may take. With
+// more, what they share is displaced and read again, so that they run longer and
+// take yet more: the engine stays in that state after the surge that led to it.
+const memoryPart = 0.5
+
+// hasMemory reports whether the engine can hold one more request beside what it keeps.
+func (t *target) hasMemory(p *pool, r *request) bool {
+	most := memoryPart * float64(p.compiled.CacheTokens)
+	held := t.tokens + t.peerTokens
+	return most == 0 || held == 0 || float64(held+r.size()) <= most
+}
+
+func (b *Board) hasRoom(t *target, p *pool, r *request) bool {
+	if !t.hasMemory(p, r) {
+		return false
+	}
 	n := t.inFlight()
 	own := seconds(float64(t.prefill) / t.rate())
 	return len(t.attempts) == 0 || n < t.window(p) && own <= b.room()
@@ -279,7 +294,7 @@
 const (
 	fetchLeast   = 48
 	fetchSetup   = 5 * time.Millisecond
-	displacePart = 0.5
+	displacePart = 1.5
 )
 
 // considerFetches lets candidates fetch what the best holder has beyond their own.
--- a/route/request.go
+++ b/route/request.go
@@ -304,6 +304,14 @@
 	return c
 }
 
+// size is the memory that the request may take of an engine, in tokens.
+func (r *request) size() int {
+	if r.Model == nil {
+		return 0
+	}
+	return r.promptTokens() + r.MaxTokens
+}
+
 // newAttempt names the next attempt of the request.
 func (r *request) newAttempt() string {
 	r.tries++
--- a/route/target.go
+++ b/route/target.go
@@ -77,6 +77,8 @@
 	attempts map[string]*attempt
 	// prefill is the uncached tokens of attempts that have no first token yet.
 	prefill int
+	// tokens is what this router's attempts take of the target's memory, peerTokens what others' take.
+	tokens, peerTokens int
 	// service is the mean time an attempt holds a slot.
 	service time.Duration
 	horizon horizon
