--- /dev/null
+++ b/internal/e2e/platform_harness_test.go
@@ -0,0 +1,334 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/platform/platformtest"
+)
+
+// The names of the platform's test installation.
+const (
+	platformHost = "api.example"
+	modelName    = "m1"
+	engineName   = "engines"
+	plainName    = "plain"
+)
+
+// installation is a platform with nodes on real processes and stand-ins around them.
+type installation struct {
+	t       *testing.T
+	store   *platformtest.Store
+	log     *platformtest.RunLog
+	engines []*platformtest.Replica
+	plain   []*platformtest.Replica
+	nodes   []*nodeProcess
+	seeds   []netip.AddrPort
+	// revoke is the bound on how long a removed key may be used.
+	revoke time.Duration
+}
+
+// nodeProcess is one pathhead-node process.
+type nodeProcess struct {
+	inst      *installation
+	name      string
+	file      string
+	door      *platformtest.Door
+	callers   netip.AddrPort
+	readiness netip.AddrPort
+	peers     netip.AddrPort
+	metrics   uint16
+	cmd       *exec.Cmd
+	out       *bytes.Buffer
+	ended     chan struct{}
+}
+
+// install starts the stand-ins of a platform with a configuration, and nodes.
+func install(t *testing.T, nodes int, opts ...platformtest.Option) *installation {
+	i := &installation{t: t, store: platformtest.NewStore(), log: new(platformtest.RunLog), revoke: 5 * time.Second}
+	t.Cleanup(i.store.Close)
+	for n := range 3 {
+		i.engines = append(i.engines, i.start(fmt.Sprintf("e%d", n), engineName,
+			append([]platformtest.Option{platformtest.WithModel(modelName, 1)}, opts...)...))
+	}
+	for n := range 2 {
+		i.plain = append(i.plain, i.start(fmt.Sprintf("p%d", n), plainName))
+	}
+	require.NoError(t, i.store.Name(modelName, 1))
+	require.NoError(t, i.store.Declare(config(1)))
+	for n := range nodes {
+		i.addNode(n)
+	}
+	for _, n := range i.nodes {
+		n.start()
+	}
+	for _, n := range i.nodes {
+		n.awaitReady()
+	}
+	return i
+}
+
+func (i *installation) start(id, service string, opts ...platformtest.Option) *platformtest.Replica {
+	r, err := platformtest.Start(i.store, i.log, id, service, netip.AddrPort{}, opts...)
+	require.NoError(i.t, err)
+	i.t.Cleanup(r.Crash)
+	return r
+}
+
+// config returns the test configuration at a revision.
+func config(version int64) platformtest.Config {
+	route := func(name, prefix, kind, service string, attempts int) platformtest.Route {
+		return platformtest.Route{
+			Name: name, Host: platformHost, Prefix: prefix, Kind: kind, TimeoutMS: 8000, AimMS: 2000,
+			Priority: 1, Service: service, Attempts: attempts,
+		}
+	}
+	resumable := route("resumable", "/resume/", "streaming", engineName, 3)
+	resumable.Resumable = true
+	public := route("public", "/public/", "idempotent", plainName, 2)
+	public.Public = true
+	return platformtest.Config{
+		Version: version,
+		Routes: []platformtest.Route{
+			route("stream", "/stream/", "streaming", engineName, 1),
+			resumable,
+			route("once", "/once/", "non_idempotent", plainName, 1),
+			route("safe", "/safe/", "idempotent", plainName, 2),
+			public,
+		},
+		Services: []platformtest.Service{
+			{Name: engineName, HealthPath: "/healthz", MaxConns: 300, Engine: &platformtest.Engine{
+				Slots: 16, CacheTokens: 100000, TokenBytes: 1000, LinkMbps: 10000, CacheCalls: 8,
+				Models: []platformtest.ModelName{{Name: modelName}},
+			}},
+			{Name: plainName, HealthPath: "/healthz", MaxConns: 100},
+		},
+		Tenants: []platformtest.Tenant{
+			{Name: "open-a", Keys: []string{"key-a"}},
+			{Name: "open-b", Keys: []string{"key-b"}},
+			{Name: "walled", Keys: []string{"key-w"}, Isolated: true},
+		},
+		Limits: platformtest.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMS: 3000, IdleMS: 15000},
+	}
+}
+
+func (i *installation) addNode(n int) *nodeProcess {
+	door, err := i.store.Open()
+	require.NoError(i.t, err)
+	p := &nodeProcess{
+		inst: i, name: fmt.Sprintf("node-%d", n), door: door, file: filepath.Join(i.t.TempDir(), "node.toml"),
+		callers: freeAddr(i.t), readiness: freeAddr(i.t), peers: freeAddr(i.t), metrics: freeAddr(i.t).Port(),
+	}
+	i.seeds = append(i.seeds, p.peers)
+	i.nodes = append(i.nodes, p)
+	i.t.Cleanup(p.kill)
+	return p
+}
+
+func freeAddr(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// settings writes the process's settings file.
+func (p *nodeProcess) settings() {
+	var seeds []string
+	for _, s := range p.inst.seeds {
+		seeds = append(seeds, fmt.Sprintf("%q", s))
+	}
+	text := fmt.Sprintf(`
+node = %q
+zone = "z"
+ip = "127.0.0.1"
+portRange = [%d,%d]
+seeds = [%s]
+bootstrap = true
+heartbeatMs = 200
+somethingNew = "ignored"
+[listen]
+front = %q
+readiness = %q
+control = %q
+[limits]
+memoryMb = 512
+maxFds = 4096
+[bounds]
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+revokeMs = %d
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+retrySlack = 50
+leaseMs = 1000
+versionMs = 10000
+again_s = 10
+[provider]
+address = %q
+`, p.name, p.metrics, p.metrics, strings.Join(seeds, ","), p.callers, p.readiness, p.peers,
+		p.inst.revoke.Milliseconds(), p.door.Addr)
+	require.NoError(p.inst.t, os.WriteFile(p.file, []byte(text), 0o600))
+}
+
+func (p *nodeProcess) start() {
+	t := p.inst.t
+	bin := binaries
+	p.settings()
+	p.out = new(bytes.Buffer)
+	p.cmd = exec.Command(filepath.Join(bin, "pathhead-node"), fmt.Sprintf("--metrics-port=%d", p.metrics))
+	p.cmd.Env = append(os.Environ(), "PATHHEAD_CONFIG="+p.file)
+	p.cmd.Stdout, p.cmd.Stderr = p.out, p.out
+	require.NoError(t, p.cmd.Start())
+	ended := make(chan struct{})
+	p.ended = ended
+	go func(cmd *exec.Cmd) {
+		// How the process ended is looked up in its state.
+		_ = cmd.Wait()
+		close(ended)
+	}(p.cmd)
+}
+
+func (p *nodeProcess) awaitReady() {
+	require.Eventually(p.inst.t, p.ready, waitTime, 10*time.Millisecond, "%s is not ready", p.name)
+}
+
+// waitTime bounds how long tests wait for what must come; it is no threshold.
+const waitTime = 30 * time.Second
+
+func (p *nodeProcess) ready() bool {
+	resp, err := http.Get("http://" + p.readiness.String() + "/-/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (p *nodeProcess) signal(s syscall.Signal) {
+	require.NoError(p.inst.t, p.cmd.Process.Signal(s))
+}
+
+// kill ends the process if it still runs, and shows its log if the test failed.
+func (p *nodeProcess) kill() {
+	if p.cmd == nil || p.cmd.Process == nil {
+		return
+	}
+	// A process that has ended can't be killed, which is what is wanted.
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+	if p.inst.t.Failed() {
+		p.inst.t.Logf("log of %s:\n%s", p.name, p.out)
+	}
+}
+
+// ask is a request of a caller of the platform.
+type ask struct {
+	id     string
+	method string
+	path   string
+	key    string
+	parts  string
+	body   string
+	header map[string]string
+}
+
+// answerGot is what the caller got.
+type answerGot struct {
+	status int
+	header http.Header
+	body   string
+	// err says that the answer did not come whole.
+	err error
+}
+
+func (a ask) request(t *testing.T, p *nodeProcess) *http.Request {
+	method := a.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+p.callers.String(), strings.NewReader(a.body))
+	require.NoError(t, err)
+	req.URL.Opaque = a.path
+	req.Host = platformHost
+	req.Header.Set("X-Request-Id", a.id)
+	req.Header.Set("X-Deadline-Ms", "8000")
+	key := a.key
+	if key == "" {
+		key = "key-a"
+	}
+	req.Header.Set("X-Credential", key)
+	if a.parts != "" {
+		req.Header.Set("X-Model", modelName)
+		req.Header.Set("X-Token-Count", "100,20")
+		req.Header.Set("X-Prefix-Hash", a.parts)
+	}
+	for name, value := range a.header {
+		req.Header.Set(name, value)
+	}
+	return req
+}
+
+// platformClient sends without repeats of its own and without encodings.
+func platformClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 16}}
+}
+
+func (p *nodeProcess) ask(c *http.Client, a ask) answerGot {
+	resp, err := c.Do(a.request(p.inst.t, p))
+	if err != nil {
+		return answerGot{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answerGot{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+// wholeStream is the body of a whole stream of n events.
+func wholeStream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(platformtest.Event(id, i))
+	}
+	return b.String()
+}
+
+// on returns a script that plays a fault on requests whose path has a prefix, at most so many times.
+func on(prefix string, fault platformtest.Fault, times int) platformtest.Script {
+	left := make(chan struct{}, times)
+	for range times {
+		left <- struct{}{}
+	}
+	return func(r *http.Request) platformtest.Fault {
+		if !strings.HasPrefix(r.URL.Path, prefix) {
+			return platformtest.Sound
+		}
+		select {
+		case <-left:
+			return fault
+		default:
+			return platformtest.Sound
+		}
+	}
+}
+
+// playAll gives all replicas of a list one script.
+func playAll(rs []*platformtest.Replica, s platformtest.Script) {
+	for _, r := range rs {
+		r.Play(s)
+	}
+}
--- /dev/null
+++ b/internal/e2e/platform_requests_test.go
@@ -0,0 +1,314 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/platform/platformtest"
+)
+
+// A request reaches its target as the caller sent it, but for what the system sets.
+func TestPlatformForwards(t *testing.T) {
+	i := install(t, 1)
+	c := platformClient()
+	got := i.nodes[0].ask(c, ask{
+		id: "r-plain", path: "/safe//x/../y%2Fz?q=%20a&b", body: "the body",
+		header: map[string]string{
+			"X-Mine": "kept", "X-Tenant-Id": "forged", "Cache-Salt": "forged", "Hold": "forged", "Pin-Ms": "9",
+			"Kv-Backup": "10.0.0.1:1", "Kv-From": "10.0.0.1:1/x", "X-Expect-Instance": "forged",
+		},
+	})
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, platformtest.Body("r-plain"), got.body)
+	require.Equal(t, platformtest.Seal("r-plain"), got.header.Get("X-Response-Seal"))
+	runs := i.log.Of("r-plain")
+	require.Len(t, runs, 1)
+	run := runs[0]
+	require.Equal(t, "/safe//x/../y%2Fz?q=%20a&b", run.URI)
+	require.Equal(t, "the body", run.Body)
+	require.Equal(t, platformHost, run.Host)
+	require.Equal(t, "kept", run.Header.Get("X-Mine"))
+	require.Equal(t, "open-a", run.Header.Get("X-Tenant-Id"))
+	require.Equal(t, run.Replica, run.Header.Get("X-Expect-Instance"))
+	for _, name := range []string{"X-Credential", "Hold", "Pin-Ms", "Kv-Backup", "Kv-From", "Cache-Salt", "Accept-Encoding"} {
+		require.Empty(t, run.Header.Get(name), name)
+	}
+	var left int
+	_, err := fmt.Sscan(run.Header.Get("X-Deadline-Ms"), &left)
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 8000)
+
+	got = i.nodes[0].ask(c, ask{id: "r-stream", path: "/stream/x", parts: "aa:50,bb:50"})
+	require.NoError(t, got.err)
+	require.Equal(t, wholeStream("r-stream", 5), got.body)
+	require.Equal(t, "aa:50,bb:50", i.log.Of("r-stream")[0].Header.Get("X-Prefix-Hash"))
+}
+
+// What targets do wrong never reaches a caller as a whole answer, and nothing runs
+// more often than its route allows.
+func TestPlatformFaults(t *testing.T) {
+	i := install(t, 1)
+	cases := map[string]struct {
+		path   string
+		parts  string
+		fault  platformtest.Fault
+		times  int
+		status int
+		runs   int
+	}{
+		"a shed call runs elsewhere":               {"/safe/", "", platformtest.Shed, 1, 200, 1},
+		"a shed call with one attempt":             {"/once/", "", platformtest.Shed, 1, 503, 0},
+		"a failure is tried elsewhere":             {"/safe/", "", platformtest.Failing, 1, 200, 2},
+		"a failure of every target is passed on":   {"/safe/", "", platformtest.Failing, 2, 500, 2},
+		"a failure of a call that runs once":       {"/once/", "", platformtest.Failing, 1, 500, 1},
+		"a lost answer of a call that runs once":   {"/once/", "", platformtest.Dropping, 1, 502, 1},
+		"a lost answer of a repeatable call":       {"/safe/", "", platformtest.Dropping, 1, 200, 2},
+		"a cut answer is not whole":                {"/once/", "", platformtest.Cutting, 1, 502, 1},
+		"a cut answer of a repeatable call":        {"/safe/", "", platformtest.Cutting, 1, 200, 2},
+		"an answer to nobody after the own":        {"/once/", "", platformtest.Surplus, 1, 200, 1},
+		"an answer to nobody before the own":       {"/once/", "", platformtest.Foreign, 1, 200, 1},
+		"an answer without a length":               {"/once/", "", platformtest.Unframed, 1, 200, 1},
+		"an answer before the body was read":       {"/once/", "", platformtest.Early, 1, 200, 1},
+		"bytes that are no answer":                 {"/once/", "", platformtest.Garbage, 1, 502, 1},
+		"a mute target of a repeatable call":       {"/safe/", "", platformtest.Mute, 1, 200, 2},
+		"a shed stream with one attempt":           {"/stream/", "aa:10", platformtest.Shed, 1, 503, 0},
+		"a cut stream goes on elsewhere":           {"/resume/", "aa:10", platformtest.Cutting, 1, 200, 2},
+		"a stream that is cut twice":               {"/resume/", "aa:10", platformtest.Cutting, 2, 200, 3},
+		"a stream whose target dropped it at once": {"/resume/", "aa:10", platformtest.Dropping, 1, 200, 2},
+	}
+	n := 0
+	for name, c := range cases {
+		n++
+		id := fmt.Sprintf("fault-%d", n)
+		t.Run(name, func(t *testing.T) {
+			rs := i.plain
+			if c.parts != "" {
+				rs = i.engines
+			}
+			playAll(rs, on(c.path, c.fault, c.times))
+			client := platformClient()
+			got := i.nodes[0].ask(client, ask{id: id, path: c.path + "x", parts: c.parts, body: strings.Repeat("b", 3000)})
+			require.NoError(t, got.err)
+			require.Equal(t, c.status, got.status, got.body)
+			require.Len(t, i.log.Of(id), c.runs)
+			if got.status == http.StatusServiceUnavailable {
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+				require.Empty(t, got.header.Get("X-Response-Seal"))
+			}
+			if got.status != http.StatusOK {
+				return
+			}
+			require.Equal(t, platformtest.Seal(id), got.header.Get("X-Response-Seal"))
+			want := platformtest.Body(id)
+			if c.parts != "" {
+				want = wholeStream(id, 5)
+			}
+			require.Equal(t, want, got.body)
+			// The connections that are kept now belong to no request.
+			after := i.nodes[0].ask(client, ask{id: id + "-after", path: c.path + "x", parts: c.parts})
+			require.NoError(t, after.err)
+			require.Contains(t, after.body, id+"-after")
+		})
+	}
+}
+
+// A stream that may not be resumed is cut where its target cut it, and never looks whole.
+func TestPlatformCutStream(t *testing.T) {
+	i := install(t, 1)
+	playAll(i.engines, on("/stream/", platformtest.Cutting, 1))
+	got := i.nodes[0].ask(platformClient(), ask{id: "cut", path: "/stream/x", parts: "aa:10"})
+	require.Error(t, got.err)
+	require.True(t, strings.HasPrefix(wholeStream("cut", 5), got.body), got.body)
+	require.Len(t, i.log.Of("cut"), 1)
+}
+
+// A caller that leaves ends the work of its target.
+func TestPlatformCallerGone(t *testing.T) {
+	i := install(t, 1, platformtest.WithEvents(100000, 20*time.Millisecond))
+	ctx, cancel := context.WithCancel(t.Context())
+	req := ask{id: "gone", path: "/stream/x", parts: "aa:10"}.request(t, i.nodes[0]).WithContext(ctx)
+	resp, err := platformClient().Do(req)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	cancel()
+	require.Eventually(t, func() bool {
+		runs := i.log.Of("gone")
+		return len(runs) == 1 && runs[0].Left
+	}, waitTime, 5*time.Millisecond)
+}
+
+// Organisations share cached parts unless one is isolated, and weights share none.
+func TestPlatformSharing(t *testing.T) {
+	i := install(t, 1)
+	c := platformClient()
+	salt := func(id, key string) string {
+		got := i.nodes[0].ask(c, ask{id: id, path: "/stream/x", parts: "aa:10", key: key})
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status)
+		return i.log.Of(id)[0].Salt
+	}
+	a, b, w := salt("s-a", "key-a"), salt("s-b", "key-b"), salt("s-w", "key-w")
+	require.NotEmpty(t, a)
+	require.Equal(t, a, b, "both share what they cache")
+	require.NotEqual(t, a, w, "an isolated organisation shares nothing")
+	require.NoError(t, i.store.Name(modelName, 2))
+	require.Eventually(t, func() bool {
+		return i.engines[0].Weights() == 2 && i.engines[1].Weights() == 2 && i.engines[2].Weights() == 2
+	}, waitTime, 10*time.Millisecond)
+	require.Eventually(t, func() bool {
+		id := fmt.Sprintf("s-%d", time.Now().UnixNano())
+		got := i.nodes[0].ask(c, ask{id: id, path: "/stream/x", parts: "aa:10"})
+		return got.status == http.StatusOK && i.log.Of(id)[0].Weights == 2 && i.log.Of(id)[0].Salt != a
+	}, waitTime, 20*time.Millisecond)
+	for _, r := range i.log.All() {
+		if r.Salt == a {
+			require.EqualValues(t, 1, r.Weights, "a part's salt names its weights")
+		}
+	}
+}
+
+// Bad input gets a clear refusal, and others are served meanwhile.
+func TestPlatformBadInput(t *testing.T) {
+	i := install(t, 1)
+	c := platformClient()
+	cases := map[string]struct {
+		ask    ask
+		status int
+	}{
+		"no such route":      {ask{path: "/nowhere/x"}, 404},
+		"no such key":        {ask{path: "/safe/x", key: "stolen"}, 401},
+		"a body too large":   {ask{path: "/safe/x", body: strings.Repeat("x", 1<<20+1)}, 413},
+		"parts that are not": {ask{path: "/stream/x", parts: "aa"}, 400},
+		"a negative part":    {ask{path: "/stream/x", parts: "aa:-1"}, 400},
+		"a deadline of text": {ask{path: "/safe/x", header: map[string]string{"X-Deadline-Ms": "soon"}}, 400},
+		"too many parts":     {ask{path: "/stream/x", parts: strings.Repeat("a:1,", 300) + "b:1"}, 400},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			k.ask.id = "bad-" + strings.ReplaceAll(name, " ", "-")
+			var got answerGot
+			// A node that can't be sure of a route or key says so, and is sure a moment later.
+			require.Eventually(t, func() bool {
+				got = i.nodes[0].ask(c, k.ask)
+				return got.err == nil && got.status != http.StatusServiceUnavailable
+			}, waitTime, 50*time.Millisecond)
+			require.Equal(t, k.status, got.status, got.body)
+			require.Empty(t, i.log.Of(k.ask.id))
+		})
+	}
+	t.Run("a slow head and a head too large", func(t *testing.T) {
+		slow, err := net.Dial("tcp", i.nodes[0].callers.String())
+		require.NoError(t, err)
+		defer slow.Close()
+		_, err = slow.Write([]byte("POST /safe/x HTTP/1.1\r\nHost: "))
+		require.NoError(t, err)
+		got := i.nodes[0].ask(c, ask{id: "big-head", path: "/safe/x", header: map[string]string{"X-Big": strings.Repeat("h", 64<<10)}})
+		require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, got.status)
+		got = i.nodes[0].ask(c, ask{id: "beside", path: "/safe/x"})
+		require.Equal(t, http.StatusOK, got.status)
+	})
+}
+
+// A target that leaves, by its own word or by the list, gets no more work, and a
+// new one at its address is not taken for it.
+func TestPlatformLeaving(t *testing.T) {
+	i := install(t, 1)
+	c := platformClient()
+	require.NoError(t, i.plain[0].Drain())
+	settled := func(left string) {
+		require.Eventually(t, func() bool {
+			for n := range 8 {
+				id := fmt.Sprintf("%s-%d-%d", left, time.Now().UnixNano(), n)
+				got := i.nodes[0].ask(c, ask{id: id, path: "/safe/x"})
+				if runs := i.log.Of(id); got.status != 200 || len(runs) != 1 || runs[0].Replica == left {
+					return false
+				}
+			}
+			return true
+		}, waitTime, 20*time.Millisecond)
+	}
+	settled("p0")
+	addr := i.plain[1].Addr
+	i.start("p2", plainName)
+	i.plain[1].Leave()
+	settled("p1")
+	// Another service's replica takes the address of one that is gone.
+	other, err := platformtest.Start(i.store, i.log, "x0", "other", addr)
+	require.NoError(t, err)
+	t.Cleanup(other.Crash)
+	for n := range 20 {
+		id := fmt.Sprintf("reuse-%d", n)
+		i.nodes[0].ask(c, ask{id: id, path: "/safe/x"})
+		for _, run := range i.log.Of(id) {
+			require.Equal(t, plainName, run.Service)
+		}
+	}
+}
+
+// A stop signal lets every request that was taken be answered.
+func TestPlatformPlannedStop(t *testing.T) {
+	i := install(t, 2, platformtest.WithEvents(40, 10*time.Millisecond))
+	node := i.nodes[0]
+	var (
+		wg   sync.WaitGroup
+		mu   sync.Mutex
+		lost []string
+	)
+	stop := make(chan struct{})
+	for n := range 4 {
+		wg.Go(func() {
+			c := platformClient()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("stop-%d-%d", n, k)
+				got := node.ask(c, ask{id: id, path: "/stream/x", parts: "aa:10"})
+				if got.err != nil && len(i.log.Of(id)) > 0 {
+					mu.Lock()
+					lost = append(lost, id+": "+got.err.Error())
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	node.signal(syscall.SIGTERM)
+	require.Eventually(t, func() bool { return !node.ready() }, waitTime, 10*time.Millisecond)
+	<-node.ended
+	close(stop)
+	wg.Wait()
+	require.Empty(t, lost)
+	require.Equal(t, 0, node.cmd.ProcessState.ExitCode())
+}
+
+// A hang-up reloads the settings and does not end the process.
+func TestPlatformReload(t *testing.T) {
+	i := install(t, 1)
+	node := i.nodes[0]
+	i.seeds = append(i.seeds, netip.MustParseAddrPort("127.0.0.1:1"))
+	node.settings()
+	node.signal(syscall.SIGHUP)
+	require.Eventually(t, func() bool {
+		got := node.ask(platformClient(), ask{id: "after-hup", path: "/safe/x"})
+		return got.status == http.StatusOK
+	}, waitTime, 10*time.Millisecond)
+	select {
+	case <-node.ended:
+		t.Fatal("the process ended")
+	default:
+	}
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -236,7 +236,13 @@
 		rev, err := d.n.store.Commit(ctx, rand.Text(), w)
 		d.mu.Lock()
 		d.lease.Wrote(time.Now(), rev, err)
+		settled := d.lease.Settled()
 		d.mu.Unlock()
+		if !settled {
+			// The answer was lost: reading back at once tells what became of the
+			// write while the lease it took still lasts.
+			d.read(ctx)
+		}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
