route, node, platform: engines save newly read shared parts to the kept store

Change: the store that stands in the configuration is a target whose cache events are followed; a prompt of which an engine reads more than 512 shared tokens anew is saved there, all nodes together no more in 10 s than the store holds; engines fetch from it.

--- a/node/caches.go
+++ b/node/caches.go
@@ -38,7 +38,7 @@
 	wanted := make(map[netip.AddrPort]bool)
 	for _, t := range list {
 		p, ok := snap.Pool(t.Seen.Labels[labelPool])
-		if !ok || p.Kind != policy.KindEngine || p.CacheReaders == 0 {
+		if !ok || p.Kind == policy.KindService || p.CacheReaders == 0 {
 			continue
 		}
 		if nodes := 1 + len(n.gossip.Live()); nodes <= p.CacheReaders {
--- a/node/ports.go
+++ b/node/ports.go
@@ -79,6 +79,8 @@
 	Config *policy.Config
 	// Limits bound what callers may send.
 	Limits Limits
+	// Fixed are targets that stand in the configuration and on no list.
+	Fixed []Target
 }
 
 // Limits bound a caller's connection.
--- a/node/watch.go
+++ b/node/watch.go
@@ -122,6 +122,7 @@
 		n.adoption.Adopted(d.Revision)
 		n.document = fleet.Document{Revision: d.Revision, Text: d.Text, Author: source}
 		n.limits = d.Limits.orDefault()
+		n.list.setFixed(d.Fixed)
 		return b.Adopt(now, snap)
 	})
 	if adopted {
@@ -198,6 +199,15 @@
 	backAt time.Time
 	readAt time.Time
 	conns  map[netip.AddrPort]int
+	// fixed are targets that stand in the configuration.
+	fixed []Target
+}
+
+// setFixed takes the targets that stand in the configuration.
+func (l *targetList) setFixed(ts []Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fixed = ts
 }
 
 // relistTime is how long after the store's return targets' entries may still be
@@ -215,7 +225,7 @@
 	}
 	l.readAt = now
 	fresh := make(map[netip.AddrPort]Target, len(read))
-	for _, t := range read {
+	for _, t := range append(read, l.fixed...) {
 		if other, ok := fresh[t.Seen.Addr]; !ok || other.Revision < t.Revision {
 			fresh[t.Seen.Addr] = t
 		}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -157,6 +157,7 @@
 		a.uncached = c.uncached(r)
 		a.fetched = c.fetched > 0
 		a.Import = c.imported
+		a.Save = b.considerSave(now, c, r)
 		b.expectFill(now, c)
 	}
 	r.attempt = a
--- a/route/board.go
+++ b/route/board.go
@@ -33,6 +33,8 @@
 	kept      *generations[Block, keptPrefix]
 	newlyKept []Kept
 	exporting int
+	// saves bounds what this router has engines save to a store.
+	saves     bucket
 	routers   int
 	peers     map[string]PeerState
 	closed    *Refusal
--- a/route/kept.go
+++ b/route/kept.go
@@ -63,6 +63,10 @@
 	if m.KeptPool == "" || !ok {
 		return "", false
 	}
+	if p.compiled.Fetches {
+		// The engines save and fetch by themselves.
+		return "", false
+	}
 	for _, t := range p.members {
 		if t.usable() {
 			return m.KeptPool, true
@@ -71,6 +75,45 @@
 	return "", false
 }
 
+// directStore returns the store that a model's engines save to and fetch from by
+// themselves, or nil if there is none that answers.
+func (b *Board) directStore(now time.Time, m *policy.Model) *target {
+	p, ok := b.pools[m.KeptPool]
+	if m.KeptPool == "" || !ok || !p.compiled.Fetches {
+		return nil
+	}
+	for _, t := range p.members {
+		if t.usable() && t.parts.known(now) {
+			return t
+		}
+	}
+	return nil
+}
+
+// saveLeast is the number of shared tokens that an engine must read anew for a
+// prompt to be worth saving: less is sooner read again than moved.
+const saveLeast = 512
+
+// considerSave decides whether the engine sends the prompt's parts to the store.
+// All routers together save no more in the time of a part's last use than the
+// store holds: else it would drop each part before it is asked for again.
+func (b *Board) considerSave(now time.Time, c *candidate, r *request) netip.AddrPort {
+	store := b.directStore(now, r.Model)
+	if store == nil || len(c.chain.tokens) < 2 {
+		return netip.AddrPort{}
+	}
+	shared := c.chain.tokens[len(c.chain.tokens)-2]
+	if shared-max(c.trusted, c.fetched) < saveLeast || store.parts.leading(c.chain) >= shared {
+		return netip.AddrPort{}
+	}
+	p := b.pools[r.Model.KeptPool]
+	rate := float64(p.compiled.CacheTokens) / time.Duration(b.snap.Config.Placement.Horizon).Seconds() / float64(b.routers)
+	if !take(now, &b.saves, rate, float64(r.promptTokens())) {
+		return netip.AddrPort{}
+	}
+	return store.addr
+}
+
 // offerExport counts a prefix that a target has just computed and asks for its
 // export once it is hot. The prefix ends with the last message but one.
 func (b *Board) offerExport(now time.Time, r *request, a *attempt) []Action {
--- a/route/place.go
+++ b/route/place.go
@@ -269,7 +269,7 @@
 	cs = b.weigh(cs, now, r)
 	b.believe(cs, now)
 	b.considerImports(now, cs, r)
-	b.considerFetches(cs, p)
+	b.considerFetches(now, cs, p, r)
 	return cs
 }
 
@@ -298,12 +298,18 @@
 )
 
 // considerFetches lets candidates fetch what the best holder has beyond their own.
-func (b *Board) considerFetches(cs []candidate, p *pool) {
+func (b *Board) considerFetches(now time.Time, cs []candidate, p *pool, r *request) {
 	if !p.compiled.Fetches {
 		return
 	}
+	store := b.directStore(now, r.Model)
 	for i := range cs {
 		c := &cs[i]
+		if store != nil {
+			if held := store.parts.leading(c.chain); held >= c.trusted+fetchLeast {
+				c.fetchFrom, c.fetched = store.addr, held
+			}
+		}
 		for j := range cs {
 			o := &cs[j]
 			if o.chain != c.chain || o.trusted < max(c.trusted, c.fetched)+fetchLeast {
--- a/route/request.go
+++ b/route/request.go
@@ -79,6 +79,8 @@
 	Import Import
 	// Fetch is a target that holds more of the prompt, to fetch cached parts from; it is zero where there is none.
 	Fetch netip.AddrPort
+	// Save is a store that the target sends the parts to which it reads; it is zero for none.
+	Save netip.AddrPort
 	// Number is the number of the attempt, from 1.
 	Number int
 	// Reason explains the placement to operators.
