--- a/policy/config.go
+++ b/policy/config.go
@@ -88,6 +88,8 @@
 	Fetches bool `yaml:"fetches,omitempty" json:"fetches,omitempty"`
 	// LinkRate is the rate at which one engine of the pool sends cached parts, in tokens per second.
 	LinkRate float64 `yaml:"linkRate,omitempty" json:"linkRate,omitempty"`
+	// StoreRate is the rate of the link of the store that the pool's engines use, in tokens per second.
+	StoreRate float64 `yaml:"storeRate,omitempty" json:"storeRate,omitempty"`
 	// CacheTokens is the number of tokens that one engine of the pool holds, zero if not known.
 	CacheTokens int `yaml:"cacheTokens,omitempty" json:"cacheTokens,omitempty"`
 	// CacheReaders is the number of routers that may follow one engine's cache events at once; zero means none.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -157,6 +157,9 @@
 		a.uncached = c.uncached(r)
 		a.fetched = c.fetched > 0
 		a.Import = c.imported
+		if c.fetchFrom.IsValid() && c.fetchFrom == storeAddr(b.directStore(now, r.Model)) {
+			b.moves.level -= float64(c.fetched - c.trusted)
+		}
 		a.Save = b.considerSave(now, c, r)
 		b.expectFill(now, c)
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -34,7 +34,9 @@
 	newlyKept []Kept
 	exporting int
 	// saves bounds what this router has engines save to a store.
-	saves     bucket
+	saves bucket
+	// moves bounds what moves over a store's link, in tokens.
+	moves     bucket
 	routers   int
 	peers     map[string]PeerState
 	closed    *Refusal
--- a/route/kept.go
+++ b/route/kept.go
@@ -108,9 +108,10 @@
 	}
 	p := b.pools[r.Model.KeptPool]
 	rate := float64(p.compiled.CacheTokens) / time.Duration(b.snap.Config.Placement.Horizon).Seconds() / float64(b.routers)
-	if !take(now, &b.saves, rate, float64(r.promptTokens())) {
+	if !b.storeHasRoom(now, b.pools[r.Pool]) || !take(now, &b.saves, rate, float64(r.promptTokens())) {
 		return netip.AddrPort{}
 	}
+	b.moves.level -= float64(r.promptTokens())
 	return store.addr
 }
 
--- a/route/place.go
+++ b/route/place.go
@@ -305,11 +305,6 @@
 	store := b.directStore(now, r.Model)
 	for i := range cs {
 		c := &cs[i]
-		if store != nil {
-			if held := store.parts.leading(c.chain); held >= c.trusted+fetchLeast {
-				c.fetchFrom, c.fetched = store.addr, held
-			}
-		}
 		for j := range cs {
 			o := &cs[j]
 			if o.chain != c.chain || o.trusted < max(c.trusted, c.fetched)+fetchLeast {
@@ -317,13 +312,49 @@
 			}
 			c.fetchFrom, c.fetched = o.target.addr, o.trusted
 		}
-		if c.fetched > 0 {
+		if store != nil {
+			b.considerStore(now, c, store, p)
+		}
+		if c.fetched > 0 && c.fetchFrom != storeAddr(store) {
 			fetched := float64(c.fetched - c.trusted)
 			c.transfer = fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate)) + seconds(displacePart*fetched/c.target.rate())
 		}
 	}
 }
 
+func storeAddr(store *target) netip.AddrPort {
+	if store == nil {
+		return netip.AddrPort{}
+	}
+	return store.addr
+}
+
+// storePart is the part of the store's link that its moves may take: one that
+// waits behind others costs more than what it brings.
+const storePart = 0.7
+
+// considerStore lets a candidate fetch from the store what no engine holds, while
+// the store's link has room.
+func (b *Board) considerStore(now time.Time, c *candidate, store *target, p *pool) {
+	held := store.parts.leading(c.chain)
+	if held < max(c.trusted, c.fetched)+fetchLeast || !b.storeHasRoom(now, p) {
+		return
+	}
+	c.fetchFrom, c.fetched = store.addr, held
+	moved := float64(held - c.trusted)
+	c.transfer = fetchSetup + seconds(moved/b.storeRate(p)) + seconds(displacePart*moved/c.target.rate())
+}
+
+// storeRate is the rate of the link of the store that a pool's engines use, in tokens per second.
+func (b *Board) storeRate(p *pool) float64 { return max(1, p.compiled.StoreRate) }
+
+// storeHasRoom reports whether this router's part of the store's link has room.
+func (b *Board) storeHasRoom(now time.Time, p *pool) bool {
+	rate := storePart * b.storeRate(p) / float64(b.routers)
+	b.moves.refill(now, rate)
+	return b.moves.level > 0
+}
+
 // server is a target that serves a model, with its weights.
 type server struct {
 	target  *target
