--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -36,7 +36,10 @@
 	called := func(name string) {
 		counters.GetOrCreateCounter(fmt.Sprintf("pathhead_platform_calls_total{call=%q}", name)).Inc()
 	}
-	opts := []node.Option{node.WithLogger(f.Logger(set.Name)), node.WithMetricSet(counters), node.WithPlacement(placer)}
+	dropped := counters.NewCounter("pathhead_log_lines_dropped_total")
+	log, out := f.StdoutLogger(set.Name, func(n int) { dropped.Add(n) })
+	defer out.Close()
+	opts := []node.Option{node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer)}
 	if f.MetricsPort > 0 {
 		opts = append(opts, node.WithMetrics(netip.AddrPortFrom(set.Callers.Addr(), f.MetricsPort), f.MetricsPath))
 	}
@@ -60,6 +63,8 @@
 		}
 	})
 	if err := n.Run(ctx); err != nil {
+		log.Error("the node ended", "error", err.Error())
+		out.Close()
 		cli.Fail(cli.ExitFailed, err)
 	}
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -34,6 +34,7 @@
 	OutcomeUnsaved   Code = 216
 	AnswerUnfinished Code = 217
 	RequestFaulty    Code = 218
+	RequestLate      Code = 219
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -43,6 +44,7 @@
 	TargetHealthy   Code = 306
 	EngineRan       Code = 308
 	EngineCancelled Code = 309
+	TargetWeights   Code = 310
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -106,6 +108,7 @@
 	{OutcomeUnsaved, "outcome-unsaved", slog.LevelError, "The outcome could not be recorded; repeats will be told that the call may have run."},
 	{AnswerUnfinished, "answer-unfinished", slog.LevelWarn, "An answer was cut after its first part; the caller got an explicit error."},
 	{RequestFaulty, "request-faulty", slog.LevelInfo, "A request was wrong in itself: no such route or key, or not well formed; it did not run."},
+	{RequestLate, "request-late", slog.LevelInfo, "The first part of an answer came after the route's aim; the detail has the times."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was seen for the first time."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target runs under a new incarnation; beliefs about the old one are gone."},
@@ -115,6 +118,7 @@
 	{TargetHealthy, "target-healthy", slog.LevelInfo, "A failing target answered again."},
 	{EngineRan, "engine-ran", slog.LevelInfo, "A stand-in engine ran a request to its end."},
 	{EngineCancelled, "engine-cancelled", slog.LevelInfo, "A stand-in engine stopped a request whose caller left."},
+	{TargetWeights, "target-weights", slog.LevelInfo, "A target was seen with other weights than before; the detail says by whom it was told."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process serves under a new revision."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which confirms it."},
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -104,3 +104,21 @@
 	}
 	require.Equal(t, len(seen), strings.Count(doc, "\n| ")-1, "docs/EVENTS.md has a line that the code does not")
 }
+
+// With sampling, a request that goes well is left out, and one that goes wrong is
+// told from its first event on.
+func TestSample(t *testing.T) {
+	var out bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&out, nil))
+	r := New("p", WithLogger(log), WithSample(1<<62), WithSize(8))
+	r.Record(Event{Code: RequestPlaced, Request: "well", Detail: "placed well"})
+	r.Record(Event{Code: RequestAnswered, Request: "well"})
+	require.Empty(t, out.String())
+	r.Record(Event{Code: RequestPlaced, Request: "ill", Detail: "placed ill"})
+	r.Record(Event{Code: AttemptBroken, Request: "ill"})
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	require.Len(t, lines, 2)
+	require.Contains(t, lines[0], "placed ill")
+	r.Record(Event{Code: RequestRefused, Request: "ill"})
+	require.Equal(t, 1, strings.Count(out.String(), "placed ill"), "each event is told once")
+}
--- a/event/recorder.go
+++ b/event/recorder.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/zeebo/errs/v2"
+	"github.com/zeebo/xxh3"
 )
 
 // Event is one thing that happened in one process.
@@ -26,6 +27,8 @@
 	Target   string `json:"target,omitempty"`
 	Revision int64  `json:"revision,omitempty"`
 	Detail   string `json:"detail,omitempty"`
+	// told says that the event is in the log.
+	told bool
 }
 
 // Filter selects events; a zero field matches every event.
@@ -105,6 +108,10 @@
 	clock   *Clock
 	log     *slog.Logger
 
+	// sample is how many requests that go well there are to one that is logged;
+	// zero logs by level alone.
+	sample uint64
+
 	mu   sync.Mutex
 	ring []Event
 	next int
@@ -128,6 +135,12 @@
 	return func(r *Recorder) { r.log = l }
 }
 
+// WithSample makes the log tell requests whole: one in n of those that go well,
+// and each other one from its first event on once something goes wrong with it.
+func WithSample(n int) Option {
+	return func(r *Recorder) { r.sample = uint64(n) }
+}
+
 // WithClock sets the clock that stamps the events.
 func WithClock(c *Clock) Option {
 	return func(r *Recorder) { r.clock = c }
@@ -159,10 +172,51 @@
 	e.At = e.Stamp.String()
 	e.Process = r.process
 	e.Name = entry.Name
+	if r.sample > 0 && e.Request != "" {
+		r.logRequest(e, entry.Level)
+		return
+	}
 	r.keep(e)
 	if r.log.Enabled(context.Background(), entry.Level) {
-		r.log.LogAttrs(context.Background(), entry.Level, entry.Name, attrs(e)...)
+		r.write(e, entry.Level)
+	}
+}
+
+func (r *Recorder) write(e Event, level slog.Level) {
+	r.log.LogAttrs(context.Background(), level, e.Name, attrs(e)...)
+}
+
+// logRequest logs an event of a request. What is not worth a line while all goes
+// well is kept, and told as soon as it does not.
+func (r *Recorder) logRequest(e Event, level slog.Level) {
+	told := level >= slog.LevelInfo
+	if !told && xxh3.HashString(e.Request)%r.sample != 0 {
+		r.keep(e)
+		return
+	}
+	if told {
+		for _, earlier := range r.takeUntold(e.Request) {
+			r.write(earlier, slog.LevelInfo)
+		}
+	}
+	e.told = true
+	r.keep(e)
+	r.write(e, max(level, slog.LevelInfo))
+}
+
+// takeUntold returns the kept events of a request that were not logged, and notes that they are.
+func (r *Recorder) takeUntold(request string) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for i := range r.ring {
+		e := &r.ring[(r.next+i)%len(r.ring)]
+		if e.Request == request && !e.told {
+			e.told = true
+			out = append(out, *e)
+		}
 	}
+	return out
 }
 
 func (r *Recorder) keep(e Event) {
@@ -177,7 +231,7 @@
 }
 
 func attrs(e Event) []slog.Attr {
-	as := []slog.Attr{slog.Int("event", int(e.Code))}
+	as := []slog.Attr{slog.Int("event", int(e.Code)), slog.String("at", e.At)}
 	for _, a := range [...]slog.Attr{
 		slog.String("request", e.Request),
 		slog.String("attempt", e.Attempt),
--- a/node/forward.go
+++ b/node/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -30,6 +31,10 @@
 	lastEvent string
 	// done is true once the whole answer was passed on.
 	done bool
+	// sentAfter is when the newest attempt left, firstAfter when the first part of
+	// the answer was passed on, counted from the request's arrival.
+	sentAfter  time.Duration
+	firstAfter time.Duration
 }
 
 // whole is an answer that was read to its end.
@@ -45,6 +50,7 @@
 	c := dispatch.NamedCall(v.ask.ID)
 	refusal := n.Serve(v.r.Context(), f.req, c, f.send)
 	n.counters.finished(time.Since(v.begun), refusal)
+	f.noteLate(refusal)
 	switch {
 	case refusal == nil:
 		if !f.done {
@@ -61,6 +67,19 @@
 	}
 }
 
+// noteLate tells of an answer that began after the route's aim.
+func (f *forwarding) noteLate(refusal *route.Refusal) {
+	aim := time.Duration(f.v.route.Aim)
+	if refusal != nil || aim == 0 || !f.done || f.firstAfter <= aim {
+		return
+	}
+	f.n.events.Record(event.Event{
+		Code: event.RequestLate, Request: f.v.ask.ID, Org: f.req.Org,
+		Detail: fmt.Sprintf("first part after %s, the aim is %s; sent after %s, whole after %s",
+			f.firstAfter.Round(time.Millisecond), aim, f.sentAfter.Round(time.Millisecond), time.Since(f.v.begun).Round(time.Millisecond)),
+	})
+}
+
 // request describes the caller's request to the board.
 func (n *Node) request(v *visit) route.Request {
 	rt := v.route
@@ -181,6 +200,7 @@
 		return out
 	}
 	now := time.Now()
+	f.sentAfter = now.Sub(f.v.begun)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := time.AfterFunc(time.Hour, func() { cancel(errSlow.Errorf("target %s", a.Target)) })
@@ -289,6 +309,7 @@
 // writeWhole passes a whole answer on.
 func (f *forwarding) writeWhole(a *whole) {
 	f.done = true
+	f.firstAfter = time.Since(f.v.begun)
 	copyHeader(f.v.w.Header(), a.header)
 	if f.v.r.Method != http.MethodHead {
 		setLength(f.v.w.Header(), len(a.body))
--- a/node/node.go
+++ b/node/node.go
@@ -114,7 +114,7 @@
 	for _, opt := range opts {
 		opt(n)
 	}
-	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventsKept))
+	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventsKept), event.WithSample(sampleOne))
 	n.counters = newCounters(n.metrics)
 	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns))
 	board := route.NewBoard(
@@ -160,6 +160,10 @@
 	n.events.Record(event.Event{Code: event.SettingsRejected, Detail: err.Error()})
 }
 
+// sampleOne is how many requests that go well there are to one that is logged: at
+// 36 requests/s, the share of one node at the largest size expected, one each second.
+const sampleOne = 32
+
 // ownRoom is the prefill that one node may have waiting at an engine. A zone with
 // one node has a quarter of the callers at an eighth of the nodes: an even part of
 // 200 ms refused 6 in 100 of its requests while engines were a third busy.
--- a/node/stream.go
+++ b/node/stream.go
@@ -89,7 +89,8 @@
 	}
 	if !f.begun {
 		f.begin(resp)
-		f.n.counters.firstPart(time.Since(f.v.begun))
+		f.firstAfter = time.Since(f.v.begun)
+		f.n.counters.firstPart(f.firstAfter)
 	}
 	for line := range bytes.Lines(events) {
 		if id, ok := f.n.protocol.EventID(line); ok {
--- a/route/target.go
+++ b/route/target.go
@@ -260,6 +260,9 @@
 	if !sameWeights(t.report.Weights, r.Weights) {
 		b.renewSlot(now, t)
 		b.version++
+		if !t.reported.IsZero() {
+			b.noteWeights(t, r.Weights, "its own entry")
+		}
 	}
 	if t.reported.IsZero() || !sameAdapters(t.report.Adapters, r.Adapters) {
 		b.version++
--- a/route/weights.go
+++ b/route/weights.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"github.com/pathhead/pathhead/event"
 )
 
 // Staleness says how a model's numbered weights are told apart by age.
@@ -108,11 +110,18 @@
 		return nil
 	}
 	t.report.Weights = map[string]string{w.Model: w.Weights}
+	b.noteWeights(t, t.report.Weights, "the holder of the lease")
 	b.renewSlot(now, t)
 	b.version++
 	return b.dispatch(now)
 }
 
+func (b *Board) noteWeights(t *target, weights map[string]string, source string) {
+	for model, w := range weights {
+		b.note(event.Event{Code: event.TargetWeights, Target: t.name(), Detail: model + " " + w + ", says " + source})
+	}
+}
+
 // goesBack reports whether a report has older weights than are known of the same incarnation.
 func (t *target) goesBack(r Report) bool {
 	if r.Incarnation != t.incarnation {
