--- a/node/forward.go
+++ b/node/forward.go
@@ -195,7 +195,8 @@
 func (f *forwarding) send(ctx context.Context, a route.Attempt) route.Outcome {
 	out := route.Outcome{Request: a.Request, Attempt: a.ID, Kind: route.OutcomeUnsent}
 	if !f.stillAllowed() {
-		f.req.MaxTries = 1
+		// No target is to blame, and nothing was sent.
+		out.Kind = route.OutcomeRefused
 		out.Detail = "the configuration or the key was not confirmed when the request was to be sent"
 		return out
 	}
--- a/node/settings.go
+++ b/node/settings.go
@@ -41,6 +41,8 @@
 	// RetryRatio and RetryReserve bound the repeats of all nodes to a target's service.
 	RetryRatio   float64
 	RetryReserve float64
+	// RetryWindow is the time over which they are counted.
+	RetryWindow time.Duration
 	// Lease is how long after one holder's last order another's may come.
 	Lease time.Duration
 	// Weights is how long after newer weights are named older ones may be used.
@@ -74,6 +76,7 @@
 		"grace":             {s.Bounds.Grace, time.Second, 10 * time.Minute},
 		"apply bound":       {s.Bounds.Apply, 200 * time.Millisecond, time.Minute},
 		"revocation bound":  {s.Bounds.Revoke, 500 * time.Millisecond, time.Minute},
+		"repeats' window":   {s.Bounds.RetryWindow, time.Second, time.Hour},
 		"lease bound":       {s.Bounds.Lease, 200 * time.Millisecond, time.Minute},
 		"bound of weights":  {s.Bounds.Weights, time.Second, time.Hour},
 		"time of last uses": {s.Bounds.Again, time.Second, time.Hour},
--- a/node/watch.go
+++ b/node/watch.go
@@ -106,6 +106,7 @@
 func (n *Node) adopt(d Declared, source string) {
 	d.Config.Requests.RetryBudget = n.settings().Bounds.RetryRatio
 	d.Config.Requests.RetryReserve = n.settings().Bounds.RetryReserve
+	d.Config.Requests.RetryWindow = policy.Duration(n.settings().Bounds.RetryWindow)
 	d.Config.Requests.MaxBody = policy.Bytes(d.Limits.MaxBody)
 	d.Config.Placement = policy.Placement{RecomputeWeight: recomputeWeight, Horizon: policy.Duration(n.settings().Bounds.Again)}
 	snap, err := policy.Compile(d.Config, d.Revision)
--- a/policy/config.go
+++ b/policy/config.go
@@ -172,6 +172,8 @@
 	// RetryReserve is the number of retries of a pool beyond that share which all
 	// routers together may make in a burst.
 	RetryReserve float64 `yaml:"retryReserve,omitempty" json:"retryReserve,omitempty"`
+	// RetryWindow is the time over which retries are counted against requests, where a reserve is stated.
+	RetryWindow Duration `yaml:"retryWindow,omitempty" json:"retryWindow,omitempty"`
 }
 
 // Duration is a time.Duration written with its unit, as in "250ms".
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -64,7 +64,7 @@
 		return &Refusal{Cause: CauseNoTarget, RetryAfter: b.minRetryAfter, Detail: "no such pool"}
 	}
 	wait := p.queue.wait(r.Org, b.weight(r.Org), p.drained.rate(now))
-	if limit := min(r.QueueTime, r.Deadline.Sub(now)); wait > limit {
+	if limit := min(r.QueueTime, r.Deadline.Sub(now)); wait > limit && b.ownRoom == 0 {
 		return &Refusal{
 			Cause: CauseOverload, RetryAfter: max(wait-limit, b.minRetryAfter),
 			Detail: fmt.Sprintf("the queue is %s long", wait.Round(time.Millisecond)),
@@ -145,7 +145,7 @@
 		p.drained.add(now, r.cost)
 	}
 	if r.tries == 0 {
-		p.retries.earn(b.snap.Config.Requests.RetryBudget, b.retryReserve())
+		b.earnRetry(now, &p.retries)
 	}
 	a := &attempt{target: c.target, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age}
 	a.Attempt = Attempt{
@@ -326,6 +326,9 @@
 		Detail: o.Kind.String() + ": " + o.Detail,
 	})
 	b.identify(now, a.target, o.Incarnation)
+	if o.Kind == OutcomeRefused && o.Incarnation == a.Incarnation && a.Salt != "" {
+		b.misjudged(now, a)
+	}
 	a.target.misses.add(now, 1)
 	if r, ok := b.requests[o.Request]; ok && a.Salt != "" {
 		b.beliefs.unlearn(r.chain(a.Weights), a.target.slot)
@@ -348,9 +351,9 @@
 		return b.refuse(now, r, CauseBroken, "part of the answer was delivered and it cannot be resumed; "+o.Detail)
 	case !now.Before(r.Deadline):
 		return b.refuse(now, r, CauseDeadline, "the request's time is over")
-	case r.tries >= r.triesAllowed():
+	case r.sends(o) >= r.triesAllowed():
 		return b.refuse(now, r, CauseRetries, "tried too often; "+o.Detail)
-	case !b.pools[r.Pool].retries.spend():
+	case !b.freeRetry(o) && !b.spendRetry(now, &b.pools[r.Pool].retries):
 		return b.refuse(now, r, CauseRetries, "the pool's retry budget is used up; "+o.Detail)
 	}
 	code := event.RequestRetried
@@ -364,6 +367,18 @@
 	return nil
 }
 
+// sends counts the targets that the request was sent to. With a bound of its own,
+// an attempt of which no byte left is none, up to the board's bound on tries.
+func (r *request) sends(o Outcome) int {
+	if o.Kind == OutcomeUnsent {
+		r.unsent++
+	}
+	if r.MaxTries == 0 || r.tries >= maxTries {
+		return r.tries
+	}
+	return r.tries - r.unsent
+}
+
 // triesAllowed is how many targets the request may be sent to.
 func (r *request) triesAllowed() int {
 	if r.MaxTries > 0 {
--- a/route/board.go
+++ b/route/board.go
@@ -154,7 +154,7 @@
 	for _, cp := range b.snap.Pools() {
 		p, ok := b.pools[cp.Name]
 		if !ok {
-			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget(b.firstRetries())}
+			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget()}
 			p.drained.at, p.offered.at = now, now
 			b.pools[cp.Name] = p
 		}
--- a/route/limit.go
+++ b/route/limit.go
@@ -97,53 +97,6 @@
 	return 1
 }
 
-// retryBudget bounds retries to a share of the requests sent first.
-type retryBudget struct {
-	tokens float64
-}
-
-// defaultRetryReserve is the number of retries that a pool may make at one
-// router beyond its share of requests, where the configuration states no reserve
-// for all routers; a pool that has seen no request yet starts with it.
-const defaultRetryReserve = 10
-
-// reservePart is the part of a stated reserve that routers use, and startPart what
-// they start with: a router that was restarted has spent both at most.
-const (
-	reservePart = 0.65
-	startPart   = 0.3
-)
-
-// retryReserve is this router's part of the reserve that the configuration states.
-func (b *Board) retryReserve() float64 {
-	if b.snap == nil || b.snap.Config.Requests.RetryReserve == 0 {
-		return defaultRetryReserve
-	}
-	return reservePart * b.snap.Config.Requests.RetryReserve / float64(b.routers)
-}
-
-// firstRetries is what a pool's budget starts with.
-func (b *Board) firstRetries() float64 {
-	if b.snap == nil || b.snap.Config.Requests.RetryReserve == 0 {
-		return defaultRetryReserve
-	}
-	return b.retryReserve() * startPart / reservePart
-}
-
-func newRetryBudget(reserve float64) retryBudget { return retryBudget{tokens: reserve} }
-
-func (k *retryBudget) earn(share, reserve float64) {
-	k.tokens = math.Min(k.tokens+share, reserve)
-}
-
-func (k *retryBudget) spend() bool {
-	if k.tokens < 1 {
-		return false
-	}
-	k.tokens--
-	return true
-}
-
 // PeerState is what a router tells its peers; every list is bounded.
 type PeerState struct {
 	Revision int64
--- a/route/request.go
+++ b/route/request.go
@@ -233,6 +233,7 @@
 	seq       int64
 	index     int
 	tries     int
+	unsent    int
 	tried     map[netip.AddrPort]bool
 	verdict   Verdict
 	delivered bool
--- a/route/weights.go
+++ b/route/weights.go
@@ -96,6 +96,29 @@
 	return t.report.Weights[model]
 }
 
+// misjudged takes the word of a target that it is the expected incarnation and
+// has other weights than were expected: it was brought to the newest, and told
+// of late. If that was believed already, nothing is sent until its next report.
+func (b *Board) misjudged(now time.Time, a *attempt) {
+	r, ok := b.requests[a.Request]
+	if !ok || b.staleness == nil {
+		return
+	}
+	t, model := a.target, r.Model.Name
+	if t.report.Weights[model] != a.Weights {
+		return
+	}
+	newest := b.NewestWeights(model)
+	if !OlderWeights(a.Weights, newest) {
+		b.suspect(now, t)
+		return
+	}
+	t.report.Weights = map[string]string{model: newest}
+	b.noteWeights(t, t.report.Weights, "its refusal")
+	b.renewSlot(now, t)
+	b.version++
+}
+
 // WeightsWord says which weights a target was seen to have.
 type WeightsWord struct {
 	Target  Mark
