--- /dev/null
+++ b/node/list_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+func listed(addr, incarnation string, revision int64) Target {
+	return Target{
+		Seen:     route.Seen{Addr: netip.MustParseAddrPort(addr)},
+		Report:   route.Report{Incarnation: incarnation},
+		Revision: revision,
+	}
+}
+
+func incarnations(ts []Target) []string {
+	var out []string
+	for _, t := range ts {
+		out = append(out, t.Report.Incarnation)
+	}
+	return out
+}
+
+// Entries that lapsed while the store was away count for as long as they may take
+// to come back, and no longer; of two with one address the newer counts.
+func TestListMerge(t *testing.T) {
+	now := time.Unix(100, 0)
+	var l targetList
+	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []Target{a, b})))
+	now = now.Add(time.Second)
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []Target{a})), "a missing entry is gone")
+	l.merge(now, []Target{a, b})
+	l.failed()
+	now = now.Add(time.Second)
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []Target{a})), "the store was away")
+	now = now.Add(relistTime)
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []Target{a})))
+	newer := listed("10.0.0.1:80", "a2", 9)
+	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, []Target{newer, a})))
+	l.setFixed([]Target{listed("10.0.0.9:80", "store", 1)})
+	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, []Target{newer})))
+	require.True(t, l.has(netip.MustParseAddrPort("10.0.0.9:80")))
+}
+
+func validSettings() Settings {
+	addr := netip.MustParseAddrPort("10.0.0.1:80")
+	return Settings{
+		Name: "n", Callers: addr, Readiness: addr, Peers: addr, Operators: addr, Store: addr, Heartbeat: time.Second,
+		Bounds: Bounds{
+			Drain: 2 * time.Second, Grace: 8 * time.Second, Apply: 2 * time.Second, Revoke: 5 * time.Second,
+			RetryRatio: 0.2, RetryReserve: 50, RetryWindow: 10 * time.Second, Lease: 3 * time.Second,
+			Weights: 10 * time.Second, Again: 10 * time.Second,
+		},
+	}
+}
+
+func TestSettingsCheck(t *testing.T) {
+	require.NoError(t, validSettings().Check())
+	cases := map[string]struct {
+		change func(s *Settings)
+		fault  string
+	}{
+		"no name":               {func(s *Settings) { s.Name = "" }, "no name"},
+		"no callers' address":   {func(s *Settings) { s.Callers = netip.AddrPort{} }, "callers"},
+		"a drain of nothing":    {func(s *Settings) { s.Bounds.Drain = 0 }, "drain bound"},
+		"a share over one":      {func(s *Settings) { s.Bounds.RetryRatio = 1.5 }, "share from 0 to 1"},
+		"an endless revocation": {func(s *Settings) { s.Bounds.Revoke = time.Hour }, "revocation bound"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := validSettings()
+			c.change(&s)
+			require.ErrorContains(t, s.Check(), c.fault)
+		})
+	}
+}
+
+func TestQueueTime(t *testing.T) {
+	require.Equal(t, part(600*time.Millisecond, queuePart), queueTime(&policy.Route{Aim: policy.Duration(600 * time.Millisecond)}))
+	require.Equal(t, part(defaultAim, queuePart), queueTime(&policy.Route{}))
+}
--- /dev/null
+++ b/route/parts_test.go
@@ -0,0 +1,278 @@
+package route
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pathhead/pathhead/policy"
+)
+
+// partsBoard is a board before engines that take prompts as chains of named
+// parts, with a store of KV cache beside them.
+type partsBoard struct {
+	t    require.TestingT
+	b    *Board
+	now  time.Time
+	next int
+}
+
+// The engines' memory and links in tokens and tokens per second.
+const (
+	partsMemory = 40000
+	partsLink   = 1e6
+	storeLink   = 1e5
+)
+
+func newPartsBoard(t require.TestingT, engines int, opts ...Option) *partsBoard {
+	opts = append([]Option{WithOwnRoom(10 * time.Second), WithNumberedWeights(Staleness{
+		Grace: time.Second, Price: 250 * time.Millisecond, Limit: 9 * time.Second,
+	})}, opts...)
+	p := &partsBoard{t: t, b: NewBoard(opts...), now: epoch}
+	cfg := &policy.Config{
+		Organisations: []policy.Organisation{{Name: "a", SharesCache: true}, {Name: "b", SharesCache: true}, {Name: "walled"}},
+		Pools: []policy.Pool{
+			{Name: "e", Kind: policy.KindEngine, Selector: "s=e", Window: 64, TrustRefusals: true, Fetches: true,
+				LinkRate: partsLink, StoreRate: storeLink, CacheTokens: partsMemory},
+			{Name: "k", Kind: policy.KindKept, Selector: "s=k", Fetches: true, CacheTokens: 200000},
+		},
+		Models:    []policy.Model{{Name: "m", Pool: "e", Weights: "0", KeptPool: "k"}},
+		Placement: policy.Placement{RecomputeWeight: 1, Horizon: policy.Duration(10 * time.Second)},
+	}
+	snap, err := policy.Compile(cfg, 1)
+	require.NoError(t, err)
+	p.b.Adopt(p.now, snap)
+	var seen []Seen
+	for i := range engines {
+		seen = append(seen, Seen{Addr: testAddr(i), Labels: map[string]string{"s": "e"}})
+	}
+	seen = append(seen, Seen{Addr: storeTestAddr, Labels: map[string]string{"s": "k"}})
+	p.b.Targets(p.now, seen)
+	for i := range engines {
+		p.report(i, "1")
+	}
+	p.b.Report(p.now, storeTestAddr, Report{Incarnation: "store"})
+	p.b.Name(p.now, "m", "1")
+	return p
+}
+
+var storeTestAddr = testAddr(999)
+
+func (p *partsBoard) report(i int, weights string) {
+	p.b.Report(p.now, testAddr(i), Report{
+		Incarnation: fmt.Sprint(i), Weights: map[string]string{"m": weights}, PrefillRate: 50000, Slots: 64,
+	})
+}
+
+// holds says by an event that an engine holds parts under the salt of a request.
+func (p *partsBoard) holds(addr netip.AddrPort, salt string, parts ...Part) {
+	var changes []PartChange
+	for _, part := range parts {
+		changes = append(changes, PartChange{Salt: salt, ID: part.ID, Tokens: part.Tokens})
+	}
+	p.b.PartChanges(p.now, addr, false, changes)
+}
+
+func (p *partsBoard) request(org string, parts ...Part) Request {
+	p.next++
+	m, _, ok := p.b.snap.Model("m")
+	require.True(p.t, ok)
+	return Request{
+		ID: fmt.Sprint("r", p.next), Org: org, Revision: 1, Pool: "e", Model: m, Parts: parts, MaxTokens: 10,
+		Deadline: p.now.Add(5 * time.Second), QueueTime: time.Second, MaxTries: 1, SharesCache: org != "walled",
+	}
+}
+
+// ask places a request and returns the attempt, or nil if it waits or was refused.
+func (p *partsBoard) ask(r Request) *Attempt {
+	for _, a := range p.b.Arrive(p.now, r) {
+		if s, ok := a.(Send); ok && s.Attempt.Request == r.ID {
+			return &s.Attempt
+		}
+	}
+	return nil
+}
+
+func (p *partsBoard) done(a *Attempt) {
+	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeDone})
+}
+
+var (
+	shared = []Part{{"aa", 2000}, {"bb", 4000}}
+	own    = Part{"own", 500}
+)
+
+// A request goes where its parts are held, and an event that they are gone ends that.
+func TestPartsFollowEvents(t *testing.T) {
+	p := newPartsBoard(t, 4)
+	first := p.ask(p.request("a", append(shared, own)...))
+	require.NotNil(t, first)
+	p.done(first)
+	p.now = p.now.Add(2 * time.Second)
+	for i := range 4 {
+		p.holds(testAddr(i), first.Salt)
+	}
+	p.holds(testAddr(2), first.Salt, shared...)
+	next := p.ask(p.request("b", append(shared, Part{"other", 500})...))
+	require.Equal(t, testAddr(2), next.Target, "what events tell goes before what was sent long ago")
+	require.Equal(t, first.Salt, next.Salt, "both organisations share")
+	p.done(next)
+	walled := p.ask(p.request("walled", append(shared, own)...))
+	require.NotEqual(t, first.Salt, walled.Salt)
+	p.done(walled)
+	p.now = p.now.Add(time.Second)
+	p.holds(testAddr(2), first.Salt, Part{"bb", 0})
+	c := newPartsChain(first.Salt, append(shared, own))
+	require.Equal(t, 2000, p.b.targets[testAddr(2)].parts.leading(c), "parts before the lost one stay")
+}
+
+// A busy holder's parts are fetched by another engine, under the same salt alone.
+func TestPartsFetch(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	salt := p.request("a", shared...).saltOf("1")
+	p.holds(testAddr(0), salt, shared...)
+	p.holds(testAddr(1), salt)
+	for i := 0; ; i++ {
+		require.Less(t, i, 200, "the holder was never left")
+		a := p.ask(p.request("a", append(shared, Part{fmt.Sprint("own", i), 2000})...))
+		if a == nil {
+			return // memory is full before the other engine is worth it
+		}
+		if a.Target == testAddr(1) {
+			require.Equal(t, testAddr(0), a.Fetch)
+			return
+		}
+		require.False(t, a.Fetch.IsValid())
+	}
+}
+
+func (r Request) saltOf(weights string) string { return r.Salt(weights).String() }
+
+// The store is fetched from where no engine holds the parts, and saved to where
+// they are read anew, within the bound of its link.
+func TestPartsStore(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	salt := p.request("a", shared...).saltOf("1")
+	p.b.PartChanges(p.now, storeTestAddr, true, nil)
+	p.holds(testAddr(0), salt)
+	p.holds(testAddr(1), salt)
+	cold := p.ask(p.request("a", append(shared, own)...))
+	require.Equal(t, storeTestAddr, cold.Save, "newly read shared parts are saved")
+	require.False(t, cold.Fetch.IsValid())
+	p.done(cold)
+	p.now = p.now.Add(3 * time.Second)
+	p.holds(testAddr(0), salt)
+	p.holds(testAddr(1), salt)
+	p.b.PartChanges(p.now, storeTestAddr, false, []PartChange{{salt, "aa", 2000}, {salt, "bb", 4000}})
+	again := p.ask(p.request("a", append(shared, Part{"own2", 500})...))
+	require.Equal(t, storeTestAddr, again.Fetch)
+	require.False(t, again.Save.IsValid(), "the store has them")
+	moved := 0
+	for i := range 200 {
+		if a := p.ask(p.request("a", append(shared, Part{fmt.Sprint("x", i), 1})...)); a != nil {
+			if a.Fetch == storeTestAddr {
+				moved += 6000
+			}
+			p.done(a)
+		}
+	}
+	require.LessOrEqual(t, float64(moved), 2*storeLink, "its link is bounded")
+}
+
+// Running requests leave half of an engine's memory to what is shared.
+func TestPartsMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := newPartsBoard(rt, 2)
+		held := make(map[netip.AddrPort]int)
+		for i := range 30 {
+			size := rapid.IntRange(1, 9000).Draw(rt, "size")
+			a := p.ask(p.request("a", Part{fmt.Sprint("p", i), size}))
+			if a == nil {
+				continue
+			}
+			before := held[a.Target]
+			held[a.Target] += size + 10
+			if before > 0 && held[a.Target] > partsMemory/2 {
+				rt.Fatalf("%d tokens run at %s", held[a.Target], a.Target)
+			}
+		}
+	})
+}
+
+// Older weights are as good at first, then dearer, and unused past the limit,
+// which counts from the first naming that replaced them.
+func TestStaleWeights(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	p.b.Name(p.now, "m", "2")
+	p.report(1, "2")
+	p.now = p.now.Add(5 * time.Second)
+	p.b.Name(p.now, "m", "3")
+	for i := range 5 {
+		a := p.ask(p.request("a", Part{fmt.Sprint("n", i), 1000}))
+		require.Equal(t, testAddr(1), a.Target, "newer weights go first")
+		require.Equal(t, "2", a.Weights)
+		p.done(a)
+	}
+	p.now = p.now.Add(5 * time.Second)
+	p.b.Hold(map[Mark]bool{{testAddr(1), "1"}: true})
+	require.Nil(t, p.ask(p.request("a", Part{"late", 1000})), "the first weights are too old")
+	p.b.Hold(nil)
+	require.Equal(t, "2", p.ask(p.request("a", Part{"late2", 1000})).Weights)
+}
+
+// An older word about an incarnation's weights undoes no newer one, and a target
+// that refuses because of its weights is believed.
+func TestWeightsWords(t *testing.T) {
+	p := newPartsBoard(t, 1)
+	mark := Mark{testAddr(0), "0"}
+	p.b.Name(p.now, "m", "2")
+	p.b.Loaded(p.now, WeightsWord{mark, "m", "2"})
+	p.report(0, "1")
+	require.Equal(t, "2", p.b.WeightsOf(mark, "m"), "the list lags")
+	p.b.Loaded(p.now, WeightsWord{mark, "m", "1"})
+	require.Equal(t, "2", p.b.WeightsOf(mark, "m"))
+
+	p.b.Name(p.now, "m", "10")
+	a := p.ask(p.request("a", Part{"x", 10}))
+	require.Equal(t, "2", a.Weights)
+	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "0"})
+	require.Equal(t, "10", p.b.WeightsOf(mark, "m"))
+	a = p.ask(p.request("a", Part{"y", 10}))
+	require.Equal(t, "10", a.Weights, "the next request expects what the target has")
+}
+
+// A silent target is left at once and comes back with its next sign of life.
+func TestSilentTarget(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	a := p.ask(p.request("a", Part{"x", 10}))
+	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
+	for i := range 5 {
+		b := p.ask(p.request("a", Part{fmt.Sprint("y", i), 10}))
+		require.NotEqual(t, a.Target, b.Target)
+		p.done(b)
+	}
+	for i := range 2 {
+		p.report(i, "1")
+	}
+	require.False(t, p.b.targets[a.Target].failing)
+}
+
+// With a bound on attempts, one of which no byte left is none; one that was sent counts.
+func TestUnsentIsNoAttempt(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	p.b.snap.Config.Requests.RetryReserve = 50
+	p.b.snap.Config.Requests.RetryWindow = policy.Duration(10 * time.Second)
+	a := p.ask(p.request("a", Part{"x", 10}))
+	out := p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeUnsent})
+	require.Len(t, out, 1)
+	again, ok := out[0].(Send)
+	require.True(t, ok, "it goes elsewhere at once")
+	out = p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: again.Attempt.ID, Kind: OutcomeRefused})
+	refuse, ok := out[0].(Refuse)
+	require.True(t, ok)
+	require.Equal(t, NotRun, refuse.Refusal.Verdict)
+}
