--- a/cmd/pathheadctl/main.go
+++ b/cmd/pathheadctl/main.go
@@ -104,10 +104,11 @@
 func (statusCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.Status(ctx) }
 
 type explainCmd struct {
-	Request string `arg:"" help:"Request id, as in the header X-Request-Id of its answer."`
+	Request string   `arg:"" help:"Request id, as in the header X-Request-Id of its answer."`
+	Logs    []string `help:"Read these JSON logs in place of asking processes; - is standard input." placeholder:"FILE" sep:","`
 }
 
-func (c *explainCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.Explain(ctx, c.Request) }
+func (c *explainCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.Explain(ctx, c.Request, c.Logs) }
 
 type timelineCmd struct {
 	Request string           `help:"Only this request."`
@@ -115,6 +116,7 @@
 	Target  string           `help:"Only this target."`
 	Since   time.Duration    `help:"Only the last while, such as 5m."`
 	Extra   []netip.AddrPort `help:"Further doors with events, such as the stand-ins'." sep:","`
+	Logs    []string         `help:"Read these JSON logs in place of asking processes; - is standard input." placeholder:"FILE" sep:","`
 }
 
 func (c *timelineCmd) Run(ctx context.Context, t *ctl.Tool) error {
@@ -122,7 +124,7 @@
 	if c.Since > 0 {
 		f.Since = time.Now().Add(-c.Since)
 	}
-	return t.Timeline(ctx, f, c.Extra)
+	return t.Timeline(ctx, f, c.Extra, c.Logs)
 }
 
 type hashCmd struct{}
--- /dev/null
+++ b/ctl/logs.go
@@ -0,0 +1,97 @@
+package ctl
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/event"
+)
+
+// maxLogLine bounds one line of a log, in bytes.
+const maxLogLine = 1 << 20
+
+// logLine has the fields of a logged event.
+type logLine struct {
+	At       string     `json:"at"`
+	Process  string     `json:"process"`
+	Number   event.Code `json:"event"`
+	Name     string     `json:"msg"`
+	Request  string     `json:"request"`
+	Attempt  string     `json:"attempt"`
+	Org      string     `json:"organisation"`
+	Target   string     `json:"target"`
+	Revision int64      `json:"revision"`
+	Detail   string     `json:"detail"`
+}
+
+// ReadLogs reads the events in processes' logs, one JSON object a line. What
+// stands before the object, such as a collector's prefix, is passed over, and so
+// are lines that are no event.
+func ReadLogs(r io.Reader) ([]event.Event, error) {
+	var out []event.Event
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLogLine)
+	for lines.Scan() {
+		if e, ok := parseLogLine(lines.Bytes()); ok {
+			out = append(out, e)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, errs.Errorf("log: %w", err)
+	}
+	return out, nil
+}
+
+// parseLogLine reads one line; ok is false where it is no event.
+func parseLogLine(text []byte) (e event.Event, ok bool) {
+	begin := bytes.IndexByte(text, '{')
+	if begin < 0 {
+		return e, false
+	}
+	var l logLine
+	if err := json.Unmarshal(text[begin:], &l); err != nil || l.Number == 0 {
+		return e, false
+	}
+	stamp, err := event.ParseStamp(l.At)
+	if err != nil {
+		return e, false
+	}
+	return event.Event{
+		Stamp: stamp, At: l.At, Process: l.Process, Code: l.Number, Name: l.Name, Request: l.Request,
+		Attempt: l.Attempt, Org: l.Org, Target: l.Target, Revision: l.Revision, Detail: l.Detail,
+	}, true
+}
+
+// logEvents reads the events that pass a filter from files; "-" is standard input.
+func logEvents(files []string, f event.Filter) ([]event.Event, error) {
+	var kept []event.Event
+	for _, name := range files {
+		events, err := readLogFile(name)
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range events {
+			if f.Match(e) {
+				kept = append(kept, e)
+			}
+		}
+	}
+	return event.Merge(kept), nil
+}
+
+func readLogFile(name string) ([]event.Event, error) {
+	if name == "-" {
+		return ReadLogs(os.Stdin)
+	}
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, errs.Errorf("log: %w", err)
+	}
+	defer file.Close()
+	return ReadLogs(file)
+}
--- a/ctl/timeline.go
+++ b/ctl/timeline.go
@@ -13,8 +13,12 @@
 
 // Timeline prints the events of all processes that can be reached in causal
 // order; extra names the doors of targets that keep events too.
-func (t *Tool) Timeline(ctx context.Context, f event.Filter, extra []netip.AddrPort) error {
-	events, missed := t.events(ctx, f, extra)
+// Log files are read in place of asking processes where there are any.
+func (t *Tool) Timeline(ctx context.Context, f event.Filter, extra []netip.AddrPort, logs []string) error {
+	events, missed, err := t.gather(ctx, f, extra, logs)
+	if err != nil {
+		return err
+	}
 	if t.form == OutputJSON {
 		t.json(events)
 		return nil
@@ -29,6 +33,16 @@
 	})
 }
 
+// gather reads events from logs, or from the processes where no log is named.
+func (t *Tool) gather(ctx context.Context, f event.Filter, extra []netip.AddrPort, logs []string) ([]event.Event, []error, error) {
+	if len(logs) > 0 {
+		events, err := logEvents(logs, f)
+		return events, nil, err
+	}
+	events, missed := t.events(ctx, f, extra)
+	return events, missed, nil
+}
+
 // events gathers the events that pass the filter from every process.
 func (t *Tool) events(ctx context.Context, f event.Filter, extra []netip.AddrPort) (merged []event.Event, missed []error) {
 	doors := extra
@@ -52,17 +66,21 @@
 }
 
 // Explain prints why a request went where it did: its placements and ends.
-func (t *Tool) Explain(ctx context.Context, request string) error {
-	events, _ := t.events(ctx, event.Filter{Request: request}, nil)
+// Log files are read in place of asking processes where there are any.
+func (t *Tool) Explain(ctx context.Context, request string, logs []string) error {
+	events, _, err := t.gather(ctx, event.Filter{Request: request}, nil, logs)
+	if err != nil {
+		return err
+	}
 	if len(events) == 0 {
-		return errs.Errorf("no process that can be reached remembers request %s", request)
+		return errs.Errorf("neither a process that can be reached nor a log given knows request %s", request)
 	}
 	if t.form == OutputJSON {
 		t.json(events)
 		return nil
 	}
 	for _, e := range events {
-		fmt.Fprintf(t.out, "%s  %-18s %s %s\n", e.Stamp.Time.Format("15:04:05.000"), e.Name, e.Target, e.Detail)
+		fmt.Fprintf(t.out, "%s  %-18s %-18s %s %s\n", e.Stamp.Time.Format("15:04:05.000"), e.Process, e.Name, e.Target, e.Detail)
 	}
 	return nil
 }
--- a/route/place.go
+++ b/route/place.go
@@ -573,5 +573,11 @@
 	if c.imported.Tokens > 0 {
 		text += fmt.Sprintf(", %d imported in %s", c.imported.Tokens, c.transfer.Round(time.Microsecond))
 	}
+	if c.fetchFrom.IsValid() {
+		text += fmt.Sprintf(", up to %d fetched from %s", c.fetched, c.fetchFrom)
+	}
+	if c.weights != "" {
+		text += ", weights " + c.weights
+	}
 	return text
 }
