--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -33,8 +34,10 @@
 
 // RollSettings bound a [Roll].
 type RollSettings struct {
-	// AtOnce is the number of targets of a model that change at the same time.
-	AtOnce int
+	// AtOnce and AtOncePart are the number of targets of a model that change at
+	// the same time, and that number as a part of its targets; the greater counts.
+	AtOnce     int
+	AtOncePart float64
 	// HoldTime is how long a target gets no new work before its order, which
 	// covers the time in which all routers hear of the hold.
 	HoldTime time.Duration
@@ -51,6 +54,7 @@
 func DefaultRollSettings() RollSettings {
 	return RollSettings{
 		AtOnce:     2,
+		AtOncePart: 0.2,
 		HoldTime:   40 * time.Millisecond,
 		FirstLook:  500 * time.Millisecond,
 		LookEvery:  120 * time.Millisecond,
@@ -59,6 +63,11 @@
 	}
 }
 
+// atOnce is the number of targets that change at the same time among n.
+func (s RollSettings) atOnce(n int) int {
+	return max(s.AtOnce, int(math.Ceil(s.AtOncePart*float64(n))))
+}
+
 // RollOrder asks a target to load weights. It is conditional on the number of
 // orders that the incarnation has taken, so that a late or repeated one has no effect.
 type RollOrder struct {
@@ -147,7 +156,10 @@
 
 // begin starts changes of the targets with the least load while there is room.
 func (r *Roll) begin(now time.Time, named map[string]string, targets []RollTarget, older func(a, b string) bool) {
-	busy := make(map[string]int)
+	busy, all := make(map[string]int), make(map[string]int)
+	for _, t := range targets {
+		all[t.Model]++
+	}
 	for _, c := range r.changes {
 		busy[c.target.Model]++
 	}
@@ -168,7 +180,7 @@
 		)
 	})
 	for _, t := range due {
-		if busy[t.Model] >= r.settings.AtOnce {
+		if busy[t.Model] >= r.settings.atOnce(all[t.Model]) {
 			continue
 		}
 		busy[t.Model]++
--- a/fleet/roll_test.go
+++ b/fleet/roll_test.go
@@ -59,3 +59,15 @@
 	require.Empty(t, next().Holds)
 	require.False(t, r.Active())
 }
+
+// A part of a large pool changes at once, and of a small one the least number.
+func TestRollAtOnce(t *testing.T) {
+	for n, want := range map[int]int{3: 2, 9: 2, 90: 18, 140: 28} {
+		r := NewRoll(DefaultRollSettings())
+		var targets []RollTarget
+		for i := range n {
+			targets = append(targets, rollTarget(byte(i), "1", 0))
+		}
+		require.Len(t, r.Next(time.Unix(100, 0), map[string]string{"m": "2"}, targets, shorter).Holds, want)
+	}
+}
