--- a/route/attempt.go
+++ b/route/attempt.go
@@ -155,7 +155,7 @@
 	if c.chain != nil {
 		a.Salt = c.chain.salt
 		a.uncached = c.uncached(r)
-		a.fetched = c.fetched > 0
+		a.fetched = c.fetched > 0 || c.assumed
 		a.Import = c.imported
 		if c.fetchFrom.IsValid() && c.fetchFrom == storeAddr(b.directStore(now, r.Model)) {
 			b.moves.level -= float64(c.fetched - c.trusted)
--- a/route/board.go
+++ b/route/board.go
@@ -27,7 +27,11 @@
 	orgs     map[string]*orgState
 	requests map[string]*request
 	beliefs  *beliefs
-	fills    []Fill
+	// partHolders finds targets by the parts that their events say they hold.
+	partHolders partIndex
+	// firstParts measures how often prompts begin with a part.
+	firstParts *generations[Block, meter]
+	fills      []Fill
 	// kept are the prefixes that are hot or in a kept KV store, newlyKept those to
 	// tell peers of, exporting the exports under way.
 	kept      *generations[Block, keptPrefix]
@@ -116,11 +120,14 @@
 		orgs:     make(map[string]*orgState),
 		requests: make(map[string]*request),
 		beliefs:  newBeliefs(),
-		kept:     newGenerations[Block, keptPrefix](keptEntries),
-		routers:  1,
-		peers:    make(map[string]PeerState),
-		serving:  make(map[serversKey]*serversList),
-		named:    make(map[string][]naming),
+
+		partHolders: make(partIndex),
+		firstParts:  newGenerations[Block, meter](homeKept),
+		kept:        newGenerations[Block, keptPrefix](keptEntries),
+		routers:     1,
+		peers:       make(map[string]PeerState),
+		serving:     make(map[serversKey]*serversList),
+		named:       make(map[string][]naming),
 
 		minRetryAfter: defaultMinRetryAfter,
 	}
--- a/route/parts.go
+++ b/route/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -47,6 +48,7 @@
 		return
 	}
 	if anew || t.parts.tokens == nil {
+		b.dropParts(t)
 		t.parts.tokens = make(map[partKey]int)
 	}
 	t.parts.at = now
@@ -54,12 +56,62 @@
 		key := keyOfPart(c.Salt, c.ID)
 		if c.Tokens > 0 {
 			t.parts.tokens[key] = c.Tokens
+			b.partHolders.add(key, t)
 			continue
 		}
 		delete(t.parts.tokens, key)
+		b.partHolders.remove(key, t)
 	}
 }
 
+// dropParts forgets what a target's events said.
+func (b *Board) dropParts(t *target) {
+	for key := range t.parts.tokens {
+		b.partHolders.remove(key, t)
+	}
+	t.parts = heldParts{}
+}
+
+// partIndex finds the targets that hold a part, for pools that are too large to look at each.
+type partIndex map[partKey][]*target
+
+func (x partIndex) add(key partKey, t *target) {
+	if !slices.Contains(x[key], t) {
+		x[key] = append(x[key], t)
+	}
+}
+
+func (x partIndex) remove(key partKey, t *target) {
+	list := x[key]
+	i := slices.Index(list, t)
+	if i < 0 {
+		return
+	}
+	list[i] = list[len(list)-1]
+	if list = list[:len(list)-1]; len(list) == 0 {
+		delete(x, key)
+		return
+	}
+	x[key] = list
+}
+
+// markHolders marks, for this round, some holders of a chain's last shared parts.
+func (b *Board) markHolders(c *chain) {
+	for i := len(c.keys) - 2; i >= 0 && i >= len(c.keys)-1-partLevels; i-- {
+		list := b.partHolders[c.keys[i]]
+		for _, t := range list[:min(len(list), holdersPerPart)] {
+			t.round = b.round
+		}
+	}
+}
+
+// partLevels is how many of a prompt's last shared parts are looked up, and
+// holdersPerPart how many holders of each are candidates.
+const (
+	partLevels     = 2
+	holdersPerPart = 4
+)
+
 // known reports whether the target's events are read.
 func (h *heldParts) known(now time.Time) bool { return h.tokens != nil && now.Sub(h.at) < eventsGood }
 
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -276,3 +276,16 @@
 	require.True(t, ok)
 	require.Equal(t, NotRun, refuse.Refusal.Verdict)
 }
+
+// Where no events are followed, routers that know nothing of each other send a
+// prompt to the same engine, and fetch its shared parts there from elsewhere.
+func TestAssumedHolder(t *testing.T) {
+	one, two := newPartsBoard(t, 6), newPartsBoard(t, 6, WithSeed(7))
+	a := one.ask(one.request("a", append(shared, own)...))
+	require.Equal(t, a.Target, two.ask(two.request("b", append(shared, Part{"x", 700})...)).Target)
+	two.b.Hold(map[Mark]bool{{a.Target, "0"}: true, {a.Target, "1"}: true, {a.Target, "2"}: true,
+		{a.Target, "3"}: true, {a.Target, "4"}: true, {a.Target, "5"}: true})
+	next := two.ask(two.request("b", append(shared, Part{"y", 700})...))
+	require.NotEqual(t, a.Target, next.Target)
+	require.NotEqual(t, a.Target, next.Fetch, "a held target is no candidate; the next in order is")
+}
--- a/route/place.go
+++ b/route/place.go
@@ -35,6 +35,8 @@
 	// fetchFrom is a target that holds more of the prompt, and fetched how far, in tokens.
 	fetchFrom netip.AddrPort
 	fetched   int
+	// assumed says that what the candidate holds was not told by events.
+	assumed bool
 	// extra is the cost of older weights, of failures and of distance.
 	extra time.Duration
 }
@@ -259,15 +261,17 @@
 // pool only those worth predicting for.
 func (b *Board) engineCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
 	list := b.servers(p, r)
+	limit := uint64(0)
 	if len(list) > fullScan {
-		cs = b.narrow(cs, list, r)
+		limit = b.homeLimit(now, r, len(list))
+		cs = b.narrow(cs, list, r, limit)
 	} else {
 		for _, s := range list {
 			cs = append(cs, candidate{target: s.target, weights: s.weights, chain: r.chain(s.weights)})
 		}
 	}
 	cs = b.weigh(cs, now, r)
-	b.believe(cs, now)
+	b.believe(cs, now, r, limit)
 	b.considerImports(now, cs, r)
 	b.considerFetches(now, cs, p, r)
 	return cs
@@ -303,6 +307,7 @@
 		return
 	}
 	store := b.directStore(now, r.Model)
+	b.assumeHolders(now, cs)
 	for i := range cs {
 		c := &cs[i]
 		for j := range cs {
@@ -322,6 +327,28 @@
 	}
 }
 
+// assumeHolders stands in for events where there are more routers than an engine
+// lets follow them: all routers send a prompt's shared parts first to the same
+// engine in rendezvous order, so that one is taken to hold them, and the others to
+// be able to fetch them there. Where it is wrong, a fetch that finds nothing
+// costs a millisecond.
+func (b *Board) assumeHolders(now time.Time, cs []candidate) {
+	first := make(map[*chain]*candidate, 2)
+	for i := range cs {
+		c := &cs[i]
+		if best := first[c.chain]; len(c.chain.keys) > 1 && (best == nil || c.rank > best.rank) {
+			first[c.chain] = c
+		}
+	}
+	for _, best := range first {
+		if best.target.parts.known(now) {
+			continue
+		}
+		best.assumed = true
+		best.trusted = max(best.trusted, best.chain.tokens[len(best.chain.tokens)-2])
+	}
+}
+
 func storeAddr(store *target) netip.AddrPort {
 	if store == nil {
 		return netip.AddrPort{}
@@ -415,13 +442,17 @@
 }
 
 // believe fills in the ranks and what each candidate is known to hold.
-func (b *Board) believe(cs []candidate, now time.Time) {
+func (b *Board) believe(cs []candidate, now time.Time, r *request, limit uint64) {
+	home, parts := homesOf(&r.Request)
 	for i := range cs {
 		c := &cs[i]
 		if i == 0 || c.chain != cs[i-1].chain {
 			b.findHeld(cs, c.chain, now)
 		}
 		c.rank = mix(uint64(b.beliefs.anchor(c.chain)) ^ c.target.hash)
+		if parts {
+			c.rank = home.rank(limit, c.target)
+		}
 		if c.target.parts.known(now) {
 			c.trusted = max(c.trusted, c.target.parts.leading(c.chain))
 		}
@@ -490,11 +521,13 @@
 
 // narrow picks the servers of a large pool that are worth predicting for: the
 // first in rendezvous order, known holders and a random few.
-func (b *Board) narrow(cs []candidate, list []server, r *request) []candidate {
+func (b *Board) narrow(cs []candidate, list []server, r *request, limit uint64) []candidate {
 	b.round++
 	c := r.chain(list[0].weights)
 	b.holdersOf(c)
+	b.markHolders(c)
 	anchor := uint64(b.beliefs.anchor(c))
+	home, parts := homesOf(&r.Request)
 	var top [rendezvousTop]server
 	var ranks [rendezvousTop]uint64
 	for _, s := range list {
@@ -503,6 +536,9 @@
 			continue
 		}
 		rank := mix(anchor ^ s.target.hash)
+		if parts {
+			rank = home.rank(limit, s.target)
+		}
 		for i := range top {
 			if rank > ranks[i] {
 				rank, ranks[i] = ranks[i], rank
