--- a/cmd/pathheadctl/main.go
+++ b/cmd/pathheadctl/main.go
@@ -108,7 +108,9 @@
 	Logs    []string `help:"Read these JSON logs in place of asking processes; - is standard input." placeholder:"FILE" sep:","`
 }
 
-func (c *explainCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.Explain(ctx, c.Request, c.Logs) }
+func (c *explainCmd) Run(ctx context.Context, t *ctl.Tool) error {
+	return t.Explain(ctx, c.Request, c.Logs)
+}
 
 type timelineCmd struct {
 	Request string           `help:"Only this request."`
--- /dev/null
+++ b/node/list.go
@@ -0,0 +1,176 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pathhead/pathhead/route"
+)
+
+// targetList is the list of targets as it was last read.
+type targetList struct {
+	mu      sync.Mutex
+	targets map[netip.AddrPort]Target
+	failing bool
+	// backAt is when the store answered again after it had failed.
+	backAt time.Time
+	readAt time.Time
+	conns  map[netip.AddrPort]int
+	// fixed are targets that stand in the configuration.
+	fixed []Target
+}
+
+// setFixed takes the targets that stand in the configuration.
+func (l *targetList) setFixed(ts []Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fixed = ts
+}
+
+// relistTime is how long after the store's return targets' entries may still be
+// missing although the targets live: those that lapsed are back within two seconds.
+const relistTime = 2200 * time.Millisecond
+
+// merge takes a new reading. Of two entries with one address the newer counts.
+// Targets that are gone stay for a while after an outage of the store.
+func (l *targetList) merge(now time.Time, read []Target) []Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.failing {
+		l.failing = false
+		l.backAt = now
+	}
+	l.readAt = now
+	fresh := make(map[netip.AddrPort]Target, len(read))
+	for _, t := range append(read, l.fixed...) {
+		if other, ok := fresh[t.Seen.Addr]; !ok || other.Revision < t.Revision {
+			fresh[t.Seen.Addr] = t
+		}
+	}
+	if now.Sub(l.backAt) < relistTime {
+		for addr, t := range l.targets {
+			if _, ok := fresh[addr]; !ok {
+				fresh[addr] = t
+			}
+		}
+	}
+	l.targets = fresh
+	out := make([]Target, 0, len(fresh))
+	for _, t := range fresh {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b Target) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
+	return out
+}
+
+// failed notes that the list could not be read.
+func (l *targetList) failed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failing = true
+}
+
+// get returns the targets of the last reading.
+func (l *targetList) get() []Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]Target, 0, len(l.targets))
+	for _, t := range l.targets {
+		out = append(out, t)
+	}
+	return out
+}
+
+// labelPool is the label with the name of a target's service.
+const labelPool = "service"
+
+func (l *targetList) maxConns(target netip.AddrPort) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conns[target]
+}
+
+// setConns takes each target's bound of connections from this node.
+func (l *targetList) setConns(conns map[netip.AddrPort]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = conns
+}
+
+// has reports whether a target is on the list.
+func (l *targetList) has(target netip.AddrPort) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.targets[target]
+	return ok
+}
+
+// listLoop reads the list of targets.
+func (n *Node) listLoop(ctx context.Context) {
+	var (
+		retry   backoff
+		readers cacheReaders
+	)
+	every := part(n.settings().Bounds.Drain, listPart)
+	seen := make(map[netip.AddrPort]int64)
+	for ctx.Err() == nil {
+		read, err := n.store.Targets(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			n.list.failed()
+			n.storeState(err)
+			if !pause(ctx, n.jitter(retry.failed())) {
+				return
+			}
+			continue
+		}
+		retry.ok()
+		list := n.list.merge(time.Now(), read)
+		n.takeList(list, seen)
+		readers.follow(ctx, n, list)
+		if !pause(ctx, n.jitter(every)) {
+			return
+		}
+	}
+}
+
+// takeList gives the board the targets, and what those said that showed a sign of life since.
+func (n *Node) takeList(list []Target, seen map[netip.AddrPort]int64) {
+	n.Do(func(b *route.Board, now time.Time) []route.Action {
+		all := make([]route.Seen, 0, len(list))
+		for _, t := range list {
+			all = append(all, t.Seen)
+		}
+		out := b.Targets(now, all)
+		for _, t := range list {
+			if seen[t.Seen.Addr] != t.Revision {
+				seen[t.Seen.Addr] = t.Revision
+				out = append(out, b.Report(now, t.Seen.Addr, t.Report)...)
+			}
+		}
+		return out
+	})
+	n.shareConns(list)
+	n.duty.poke()
+}
+
+// shareConns divides the connections that each target takes by the nodes.
+func (n *Node) shareConns(list []Target) {
+	snap := n.snapshot()
+	if snap == nil {
+		return
+	}
+	nodes := 1 + len(n.gossip.Live())
+	conns := make(map[netip.AddrPort]int, len(list))
+	for _, t := range list {
+		if p, ok := snap.Pool(t.Seen.Labels[labelPool]); ok && p.MaxConns > 0 {
+			conns[t.Seen.Addr] = max(1, p.MaxConns/nodes)
+		}
+	}
+	n.list.setConns(conns)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -20,6 +19,7 @@
 	"github.com/pathhead/pathhead/dispatch"
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/peer"
 	"github.com/pathhead/pathhead/policy"
 	"github.com/pathhead/pathhead/route"
@@ -199,7 +199,7 @@
 	failed := make(chan error, len(doors))
 	var servers sync.WaitGroup
 	for _, d := range doors {
-		servers.Go(func() { failed <- d.serve() })
+		servers.Go(func() { failed <- d.Serve() })
 	}
 	select {
 	case <-ctx.Done():
@@ -207,7 +207,7 @@
 	case err = <-failed:
 	}
 	for _, d := range doors {
-		d.close()
+		d.Close()
 	}
 	stop()
 	n.loops.Wait()
@@ -218,18 +218,12 @@
 	return err
 }
 
-// door is a listener with what serves it.
-type door struct {
-	serve func() error
-	close func()
-}
-
 // listen opens all doors or none.
-func (n *Node) listen() ([]door, error) {
-	var doors []door
-	fail := func(err error) ([]door, error) {
+func (n *Node) listen() ([]door.Door, error) {
+	var doors []door.Door
+	fail := func(err error) ([]door.Door, error) {
 		for _, d := range doors {
-			d.close()
+			d.Close()
 		}
 		return nil, err
 	}
@@ -256,28 +250,17 @@
 	if err != nil {
 		return fail(errs.Errorf("peers' door: %w", err))
 	}
-	return append(doors, door{
-		serve: func() error { return peer.Serve(l, n) },
-		close: func() { l.Close() },
+	return append(doors, door.Door{
+		Serve: func() error { return peer.Serve(l, n) },
+		Close: func() { l.Close() },
 	}), nil
 }
 
 // ownHeaderTime bounds the head of a request at the doors that are not for callers.
 const ownHeaderTime = 3 * time.Second
 
-func (n *Node) httpDoor(addr netip.AddrPort, s *http.Server) (door, error) {
-	l, err := net.Listen("tcp4", addr.String())
-	if err != nil {
-		return door{}, errs.Errorf("door %s: %w", addr, err)
-	}
-	s.ErrorLog = slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
-	serve := func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return errs.Errorf("door %s: %w", addr, err)
-		}
-		return nil
-	}
-	return door{serve: serve, close: func() { s.Close() }}, nil
+func (n *Node) httpDoor(addr netip.AddrPort, s *http.Server) (door.Door, error) {
+	return door.HTTP(addr, s, nil, n.log)
 }
 
 // jitter spreads a period by a tenth to either side.
--- /dev/null
+++ b/route/fetch.go
@@ -0,0 +1,97 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+)
+
+// The bounds of fetching cached parts from another target: how many tokens it
+// must save, and what it takes besides the transfer, which is the engines' set-up
+// time of 3 to 5 ms on the users' sites. displacePart is the part of the fetched
+// tokens that a copy is taken to displace and that will be wanted again.
+const (
+	fetchLeast   = 48
+	fetchSetup   = 5 * time.Millisecond
+	displacePart = 1.5
+)
+
+// considerFetches lets candidates fetch what the best holder has beyond their own.
+func (b *Board) considerFetches(now time.Time, cs []candidate, p *pool, r *request) {
+	if !p.compiled.Fetches {
+		return
+	}
+	store := b.directStore(now, r.Model)
+	b.assumeHolders(now, cs)
+	for i := range cs {
+		c := &cs[i]
+		for j := range cs {
+			o := &cs[j]
+			if o.chain != c.chain || o.trusted < max(c.trusted, c.fetched)+fetchLeast {
+				continue
+			}
+			c.fetchFrom, c.fetched = o.target.addr, o.trusted
+		}
+		if store != nil {
+			b.considerStore(now, c, store, p)
+		}
+		if c.fetched > 0 && c.fetchFrom != storeAddr(store) {
+			fetched := float64(c.fetched - c.trusted)
+			c.transfer = fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate)) + seconds(displacePart*fetched/c.target.rate())
+		}
+	}
+}
+
+// assumeHolders stands in for events where there are more routers than an engine
+// lets follow them: all routers send a prompt's shared parts first to the same
+// engine in rendezvous order, so that one is taken to hold them, and the others to
+// be able to fetch them there. Where it is wrong, a fetch that finds nothing
+// costs a millisecond.
+func (b *Board) assumeHolders(now time.Time, cs []candidate) {
+	first := make(map[*chain]*candidate, 2)
+	for i := range cs {
+		c := &cs[i]
+		if best := first[c.chain]; len(c.chain.keys) > 1 && (best == nil || c.rank > best.rank) {
+			first[c.chain] = c
+		}
+	}
+	for _, best := range first {
+		if best.target.parts.known(now) {
+			continue
+		}
+		best.assumed = true
+		best.trusted = max(best.trusted, best.chain.tokens[len(best.chain.tokens)-2])
+	}
+}
+
+func storeAddr(store *target) netip.AddrPort {
+	if store == nil {
+		return netip.AddrPort{}
+	}
+	return store.addr
+}
+
+// storePart is the part of the store's link that its moves may take: one that
+// waits behind others costs more than what it brings.
+const storePart = 0.7
+
+// considerStore lets a candidate fetch from the store what no engine holds, while
+// the store's link has room.
+func (b *Board) considerStore(now time.Time, c *candidate, store *target, p *pool) {
+	held := store.parts.leading(c.chain)
+	if held < max(c.trusted, c.fetched)+fetchLeast || !b.storeHasRoom(now, p) {
+		return
+	}
+	c.fetchFrom, c.fetched = store.addr, held
+	moved := float64(held - c.trusted)
+	c.transfer = fetchSetup + seconds(moved/b.storeRate(p)) + seconds(displacePart*moved/c.target.rate())
+}
+
+// storeRate is the rate of the link of the store that a pool's engines use, in tokens per second.
+func (b *Board) storeRate(p *pool) float64 { return max(1, p.compiled.StoreRate) }
+
+// storeHasRoom reports whether this router's part of the store's link has room.
+func (b *Board) storeHasRoom(now time.Time, p *pool) bool {
+	rate := storePart * b.storeRate(p) / float64(b.routers)
+	b.moves.refill(now, rate)
+	return b.moves.level > 0
+}
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/pathhead/pathhead/dispatch"
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/peer"
 	"github.com/pathhead/pathhead/route"
 	"github.com/pathhead/pathhead/wire"
@@ -249,7 +250,7 @@
 	}
 	failed := make(chan error, 3)
 	for _, d := range doors {
-		servers.Go(func() { failed <- d.serve() })
+		servers.Go(func() { failed <- d.Serve() })
 	}
 	select {
 	case <-ctx.Done():
@@ -257,7 +258,7 @@
 	case err = <-failed:
 	}
 	for _, d := range doors {
-		d.close()
+		d.Close()
 	}
 	stop()
 	r.loops.Wait()
@@ -268,64 +269,39 @@
 	return err
 }
 
-// door is a listener with what serves it.
-type door struct {
-	serve func() error
-	close func()
-}
-
 // headerTimeout bounds the time a stranger may take to send a request's header.
 const headerTimeout = 5 * time.Second
 
 // maxHeader bounds a request's header in bytes.
 const maxHeader = 32 << 10
 
-func (r *Router) listen() ([]door, error) {
+func (r *Router) listen() ([]door.Door, error) {
 	callers, err := r.httpDoor(r.set.Callers, r.callersHandler(), r.set.CallerTLS)
 	if err != nil {
 		return nil, err
 	}
 	operators, err := r.httpDoor(r.set.Operators, r.operatorsHandler(), r.set.PeerServer)
 	if err != nil {
-		callers.close()
+		callers.Close()
 		return nil, err
 	}
 	peers, err := net.Listen("tcp", r.set.Peers.String())
 	if err != nil {
-		callers.close()
-		operators.close()
+		callers.Close()
+		operators.Close()
 		return nil, errs.Errorf("peers' door: %w", err)
 	}
 	if r.set.PeerServer != nil {
 		peers = tls.NewListener(peers, r.set.PeerServer)
 	}
-	return []door{callers, operators, {
-		serve: func() error { return peer.Serve(peers, r) },
-		close: func() { peers.Close() },
+	return []door.Door{callers, operators, {
+		Serve: func() error { return peer.Serve(peers, r) },
+		Close: func() { peers.Close() },
 	}}, nil
 }
 
-func (r *Router) httpDoor(addr netip.AddrPort, h http.Handler, cfg *tls.Config) (door, error) {
-	l, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return door{}, errs.Errorf("door %s: %w", addr, err)
-	}
-	if cfg != nil {
-		l = tls.NewListener(l, cfg)
-	}
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          slog.NewLogLogger(r.log.Handler(), slog.LevelDebug),
-	}
-	serve := func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			return errs.Errorf("door %s: %w", addr, err)
-		}
-		return nil
-	}
-	return door{serve: serve, close: func() { s.Close() }}, nil
+func (r *Router) httpDoor(addr netip.AddrPort, h http.Handler, cfg *tls.Config) (door.Door, error) {
+	return door.HTTP(addr, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}, cfg, r.log)
 }
 
 // tickEvery is the board's resolution of time for expired waits and held-back retries.
