--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -66,6 +66,7 @@
 	RolloutStopped Code = 606
 	CacheExported  Code = 607
 	CacheImported  Code = 608
+	LeaseAwaited   Code = 609
 )
 
 // Entry is one line of the catalogue.
@@ -140,6 +141,7 @@
 	{RolloutStopped, "rollout-stopped", slog.LevelError, "A rollout stopped by itself; the detail says why."},
 	{CacheExported, "cache-exported", slog.LevelInfo, "A hot prefix was exported to the kept KV cache."},
 	{CacheImported, "cache-imported", slog.LevelInfo, "A kept prefix was imported into an engine."},
+	{LeaseAwaited, "lease-awaited", slog.LevelInfo, "There is work under a lease that another process held last; the detail names it and its fencing number. Logged once for each piece of work."},
 }
 
 // entry finds a code in the catalogue; an unknown code is a programmer error.
--- a/node/duty.go
+++ b/node/duty.go
@@ -47,6 +47,8 @@
 	loaded []loadedWord
 	// workSince is when work was first seen that nobody has done.
 	workSince time.Time
+	// awaited is true once it was logged that another holds the lease.
+	awaited bool
 	readAt    time.Time
 	held      bool
 }
@@ -162,6 +164,7 @@
 	d.mu.Lock()
 	was := !d.workSince.IsZero() || d.readAt.IsZero()
 	d.workSince = time.Time{}
+	d.awaited = false
 	d.holds = nil
 	clear(d.states)
 	d.mu.Unlock()
@@ -190,12 +193,25 @@
 	case watching:
 		return watchLease / 4
 	case !holds && !d.takeLease(ctx):
+		d.noteAwaited()
 		return watchLease / 4
 	}
 	d.act(ctx, named, targets)
 	return dutyEvery
 }
 
+// noteAwaited logs once for each piece of work which holder this node waits for.
+func (d *duty) noteAwaited() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.awaited {
+		return
+	}
+	d.awaited = true
+	id, fence := d.lease.Holder()
+	d.n.events.Record(event.Event{Code: event.LeaseAwaited, Detail: fmt.Sprintf("%s, held last by %q with fence %d", leaseName, id, fence)})
+}
+
 // others reports whether another node held the lease last; the caller holds the lock.
 func (d *duty) others() bool {
 	id, _ := d.lease.Holder()
