--- a/node/duty.go
+++ b/node/duty.go
@@ -49,8 +49,8 @@
 	workSince time.Time
 	// awaited is true once it was logged that another holds the lease.
 	awaited bool
-	readAt    time.Time
-	held      bool
+	readAt  time.Time
+	held    bool
 }
 
 // loadedWord is a word on a target's weights and when it was first said.
