--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -173,13 +173,16 @@
 	require.False(t, again.Save.IsValid(), "the store has them")
 	moved := 0
 	for i := range 200 {
-		if a := p.ask(p.request("a", append(shared, Part{fmt.Sprint("x", i), 1})...)); a != nil {
+		kept := Part{fmt.Sprint("kept", i), 6000}
+		p.b.PartChanges(p.now, storeTestAddr, false, []PartChange{{salt, kept.ID, kept.Tokens}})
+		if a := p.ask(p.request("a", kept, Part{fmt.Sprint("x", i), 1})); a != nil {
 			if a.Fetch == storeTestAddr {
 				moved += 6000
 			}
 			p.done(a)
 		}
 	}
+	require.Positive(t, moved)
 	require.LessOrEqual(t, float64(moved), 2*storeLink, "its link is bounded")
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -142,13 +142,14 @@
 // A kept connection is used again only while nothing has come on it, and a request
 // is never sent a second time.
 func TestKept(t *testing.T) {
-	surplus := make(chan struct{})
+	answered, surplus := make(chan struct{}), make(chan struct{})
 	target := serve(t,
 		func(r *bufio.Reader, c net.Conn) {
 			read(r)
 			io.WriteString(c, answer("1", "one"))
 			read(r)
 			io.WriteString(c, answer("2", "two"))
+			<-answered
 			io.WriteString(c, answer("9", "surplus"))
 			close(surplus)
 			_, _ = r.ReadByte()
@@ -168,6 +169,7 @@
 		require.Equal(t, want, got)
 	}
 	require.Equal(t, 1, opened)
+	close(answered)
 	<-surplus
 	time.Sleep(10 * time.Millisecond)
 	got, err := get(t, p, request(target, "3", "b"))
@@ -210,9 +212,10 @@
 }
 
 func TestMaxConns(t *testing.T) {
-	release := make(chan struct{})
+	taken, release := make(chan struct{}), make(chan struct{})
 	target := serve(t, func(r *bufio.Reader, c net.Conn) {
 		read(r)
+		close(taken)
 		<-release
 		io.WriteString(c, answer("1", "one"))
 	})
@@ -223,10 +226,9 @@
 		_, err := get(t, p, request(target, "1", ""))
 		first <- err
 	}()
-	require.Eventually(t, func() bool {
-		_, err := get(t, p, request(target, "2", ""))
-		return errors.Is(err, ErrUnsent)
-	}, 10*time.Second, time.Millisecond)
+	<-taken
+	_, err := get(t, p, request(target, "2", ""))
+	require.True(t, errors.Is(err, ErrUnsent), "the one connection is in use")
 	close(release)
 	require.NoError(t, <-first)
 }
