--- a/node/caches.go
+++ b/node/caches.go
@@ -12,6 +12,10 @@
 const (
 	// cacheWait is how long a target may hold a reading: the longest that the installation's targets allow.
 	cacheWait = time.Second
+	// firstWait holds the first reading, which tells at once what is held already. A
+	// target that holds nothing says so after it, and calls of less than 200 ms are
+	// priced as probes.
+	firstWait = 250 * time.Millisecond
 	// cachePause is the least time between two readings, so that a busy target's
 	// events come in batches.
 	cachePause = 150 * time.Millisecond
@@ -64,8 +68,9 @@
 // readCache follows the events of one engine's cache.
 func (n *Node) readCache(ctx context.Context, target netip.AddrPort) {
 	var since, epoch int64
+	wait := firstWait
 	for ctx.Err() == nil {
-		page, err := n.engines.CacheEvents(ctx, target, since, cacheWait)
+		page, err := n.engines.CacheEvents(ctx, target, since, wait)
 		if err != nil {
 			if !pause(ctx, n.jitter(cacheRetry)) {
 				return
@@ -79,6 +84,7 @@
 			continue
 		}
 		since, epoch = page.Next, page.Epoch
+		wait = cacheWait
 		n.Lock()
 		n.Board().PartChanges(time.Now(), target, anew, page.Changes)
 		n.Unlock()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -51,6 +51,26 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_requests_total{end=%q,verdict=%q}", "answered", route.Ran)).Inc()
 }
 
+// gauges registers the metrics that are read when they are asked for.
+func (n *Node) gauges() {
+	n.metrics.NewGauge("pathhead_revision", func() float64 {
+		n.Lock()
+		defer n.Unlock()
+		return float64(n.adoption.Revision())
+	})
+	n.metrics.NewGauge("pathhead_confirmation_age_seconds", func() float64 {
+		age, _ := n.confirmed()
+		return age.Seconds()
+	})
+	n.metrics.NewGauge("pathhead_requests_in_flight", func() float64 { return float64(n.Calls()) })
+	n.metrics.NewGauge("pathhead_peers_live", func() float64 { return float64(len(n.gossip.Live())) })
+	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(len(n.list.get())) })
+	n.metrics.NewGauge("pathhead_gossip_bytes", func() float64 {
+		sent, read := n.peers.Traffic()
+		return float64(sent + read)
+	})
+}
+
 // operatorsHandler serves the counters.
 func (n *Node) operatorsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -21,7 +21,9 @@
 		return
 	}
 	store := b.directStore(now, r.Model)
-	b.assumeHolders(now, cs)
+	if b.routers > p.compiled.CacheReaders {
+		b.assumeHolders(now, cs)
+	}
 	for i := range cs {
 		c := &cs[i]
 		for j := range cs {
@@ -45,7 +47,8 @@
 // lets follow them: all routers send a prompt's shared parts first to the same
 // engine in rendezvous order, so that one is taken to hold them, and the others to
 // be able to fetch them there. Where it is wrong, a fetch that finds nothing
-// costs a millisecond.
+// costs a millisecond. Where all routers follow the events, a target whose events are
+// not known has just started, and holds nothing.
 func (b *Board) assumeHolders(now time.Time, cs []candidate) {
 	first := make(map[*chain]*candidate, 2)
 	for i := range cs {
