node: the configured bounds on a head's size and time are kept

Cause: the callers' door kept its fixed 32 KiB and 5 s; what the operator configured was read and used by nothing. Ruled out: the server's own bounds (they can't change while it runs), its state hook (it fires only after the head was read). Change: a head is measured when it is there and timed from its first byte on the connection, which node/conns.go wraps; a connection is not closed between the arrival of a request and its reading.

--- a/node/callers.go
+++ b/node/callers.go
@@ -4,11 +4,11 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -47,51 +47,21 @@
 func (n *Node) callersServer() *http.Server {
 	return &http.Server{
 		Handler:           http.HandlerFunc(n.handleCall),
-		ReadHeaderTimeout: defaultLimits.HeaderTime,
-		MaxHeaderBytes:    defaultLimits.MaxHeader,
+		ReadHeaderTimeout: mostHeaderTime,
+		MaxHeaderBytes:    mostHeader,
 		ConnState:         n.callers.note,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 }
 
-// callerConns notes since when callers' connections are idle.
-type callerConns struct {
-	mu   sync.Mutex
-	idle map[net.Conn]time.Time
-	open int
-}
-
-func (c *callerConns) note(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle == nil {
-		c.idle = make(map[net.Conn]time.Time)
-	}
-	switch state {
-	case http.StateNew:
-		c.open++
-		c.idle[conn] = time.Now()
-	case http.StateIdle:
-		c.idle[conn] = time.Now()
-	case http.StateActive:
-		delete(c.idle, conn)
-	case http.StateClosed, http.StateHijacked:
-		c.open--
-		delete(c.idle, conn)
-	}
-}
-
-// closeIdle closes the connections that have been idle since before a time.
-func (c *callerConns) closeIdle(before time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if since.Before(before) {
-			// The server notes the end of the connection itself.
-			_ = conn.Close()
-			delete(c.idle, conn)
-		}
-	}
-}
+// The bounds of a request's head that no configuration can raise: a server's own
+// can't change while it runs.
+const (
+	mostHeader     = 1 << 20
+	mostHeaderTime = time.Minute
+)
 
 // visit is one request of a caller.
 type visit struct {
@@ -109,6 +79,7 @@
 
 // handleCall answers one request of a caller.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
+	n.callers.headRead(r)
 	v := &visit{w: w, r: r, begun: time.Now(), uri: r.RequestURI}
 	if !strings.HasPrefix(v.uri, "/") {
 		v.uri = r.URL.RequestURI()
@@ -116,6 +87,11 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if size, most := headSize(r), n.callerLimits().MaxHeader; size > most {
+		w.Header().Set("Connection", "close")
+		n.fault(v, http.StatusRequestHeaderFieldsTooLarge, fmt.Sprintf("the head has %d bytes, at most %d are taken", size, most))
+		return
+	}
 	ask, err := n.protocol.Ask(r)
 	if err != nil {
 		n.fault(v, http.StatusBadRequest, err.Error())
@@ -128,6 +104,27 @@
 	n.forward(v)
 }
 
+// lineBytes is what a line of a head has besides its name and value: a colon, a blank and its end.
+const lineBytes = 4
+
+// headSize is the size of a request's head, in bytes.
+func headSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("Host") + 2*lineBytes
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + lineBytes
+		}
+	}
+	return size
+}
+
+// callerLimits returns what callers may send now.
+func (n *Node) callerLimits() Limits {
+	n.Lock()
+	defer n.Unlock()
+	return n.limits
+}
+
 // admit finds the request's route and organisation under the configuration in
 // force, or answers why it can't. It is done again once the body is there, which
 // may take longer than a configuration lasts.
--- a/node/node.go
+++ b/node/node.go
@@ -134,6 +134,7 @@
 		Payload: n.payload, Heard: n.heard,
 	}, n.peers, n.events)
 	n.duty = newDuty(n)
+	n.gauges()
 	return n, nil
 }
 
@@ -227,7 +228,7 @@
 		}
 		return nil, err
 	}
-	callers, err := n.httpDoor(n.settings().Callers, n.callersServer())
+	callers, err := door.HTTP(n.settings().Callers, n.callersServer(), nil, n.log, door.WithConns(n.callers.wrap))
 	if err != nil {
 		return fail(err)
 	}
--- a/node/stop.go
+++ b/node/stop.go
@@ -28,17 +28,10 @@
 	n.Board().Close(&route.Refusal{Cause: route.CauseStopping, RetryAfter: minRetryAfter, Detail: "this node is stopping"})
 	n.Unlock()
 	for time.Now().Before(end) {
-		n.callers.closeIdle(time.Now())
+		n.callers.closeOld(time.Now(), time.Time{})
 		if n.Calls() == 0 && n.callers.count() == 0 {
 			return
 		}
 		time.Sleep(tickEvery)
 	}
 }
-
-// count returns the number of open connections of callers.
-func (c *callerConns) count() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.open
-}
--- a/node/watch.go
+++ b/node/watch.go
@@ -188,12 +188,11 @@
 func (n *Node) sweepLoop(ctx context.Context) {
 	for pause(ctx, sweepEvery) {
 		n.conns.Sweep(n.list.has)
-		n.Lock()
-		idle := n.limits.IdleTime
-		n.Unlock()
-		n.callers.closeIdle(time.Now().Add(-idle))
+		now, limits := time.Now(), n.callerLimits()
+		n.callers.closeOld(now.Add(-limits.IdleTime), now.Add(-limits.HeaderTime))
 	}
 }
 
-// sweepEvery is the time between two looks for idle connections.
-const sweepEvery = 2 * time.Second
+// sweepEvery is the time between two looks for idle and slow connections, which may
+// stay longer by that.
+const sweepEvery = time.Second
