route: a spilling request goes to the engine found for it; homes are worked out once

Ruled out: memory (exits came with code 2 and a nil pointer). Change: the first choice is kept. The rate of a first part is counted once for a request, at its arrival, not at each look at it. Conclusion: TestLargePoolSpill panics without the change and passes with it.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -40,6 +40,7 @@
 	r.queuedTo = now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
 	r.cost = b.cost(r)
 	b.pools[r.Pool].offered.add(now, 1)
+	b.countParts(now, r)
 	b.enqueue(r)
 	out := b.dispatch(now)
 	if r.attempt == nil {
@@ -107,8 +108,11 @@
 func (b *Board) sendNext(now time.Time, p *pool) (Send, bool) {
 	var (
 		spill *request
-		least = time.Duration(math.MaxInt64)
-		seen  int
+		// chosen is the spilling request's candidate: among a few of a large pool,
+		// another choice may find none with room.
+		chosen candidate
+		least  = time.Duration(math.MaxInt64)
+		seen   int
 	)
 	for _, o := range p.queue.next() {
 		for _, r := range o.items[:min(headTries, len(o.items))] {
@@ -126,15 +130,14 @@
 				return b.send(now, p, r, c), true
 			}
 			if short := min(spillFactor*extra, r.QueueTime/2) - now.Sub(r.arrived); short < least {
-				spill, least = r, short
+				spill, chosen, least = r, *c, short
 			}
 		}
 	}
 	if spill == nil || least > 0 {
 		return Send{}, false
 	}
-	c, _ := b.choose(now, p, spill)
-	return b.send(now, p, spill, c), true
+	return b.send(now, p, spill, &chosen), true
 }
 
 // send makes an attempt of a waiting request at the chosen target.
--- a/route/homes.go
+++ b/route/homes.go
@@ -16,18 +16,9 @@
 type homes struct {
 	first uint64
 	last  uint64
-}
-
-// homesOf returns the homes of a prompt, and whether it has shared parts at all.
-func homesOf(r *Request) (homes, bool) {
-	if len(r.Parts) < 2 {
-		return homes{}, false
-	}
-	seed := xxh3.HashString(r.Salt("").String())
-	return homes{
-		first: xxh3.HashStringSeed(r.Parts[0].ID, seed),
-		last:  xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, seed),
-	}, true
+	// size is how many engines the first part's set has; it is 0 for a prompt
+	// without shared parts, which has no homes.
+	size float64
 }
 
 // The size of a first part's set: how many requests a second one engine is to get
@@ -44,31 +35,37 @@
 // shifted down, so that it counts behind those that are in it.
 const rankOutside = 8
 
-// rank orders an engine for the prompt.
-func (h homes) rank(limit uint64, t *target) uint64 {
-	rank := mix(h.last ^ t.hash)
-	if mix(h.first^t.hash) < limit {
-		rank >>= rankOutside
-	}
-	return rank
-}
-
-// homeLimit counts a request for a first part and returns the rank from which an
-// engine of a pool of n is in the part's set.
-func (b *Board) homeLimit(now time.Time, r *request, n int) uint64 {
-	h, ok := homesOf(&r.Request)
-	if !ok {
-		return 0
+// countParts counts a request for its first part and works its homes out.
+func (b *Board) countParts(now time.Time, r *request) {
+	if r.Model == nil || len(r.Parts) < 2 {
+		return
 	}
-	m := b.firstParts.use(Block(h.first))
+	seed := xxh3.HashString(r.Salt("").String())
+	r.homes.first = xxh3.HashStringSeed(r.Parts[0].ID, seed)
+	r.homes.last = xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, seed)
+	m := b.firstParts.use(Block(r.homes.first))
 	if m.over == 0 {
 		*m = newMeter(homeWindow)
 	}
 	m.add(now, 1)
 	rate := m.value / homeWindow.Seconds() * float64(b.routers)
-	size := homeLeast + rate/homeRate
-	if size >= float64(n) {
+	r.homes.size = homeLeast + rate/homeRate
+}
+
+// rank orders an engine of a pool of n for the prompt.
+func (h homes) rank(n int, t *target) uint64 {
+	rank := mix(h.last ^ t.hash)
+	if mix(h.first^t.hash) < h.limit(n) {
+		rank >>= rankOutside
+	}
+	return rank
+}
+
+// limit is the rank for the first part from which an engine of a pool of n is in
+// the part's set; all of a small pool are.
+func (h homes) limit(n int) uint64 {
+	if n <= fullScan || h.size >= float64(n) {
 		return 0
 	}
-	return uint64((1 - size/float64(n)) * math.MaxUint64)
+	return uint64((1 - h.size/float64(n)) * math.MaxUint64)
 }
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -292,3 +292,29 @@
 	require.NotEqual(t, a.Target, next.Target)
 	require.NotEqual(t, a.Target, next.Fetch, "a held target is no candidate; the next in order is")
 }
+
+// A request that spills in a large pool goes to the engine that was found for it:
+// another look at a few engines by chance need not find one with room.
+func TestLargePoolSpill(t *testing.T) {
+	const engines = 60
+	p := newPartsBoard(t, engines)
+	full := PeerState{}
+	for i := 1; i < engines; i++ {
+		full.Loads = append(full.Loads, Load{Target: Mark{testAddr(i), fmt.Sprint(i)}, InFlight: 1, Tokens: partsMemory})
+	}
+	p.b.Peers(p.now, map[string]PeerState{"peer": full}, 2)
+	a := p.ask(p.request("a", append(shared, own)...))
+	for range 200 {
+		if a != nil {
+			break
+		}
+		p.now = p.now.Add(5 * time.Millisecond)
+		for _, action := range p.b.Tick(p.now) {
+			if s, ok := action.(Send); ok {
+				a = &s.Attempt
+			}
+		}
+	}
+	require.NotNil(t, a)
+	require.Equal(t, testAddr(0), a.Target)
+}
--- a/route/place.go
+++ b/route/place.go
@@ -261,17 +261,15 @@
 // pool only those worth predicting for.
 func (b *Board) engineCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
 	list := b.servers(p, r)
-	limit := uint64(0)
 	if len(list) > fullScan {
-		limit = b.homeLimit(now, r, len(list))
-		cs = b.narrow(cs, list, r, limit)
+		cs = b.narrow(cs, list, r)
 	} else {
 		for _, s := range list {
 			cs = append(cs, candidate{target: s.target, weights: s.weights, chain: r.chain(s.weights)})
 		}
 	}
 	cs = b.weigh(cs, now, r)
-	b.believe(cs, now, r, limit)
+	b.believe(cs, now, r, len(list))
 	b.considerImports(now, cs, r)
 	b.considerFetches(now, cs, p, r)
 	return cs
@@ -350,17 +348,16 @@
 	return list
 }
 
-// believe fills in the ranks and what each candidate is known to hold.
-func (b *Board) believe(cs []candidate, now time.Time, r *request, limit uint64) {
-	home, parts := homesOf(&r.Request)
+// believe fills in the ranks in a pool of n and what each candidate is known to hold.
+func (b *Board) believe(cs []candidate, now time.Time, r *request, n int) {
 	for i := range cs {
 		c := &cs[i]
 		if i == 0 || c.chain != cs[i-1].chain {
 			b.findHeld(cs, c.chain, now)
 		}
 		c.rank = mix(uint64(b.beliefs.anchor(c.chain)) ^ c.target.hash)
-		if parts {
-			c.rank = home.rank(limit, c.target)
+		if r.homes.size > 0 {
+			c.rank = r.homes.rank(n, c.target)
 		}
 		if c.target.parts.known(now) {
 			c.trusted = max(c.trusted, c.target.parts.leading(c.chain))
@@ -430,13 +427,12 @@
 
 // narrow picks the servers of a large pool that are worth predicting for: the
 // first in rendezvous order, known holders and a random few.
-func (b *Board) narrow(cs []candidate, list []server, r *request, limit uint64) []candidate {
+func (b *Board) narrow(cs []candidate, list []server, r *request) []candidate {
 	b.round++
 	c := r.chain(list[0].weights)
 	b.holdersOf(c)
 	b.markHolders(c)
 	anchor := uint64(b.beliefs.anchor(c))
-	home, parts := homesOf(&r.Request)
 	var top [rendezvousTop]server
 	var ranks [rendezvousTop]uint64
 	for _, s := range list {
@@ -445,8 +441,8 @@
 			continue
 		}
 		rank := mix(anchor ^ s.target.hash)
-		if parts {
-			rank = home.rank(limit, s.target)
+		if r.homes.size > 0 {
+			rank = r.homes.rank(len(list), s.target)
 		}
 		for i := range top {
 			if rank > ranks[i] {
--- a/route/request.go
+++ b/route/request.go
@@ -240,6 +240,7 @@
 	weights   string
 	attempt   *attempt
 	chains    map[string]*chain
+	homes     homes
 }
 
 // chain is a request's prefix chain under one salt.
