fleet: a lease's write that is done late passes for no other; machines for orders, rows and late writes

Cause: the new case of the lease's machine (writes done late, writes without a fresh look) and TestLeaseLateWrite: a process whose first write was done late took it for its second one, which was alike, and counted the lease from the second's sending. Another, which had seen the row earlier, took the lease while it lasted: two holders. Ruled out: a beat counted in the process (a restart begins it anew). Change: each write has a token of its own in the row.

--- a/controller/pool.go
+++ b/controller/pool.go
@@ -43,12 +43,13 @@
 		c.mu.Unlock()
 		return
 	}
-	write, ok := w.lease.Next(time.Now())
+	token := rand.Text()
+	write, ok := w.lease.Next(time.Now(), token)
 	c.mu.Unlock()
 	if !ok {
 		return
 	}
-	rev, err := c.table.Commit(ctx, rand.Text(), write)
+	rev, err := c.table.Commit(ctx, token, write)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	w.lease.Wrote(time.Now(), rev, err)
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -12,8 +12,10 @@
 type leaseRow struct {
 	Holder string `json:"holder"`
 	Fence  int64  `json:"fence"`
-	// Beat changes with every renewal.
-	Beat int64 `json:"beat"`
+	// Beat changes with every renewal, and Token with every write: one that is done
+	// late must not pass for a later one.
+	Beat  int64  `json:"beat"`
+	Token string `json:"token"`
 	// Length is how long after the last beat the lease lasts.
 	Length time.Duration `json:"lengthNs"`
 	Freed  bool          `json:"freed,omitempty"`
@@ -90,7 +92,7 @@
 		return
 	}
 	l.pending = nil
-	if r.Holder == p.row.Holder && r.Fence == p.row.Fence && r.Beat == p.row.Beat {
+	if r.Holder == p.row.Holder && r.Fence == p.row.Fence && r.Beat == p.row.Beat && r.Token == p.row.Token {
 		l.won(p)
 	}
 }
@@ -103,7 +105,8 @@
 
 // Next returns the write that takes or renews the lease, or ok false while
 // there is nothing to write: another holds it, or the last write is not settled.
-func (l *Lease) Next(now time.Time) (w Write, ok bool) {
+// The token tells the write from all others ever made.
+func (l *Lease) Next(now time.Time, token string) (w Write, ok bool) {
 	if !l.known || l.pending != nil {
 		return Write{}, false
 	}
@@ -111,6 +114,7 @@
 	if !ok {
 		return Write{}, false
 	}
+	row.Token = token
 	data, err := json.Marshal(row)
 	if err != nil {
 		panic("fleet: a lease row does not encode")
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -19,6 +19,12 @@
 	reply func()
 }
 
+// lateWrite is a write whose caller was cut off and that the table does later.
+type lateWrite struct {
+	token string
+	write Write
+}
+
 // leaseWorld runs several processes against one row and checks that no two
 // believe at one moment that they hold the lease, and that fences only grow.
 type leaseWorld struct {
@@ -27,6 +33,7 @@
 	processes []*leaseProcess
 	top       int64
 	tokens    int
+	late      []lateWrite
 }
 
 const (
@@ -55,16 +62,35 @@
 
 // write sends the write that a process wants, which takes effect at once or never; its reply comes later.
 func (w *leaseWorld) write(p *leaseProcess, effect, reply bool) {
-	write, ok := p.lease.Next(w.clock(p))
+	w.tokens++
+	write, ok := p.lease.Next(w.clock(p), fmt.Sprint(w.tokens))
 	if !ok {
 		return
 	}
-	w.tokens++
 	w.rows.plan = func() (bool, bool) { return effect, reply }
 	rev, err := w.rows.Commit(context.Background(), fmt.Sprint(w.tokens), write)
 	p.reply = func() { p.lease.Wrote(w.clock(p), rev, err) }
 }
 
+// writeLate sends the write that a process wants; it is not answered, and done later or never.
+func (w *leaseWorld) writeLate(p *leaseProcess) {
+	w.tokens++
+	write, ok := p.lease.Next(w.clock(p), fmt.Sprint(w.tokens))
+	if !ok {
+		return
+	}
+	w.late = append(w.late, lateWrite{fmt.Sprint(w.tokens), write})
+	p.reply = func() { p.lease.Wrote(w.clock(p), 0, errLost) }
+}
+
+// doLate does the n-th late write, if its condition still holds.
+func (w *leaseWorld) doLate(n int) {
+	l := w.late[n]
+	w.late = append(w.late[:n:n], w.late[n+1:]...)
+	w.rows.plan = func() (bool, bool) { return true, false }
+	_, _ = w.rows.Commit(context.Background(), l.token, l.write)
+}
+
 func (p *leaseProcess) deliver() {
 	if p.reply != nil {
 		p.reply()
@@ -116,6 +142,22 @@
 				must(w.read(p))
 				w.write(p, rapid.Bool().Draw(rt, "effect"), rapid.Bool().Draw(rt, "reply"))
 			},
+			"write late": func(*rapid.T) {
+				p := pick()
+				must(w.read(p))
+				w.writeLate(p)
+				p.deliver()
+			},
+			"done late": func(rt *rapid.T) {
+				if len(w.late) > 0 {
+					w.doLate(rapid.IntRange(0, len(w.late)-1).Draw(rt, "which"))
+				}
+			},
+			"write without a look": func(rt *rapid.T) {
+				p := pick()
+				w.write(p, true, rapid.Bool().Draw(rt, "reply"))
+				p.deliver()
+			},
 			"reply": func(*rapid.T) { pick().deliver() },
 			"renew": func(rt *rapid.T) { w.take(rt, pick(), true, true) },
 			"pass": func(rt *rapid.T) {
@@ -167,3 +209,22 @@
 	require.True(t, p.lease.Holds(w.clock(p)), "reading back settles it")
 	require.False(t, p.lease.HoldsFor(w.clock(p), testLease), "the lease counts from before the write")
 }
+
+// A write that is done late must not pass for a later one of the same process: that
+// one would count the lease from when it was sent, and others from the late one.
+func TestLeaseLateWrite(t *testing.T) {
+	w := newLeaseWorld(2)
+	a, b := w.processes[0], w.processes[1]
+	require.NoError(t, w.read(a))
+	w.writeLate(a)
+	a.deliver()
+	require.NoError(t, w.read(a), "the write was not done, so far as a can see")
+	w.doLate(0)
+	require.NoError(t, w.read(b))
+	w.now = w.now.Add(testLease + testGuard + time.Second)
+	w.write(a, true, false)
+	a.deliver()
+	require.NoError(t, w.read(a))
+	w.take(t, b, true, true)
+	require.NoError(t, w.check())
+}
--- /dev/null
+++ b/fleet/roll_fuzz_test.go
@@ -0,0 +1,180 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// rollEngine is a target that takes orders as it will.
+type rollEngine struct {
+	addr        netip.AddrPort
+	incarnation int
+	weights     int
+	orders      int64
+	busyUntil   time.Time
+	loading     int
+	listed      bool
+}
+
+// sentOrder is an order that is carried out later, as it was sent.
+type sentOrder struct {
+	to          *rollEngine
+	incarnation int
+	orders      int64
+	weights     int
+	at          time.Time
+}
+
+// rollWorld is a pool under one holder of the lease after the other.
+type rollWorld struct {
+	t       *rapid.T
+	now     time.Time
+	engines []*rollEngine
+	newest  int
+	roll    *Roll
+	// asked are the order counts that the present holder read.
+	asked map[rollID]int64
+	late  []sentOrder
+}
+
+func (w *rollWorld) targets() []RollTarget {
+	var out []RollTarget
+	for _, e := range w.engines {
+		if !e.listed {
+			continue
+		}
+		rt := RollTarget{
+			Addr: e.addr, Incarnation: strconv.Itoa(e.incarnation), Model: "m",
+			Weights: strconv.Itoa(e.weights), Orders: OrdersUnknown,
+		}
+		if n, ok := w.asked[rt.id()]; ok {
+			rt.Orders = n
+		}
+		out = append(out, rt)
+	}
+	return out
+}
+
+func (w *rollWorld) engine(t RollTarget) *rollEngine {
+	for _, e := range w.engines {
+		if e.addr == t.Addr {
+			return e
+		}
+	}
+	return nil
+}
+
+// settle lets loads and late orders that are due take effect.
+func (w *rollWorld) settle() {
+	var still []sentOrder
+	for _, o := range w.late {
+		if o.at.After(w.now) {
+			still = append(still, o)
+			continue
+		}
+		w.carryOut(o)
+	}
+	w.late = still
+	for _, e := range w.engines {
+		if e.loading > 0 && !e.busyUntil.After(w.now) {
+			require.Greater(w.t, e.loading, e.weights, "weights go back at %s", e.addr)
+			e.weights, e.loading = e.loading, 0
+		}
+	}
+}
+
+// carryOut does an order, if the engine is what it was meant for.
+func (w *rollWorld) carryOut(o sentOrder) {
+	e := o.to
+	if e.incarnation != o.incarnation || e.orders != o.orders || e.loading > 0 || e.weights == o.weights {
+		return
+	}
+	e.orders++
+	e.loading = o.weights
+	e.busyUntil = w.now.Add(800 * time.Millisecond)
+}
+
+// round is one round of the holder; lost and late say what becomes of its orders.
+func (w *rollWorld) round(lost, late func() bool) {
+	w.settle()
+	steps := w.roll.Next(w.now, map[string]string{"m": strconv.Itoa(w.newest)}, w.targets(), shorter)
+	// Targets that left the list meanwhile do not end the changes of others.
+	require.LessOrEqual(w.t, len(steps.Holds), w.roll.settings.atOnce(len(w.engines)))
+	for _, t := range steps.Looks {
+		if e := w.engine(t); strconv.Itoa(e.incarnation) == t.Incarnation {
+			w.asked[t.id()] = e.orders
+		}
+	}
+	for _, o := range steps.Orders {
+		weights, err := strconv.Atoi(o.Weights)
+		require.NoError(w.t, err)
+		e := w.engine(o.Target)
+		sent := sentOrder{to: e, orders: o.Target.Orders, weights: weights, at: w.now}
+		_, err = fmt.Sscan(o.Target.Incarnation, &sent.incarnation)
+		require.NoError(w.t, err)
+		switch {
+		case late():
+			sent.at = w.now.Add(time.Duration(rapid.IntRange(2000, 12000).Draw(w.t, "late")) * time.Millisecond)
+			w.late = append(w.late, sent)
+		case !lost():
+			w.carryOut(sent)
+		}
+	}
+	w.now = w.now.Add(30 * time.Millisecond)
+}
+
+// Whatever becomes of orders, holders and targets, weights only rise within an
+// incarnation, no more change at once than may, and calm brings all to the newest.
+func TestRollFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &rollWorld{t: t, now: time.Unix(1000, 0), newest: 1, asked: make(map[rollID]int64)}
+		newHolder := func() {
+			w.roll = NewRoll(DefaultRollSettings())
+			clear(w.asked)
+		}
+		newHolder()
+		for i := range rapid.IntRange(1, 12).Draw(t, "engines") {
+			w.engines = append(w.engines, &rollEngine{
+				addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), incarnation: 1, weights: 1, listed: true,
+			})
+		}
+		pick := func() *rollEngine { return rapid.SampledFrom(w.engines).Draw(t, "engine") }
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				w.newest++
+			case 1:
+				e := pick()
+				e.incarnation, e.orders, e.loading = e.incarnation+1, 0, 0
+			case 2:
+				newHolder()
+			case 3:
+				e := pick()
+				e.listed = !e.listed
+			default:
+				for range rapid.IntRange(1, 25).Draw(t, "rounds") {
+					w.round(
+						func() bool { return rapid.IntRange(0, 3).Draw(t, "lost") == 0 },
+						func() bool { return rapid.IntRange(0, 3).Draw(t, "late") == 0 },
+					)
+				}
+			}
+		}
+		for _, e := range w.engines {
+			e.listed = true
+		}
+		never := func() bool { return false }
+		for range 1000 {
+			w.round(never, never)
+		}
+		for _, e := range w.engines {
+			require.Equal(t, w.newest, e.weights, "%s", e.addr)
+		}
+	})
+}
