node, fleet, peer: relays in large fleets

Ruled out: larger messages (they grow with the square of the fleet), leases for relays (calls to the store; none while it is away). A few nodes read store and events and join what all say; the others report to one of them. Small fleets keep gossip. Found by the roster's machine on the way: relays that knew too few stayed relays, hints told on kept the dead alive, relays that all report to one never met.

--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -18,6 +18,7 @@
 	Settings    string `help:"The platform's settings file." required:"" env:"PATHHEAD_CONFIG" placeholder:"FILE"`
 	Placement   string `help:"Placement policy: predict, or a baseline for measurements: random, round-robin, least-load, prefix-hash." default:"predict" env:"PATHHEAD_PLACEMENT"`
 	MetricsPort uint16 `help:"Port of the counters on the VM's address; 0 for none." default:"0" env:"PATHHEAD_METRICS_PORT"`
+	SmallFleet  int    `help:"Size of fleet up to which all nodes talk to each other and read the store; in a larger one a few relay for the others." default:"16" env:"PATHHEAD_SMALL_FLEET"`
 	MetricsPath string `help:"Path of the counters." default:"/metrics" env:"PATHHEAD_METRICS_PATH"`
 }
 
@@ -39,7 +40,7 @@
 	dropped := counters.NewCounter("pathhead_log_lines_dropped_total")
 	log, out := f.StdoutLogger(set.Name, func(n int) { dropped.Add(n) })
 	defer out.Close()
-	opts := []node.Option{node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer)}
+	opts := []node.Option{node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer)}
 	if f.MetricsPort > 0 {
 		opts = append(opts, node.WithMetrics(netip.AddrPortFrom(set.Callers.Addr(), f.MetricsPort), f.MetricsPath))
 	}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -58,6 +58,11 @@
 	PeerSeen Code = 501
 	PeerLost Code = 502
 
+	RelayBegun Code = 503
+	RelayEnded Code = 504
+	RelayTaken Code = 505
+	RelayLost  Code = 506
+
 	LeaseTaken     Code = 601
 	LeaseLost      Code = 602
 	OrderSent      Code = 603
@@ -132,6 +137,10 @@
 
 	{PeerSeen, "peer-seen", slog.LevelInfo, "A peer was heard for the first time or again."},
 	{PeerLost, "peer-lost", slog.LevelWarn, "A peer has not been heard for the peer timeout."},
+	{RelayBegun, "relay-begun", slog.LevelInfo, "This process relays for others of a large fleet now: it reads the store and the engines' events for them; the detail has the fleet's size."},
+	{RelayEnded, "relay-ended", slog.LevelInfo, "This process relays for others no more."},
+	{RelayTaken, "relay-taken", slog.LevelInfo, "What the store and the engines say is taken from a relay, which the detail names."},
+	{RelayLost, "relay-lost", slog.LevelWarn, "No relay tells what the store says, or only of old; this process reads the store itself until one does."},
 
 	{LeaseTaken, "lease-taken", slog.LevelInfo, "This process holds a lease; the detail has its fencing number."},
 	{LeaseLost, "lease-lost", slog.LevelWarn, "This process no longer holds a lease."},
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Member is a process of a fleet, as the others need to know it.
+type Member struct {
+	ID string
+	// Addr is its peers' door.
+	Addr netip.AddrPort
+	// Zone is the failure domain it stands in.
+	Zone string
+	// Epoch tells the process from earlier ones of the same name: the time of its start in nanoseconds.
+	Epoch int64
+	// Power is how much work it can take beside the others; one without any relays nothing.
+	Power float64
+}
+
+// The number of relays of a fleet. With three, two may be lost at once; each
+// answers some 64 reports a second, which is below 2% of a core of 0.4.
+const (
+	leastRelays     = 3
+	membersPerRelay = 32
+)
+
+// RelayCount returns how many of a fleet's members relay for the others.
+func RelayCount(members int) int {
+	return max(leastRelays, (members+membersPerRelay-1)/membersPerRelay)
+}
+
+// Relays returns the n members that relay for the others, the first choice first:
+// those with the most power, among equals by rendezvous hashing. All who know the
+// same members choose the same, and one that is lost changes no other's choice.
+func Relays(members []Member, n int) []Member {
+	out := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Power <= 0 })
+	slices.SortFunc(out, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Power, a.Power), cmp.Compare(unit(a.ID), unit(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return out[:min(n, len(out))]
+}
+
+// unit hashes a text to a number between 0 and 1, both excluded.
+func unit(text string) float64 {
+	return (float64(xxh3.HashString(text)>>11) + 0.5) / (1 << 53)
+}
+
+// preferred orders relays for a member: those of its zone first, then by
+// rendezvous, so that the members are spread over them.
+func preferred(self Member, relays []Member) []Member {
+	out := slices.Clone(relays)
+	slices.SortFunc(out, func(a, b Member) int {
+		if near := a.Zone == self.Zone; near != (b.Zone == self.Zone) {
+			if near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(unit(self.ID+a.ID), unit(self.ID+b.ID))
+	})
+	return out
+}
+
+// Digest names a list of members, which is in the order of their ids.
+func Digest(members []Member) uint64 {
+	h := xxh3.New()
+	for _, m := range members {
+		// Writing to a hash never fails.
+		_, _ = fmt.Fprintln(h, m.ID, m.Addr, m.Zone, m.Epoch, m.Power)
+	}
+	return h.Sum64()
+}
--- /dev/null
+++ b/fleet/relay_test.go
@@ -0,0 +1,198 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func testMembers(n int) []Member {
+	var out []Member
+	for i := range n {
+		out = append(out, Member{
+			ID: fmt.Sprintf("n%03d", i), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+			Zone: fmt.Sprint("z", i%4), Epoch: 1, Power: 0.4,
+		})
+	}
+	return out
+}
+
+// Relays are the same for all who know the same members, few change when a member
+// is lost, and members with more power are chosen first.
+func TestRelays(t *testing.T) {
+	members := testMembers(60)
+	relays := Relays(members, 3)
+	require.Len(t, relays, 3)
+	without := members[:0:0]
+	for _, m := range members {
+		if m.ID != relays[1].ID {
+			without = append(without, m)
+		}
+	}
+	next := Relays(without, 3)
+	require.Equal(t, []Member{relays[0], relays[2]}, next[:2], "the others stay")
+	for i := range members {
+		if i%10 == 0 {
+			members[i].Power = 4
+		}
+	}
+	for _, m := range Relays(members, 3) {
+		require.EqualValues(t, 4, m.Power)
+	}
+	members[0].Power = 0
+	require.Len(t, Relays(members[:1], 3), 0, "a member without power relays nothing")
+	require.Equal(t, 3, RelayCount(20))
+	require.Equal(t, 13, RelayCount(390))
+}
+
+// rosterWorld is a fleet whose processes report to each other; each one's state is
+// its own number of requests.
+type rosterWorld struct {
+	t     *rapid.T
+	now   time.Time
+	nodes map[string]*Roster[[]string]
+	down  map[string]bool
+	cut   map[[2]string]bool
+	seeds []Member
+}
+
+func (w *rosterWorld) start(m Member) {
+	m.Epoch = w.now.UnixNano()
+	w.nodes[m.ID] = NewRoster[[]string](w.now, m, 2500*time.Millisecond)
+	w.down[m.ID] = false
+}
+
+func join(own []string, states [][]string) []string {
+	out := append([]string(nil), own...)
+	for _, s := range states {
+		out = append(out, s...)
+	}
+	return out
+}
+
+// report lets one process report once, as the shell does.
+func (w *rosterWorld) report(id string) {
+	r := w.nodes[id]
+	word, states := r.Report(w.now)
+	word.State = join([]string{id}, states)
+	for _, to := range r.Next(w.now) {
+		w.call(r, to, word)
+	}
+	known := make(map[string]bool)
+	for _, m := range r.Members(w.now) {
+		known[m.ID] = true
+	}
+	for _, s := range w.seeds {
+		if !known[s.ID] {
+			w.call(r, s, word)
+		}
+	}
+}
+
+func (w *rosterWorld) call(r *Roster[[]string], to Member, word Word[[]string]) {
+	other, ok := w.nodes[to.ID]
+	if !ok || w.down[to.ID] || w.cut[[2]string{r.Self().ID, to.ID}] {
+		r.Failed(w.now, to.ID)
+		return
+	}
+	other.Reported(w.now, word)
+	answer, states, whole := other.Answer(w.now, word)
+	answer.State = join([]string{to.ID}, states)
+	if !answer.Relay {
+		r.Hint(w.now, append(answer.Members, answer.From)...)
+		return
+	}
+	r.Answered(w.now, answer, whole)
+}
+
+// run lets time pass by so many reports of each process, in any order.
+func (w *rosterWorld) run(rounds int) {
+	for range rounds {
+		w.now = w.now.Add(500 * time.Millisecond)
+		for _, id := range slices.Sorted(maps.Keys(w.nodes)) {
+			if !w.down[id] {
+				w.report(id)
+			}
+		}
+	}
+}
+
+// check holds every process's view against what is: all that live are members,
+// nobody else is, and each one's state is counted once.
+func (w *rosterWorld) check() {
+	live := make(map[string]int)
+	for id := range w.nodes {
+		if !w.down[id] {
+			live[id] = 1
+		}
+	}
+	acting := 0
+	for id := range live {
+		r := w.nodes[id]
+		if r.Acting(w.now) {
+			acting++
+		}
+		seen := make(map[string]int)
+		for _, m := range r.Members(w.now) {
+			seen[m.ID]++
+		}
+		require.Equal(w.t, live, seen, "members as %s sees them", id)
+		counted := map[string]int{id: 1}
+		for _, s := range r.Others(w.now, "") {
+			for _, other := range s {
+				counted[other]++
+			}
+		}
+		require.Equal(w.t, live, counted, "states as %s counts them", id)
+	}
+	require.Equal(w.t, min(len(live), RelayCount(len(live))), acting)
+}
+
+// After processes were lost, replaced and cut off, some seconds of calm bring
+// every roster to what is.
+func TestRosterSettles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &rosterWorld{
+			t: t, now: time.Unix(1000, 0), nodes: make(map[string]*Roster[[]string]),
+			down: make(map[string]bool), cut: make(map[[2]string]bool),
+		}
+		members := testMembers(rapid.IntRange(2, 14).Draw(t, "nodes"))
+		w.seeds = members[:min(3, len(members))]
+		for _, m := range members {
+			w.start(m)
+		}
+		w.run(12)
+		w.check()
+		for range rapid.IntRange(1, 4).Draw(t, "troubles") {
+			for range rapid.IntRange(1, 1+len(members)/2).Draw(t, "lost") {
+				id := rapid.SampledFrom(members).Draw(t, "who").ID
+				switch rapid.IntRange(0, 2).Draw(t, "what") {
+				case 0:
+					w.down[id] = true
+				case 1:
+					w.cut[[2]string{id, rapid.SampledFrom(members).Draw(t, "from").ID}] = true
+				case 2:
+					w.start(members[0])
+				}
+			}
+			w.run(rapid.IntRange(1, 8).Draw(t, "rounds"))
+		}
+		clear(w.cut)
+		seedUp := false
+		for _, s := range w.seeds {
+			seedUp = seedUp || !w.down[s.ID]
+		}
+		if !seedUp {
+			// Without any seed, processes that know nobody can't find the others.
+			w.start(w.seeds[0])
+		}
+		w.run(20)
+		w.check()
+	})
+}
--- /dev/null
+++ b/fleet/roster.go
@@ -0,0 +1,285 @@
+package fleet
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Word is what a process of a large fleet says of itself and of those that report to it.
+type Word[S any] struct {
+	From Member
+	// Relay says that From acts as a relay.
+	Relay bool
+	// Members are those whom the word speaks for besides From, Relays the relays as
+	// From sees them, by which relays that do not know each other yet meet.
+	Members []Member
+	Relays  []Member
+	// State is the joined state of all of them.
+	State S
+}
+
+// Roster is what one process of a large fleet knows of the others. A few
+// members, the relays, hear the reports of all others and exchange with each
+// other what was reported to them; each answers its reporters with the rest.
+//
+// A word that was relayed is never relayed again between relays, so that nobody
+// is counted twice and nobody stays on the roster by rumour.
+type Roster[S any] struct {
+	self    Member
+	timeout time.Duration
+	begun   time.Time
+	// reporters are the processes that report here, answers what was answered to
+	// this one's own reports, hints the members that others told of in passing.
+	reporters map[string]heard[S]
+	answers   map[string]heard[S]
+	hints     map[string]hint
+	// avoided are members that did not answer, with the time until which they are passed over.
+	avoided map[string]time.Time
+	// members and relays are as they were worked out at workedAt; a word that says
+	// something new makes that time zero.
+	// told are the members that are told to others.
+	members  []Member
+	told     []Member
+	relays   []Member
+	workedAt time.Time
+}
+
+// workEvery is how long members and relays are good that were worked out: a relay
+// hears some ten reports in that time, of which hardly any says something new.
+const workEvery = 100 * time.Millisecond
+
+// heard is a word and when it came.
+type heard[S any] struct {
+	word Word[S]
+	// whole says that the word speaks for all members but this one.
+	whole bool
+	at    time.Time
+}
+
+type hint struct {
+	member Member
+	at     time.Time
+}
+
+// avoidTime is how long a member that did not answer is passed over, and
+// settleTime how long a process that nobody answers waits before it relays itself.
+const (
+	avoidTime  = 3 * time.Second
+	settleTime = 2 * time.Second
+)
+
+// NewRoster returns the roster of a process that knows itself alone. What was not
+// said again for timeout is forgotten.
+func NewRoster[S any](now time.Time, self Member, timeout time.Duration) *Roster[S] {
+	return &Roster[S]{
+		self: self, timeout: timeout, begun: now,
+		reporters: make(map[string]heard[S]),
+		answers:   make(map[string]heard[S]),
+		hints:     make(map[string]hint),
+		avoided:   make(map[string]time.Time),
+	}
+}
+
+// SetPower changes how much work this process says that it can take.
+func (r *Roster[S]) SetPower(power float64) {
+	if r.self.Power != power {
+		r.self.Power = power
+		r.workedAt = time.Time{}
+	}
+}
+
+// Self returns this process as a member.
+func (r *Roster[S]) Self() Member { return r.self }
+
+// Hint takes members that are said to live.
+func (r *Roster[S]) Hint(now time.Time, members ...Member) {
+	for _, m := range members {
+		h, ok := r.hints[m.ID]
+		_, avoided := r.avoided[m.ID]
+		if m.ID == r.self.ID || avoided || ok && h.member.Epoch > m.Epoch {
+			continue
+		}
+		if h.member != m {
+			r.workedAt = time.Time{}
+		}
+		r.hints[m.ID] = hint{m, now}
+	}
+}
+
+// Reported takes a report.
+func (r *Roster[S]) Reported(now time.Time, w Word[S]) {
+	r.Hint(now, w.Relays...)
+	if r.isRelay(now, w) {
+		delete(r.reporters, w.From.ID)
+		r.Answered(now, w, false)
+		return
+	}
+	if old, ok := r.reporters[w.From.ID]; !ok || old.word.From != w.From || len(w.Members)+len(old.word.Members) > 0 {
+		r.workedAt = time.Time{}
+	}
+	delete(r.avoided, w.From.ID)
+	r.reporters[w.From.ID] = heard[S]{word: w, at: now}
+}
+
+// Answered takes the answer to an own report; whole says that it speaks for all others.
+func (r *Roster[S]) Answered(now time.Time, w Word[S], whole bool) {
+	r.Hint(now, w.Relays...)
+	delete(r.avoided, w.From.ID)
+	r.answers[w.From.ID] = heard[S]{word: w, whole: whole, at: now}
+	r.workedAt = time.Time{}
+}
+
+// Failed notes that a member did not answer a report.
+func (r *Roster[S]) Failed(now time.Time, id string) {
+	r.avoided[id] = now.Add(avoidTime)
+	delete(r.answers, id)
+	delete(r.hints, id)
+	r.workedAt = time.Time{}
+}
+
+// forget drops what was not said again in time.
+func (r *Roster[S]) forget(now time.Time) {
+	old := func(_ string, h heard[S]) bool { return now.Sub(h.at) > r.timeout }
+	maps.DeleteFunc(r.reporters, old)
+	maps.DeleteFunc(r.answers, old)
+	maps.DeleteFunc(r.hints, func(_ string, h hint) bool { return now.Sub(h.at) > r.timeout })
+	maps.DeleteFunc(r.avoided, func(_ string, until time.Time) bool { return now.After(until) })
+}
+
+// work works out members and relays, if that was not done just now.
+func (r *Roster[S]) work(now time.Time) {
+	if now.Sub(r.workedAt) < workEvery {
+		return
+	}
+	r.forget(now)
+	r.workedAt = now
+	r.told = r.known(false)
+	r.members = r.known(true)
+	r.relays = slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool {
+		_, avoided := r.avoided[m.ID]
+		return avoided
+	})
+	r.relays = Relays(r.relays, RelayCount(len(r.members)))
+}
+
+// known joins all members that are told of, in the order of their ids. A hint is
+// not told on: two processes that tell each other would keep it for ever.
+func (r *Roster[S]) known(hinted bool) []Member {
+	all := make(map[string]Member)
+	add := func(ms ...Member) {
+		for _, m := range ms {
+			if old, ok := all[m.ID]; !ok || old.Epoch <= m.Epoch {
+				all[m.ID] = m
+			}
+		}
+	}
+	for _, h := range r.hints {
+		if hinted {
+			add(h.member)
+		}
+	}
+	for _, words := range []map[string]heard[S]{r.answers, r.reporters} {
+		for _, h := range words {
+			add(h.word.Members...)
+		}
+	}
+	// What a process says of itself is newer than what others say of it.
+	for _, words := range []map[string]heard[S]{r.answers, r.reporters} {
+		for _, h := range words {
+			add(h.word.From)
+		}
+	}
+	all[r.self.ID] = r.self
+	return slices.SortedFunc(maps.Values(all), func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// Members returns all members known to live, this one included, in the order of
+// their ids. The caller does not change them.
+func (r *Roster[S]) Members(now time.Time) []Member {
+	r.work(now)
+	return r.members
+}
+
+// Acting reports whether this process relays now.
+func (r *Roster[S]) Acting(now time.Time) bool {
+	r.work(now)
+	if len(r.answers) == 0 && now.Sub(r.begun) < settleTime {
+		return false
+	}
+	return slices.ContainsFunc(r.relays, func(m Member) bool { return m.ID == r.self.ID })
+}
+
+// Next returns whom to report to now: a relay reports to all other relays, any
+// other process to the one relay that it prefers.
+func (r *Roster[S]) Next(now time.Time) []Member {
+	acting := r.Acting(now)
+	relays := slices.DeleteFunc(slices.Clone(r.relays), func(m Member) bool { return m.ID == r.self.ID })
+	if acting || len(relays) == 0 {
+		return relays
+	}
+	return preferred(r.self, relays)[:1]
+}
+
+// Report returns the word for the next reports, whose State is left to the
+// caller: it joins this process's own state and those returned.
+func (r *Roster[S]) Report(now time.Time) (Word[S], []S) {
+	w := Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
+	var states []S
+	for _, h := range r.reporters {
+		w.Members = append(w.Members, h.word.From)
+		w.Members = append(w.Members, h.word.Members...)
+		states = append(states, h.word.State)
+	}
+	return w, states
+}
+
+// isRelay reports whether a word is a relay's. One that says so and knows too few
+// members to be right is answered as any other process, which mends that.
+func (r *Roster[S]) isRelay(now time.Time, w Word[S]) bool {
+	r.work(now)
+	return w.Relay && slices.ContainsFunc(r.relays, func(m Member) bool { return m.ID == w.From.ID })
+}
+
+// Answer returns the word that answers a report, and the states that its State
+// joins with this process's own. Relays hear from each other of themselves and their
+// reporters, any other process hears of everyone but itself.
+func (r *Roster[S]) Answer(now time.Time, to Word[S]) (w Word[S], states []S, whole bool) {
+	if r.Acting(now) && r.isRelay(now, to) {
+		w, states = r.Report(now)
+		return w, states, false
+	}
+	w = Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
+	for _, m := range r.told {
+		if m.ID != r.self.ID && m.ID != to.From.ID {
+			w.Members = append(w.Members, m)
+		}
+	}
+	return w, r.Others(now, to.From.ID), true
+}
+
+// Others returns the states of all others but one, so far as they are known.
+func (r *Roster[S]) Others(now time.Time, but string) []S {
+	acting := r.Acting(now)
+	var states []S
+	for id, h := range r.reporters {
+		if id != but {
+			states = append(states, h.word.State)
+		}
+	}
+	newest := heard[S]{}
+	for id, h := range r.answers {
+		switch {
+		case !h.word.Relay || id == but:
+		case acting && !h.whole:
+			states = append(states, h.word.State)
+		case !acting && h.whole && (h.at.After(newest.at) || h.at.Equal(newest.at) && id < newest.word.From.ID):
+			newest = h
+		}
+	}
+	if !newest.at.IsZero() {
+		states = append(states, newest.word.State)
+	}
+	return states
+}
--- a/node/caches.go
+++ b/node/caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
 )
 
 // The times of reading caches' events.
@@ -19,6 +20,8 @@
 	// cachePause is the least time between two readings, so that a busy target's
 	// events come in batches.
 	cachePause = 150 * time.Millisecond
+	// relayPause is the same at a relay, which reads ten times as many targets.
+	relayPause = 400 * time.Millisecond
 	// cacheRetry is the pause after a failed reading.
 	cacheRetry = 500 * time.Millisecond
 )
@@ -31,7 +34,7 @@
 // follow starts readers of the engines on the list and stops those of others. A
 // target holds a bounded number of readings at once, so in a large installation
 // a node reads only as many targets as are its part.
-func (c *cacheReaders) follow(ctx context.Context, n *Node, list []Target) {
+func (c *cacheReaders) follow(ctx context.Context, n *Node, list []route.Entry) {
 	if c.stop == nil {
 		c.stop = make(map[netip.AddrPort]context.CancelFunc)
 	}
@@ -45,7 +48,7 @@
 		if !ok || p.Kind == policy.KindService || p.CacheReaders == 0 {
 			continue
 		}
-		if nodes := 1 + len(n.gossip.Live()); nodes <= p.CacheReaders {
+		if n.readsCaches(p.CacheReaders) {
 			wanted[t.Seen.Addr] = true
 		}
 	}
@@ -65,12 +68,22 @@
 	}
 }
 
+// readsCaches reports whether this node follows targets that take so many readers:
+// all nodes of a fleet do that are not more, and the relays of a larger one.
+func (n *Node) readsCaches(readers int) bool {
+	nodes, large := n.relays.size()
+	if large {
+		return n.relays.leads()
+	}
+	return nodes <= readers
+}
+
 // readCache follows the events of one engine's cache.
 func (n *Node) readCache(ctx context.Context, target netip.AddrPort) {
 	var since, epoch int64
-	wait := firstWait
+	hold := firstWait
 	for ctx.Err() == nil {
-		page, err := n.engines.CacheEvents(ctx, target, since, wait)
+		page, err := n.engines.CacheEvents(ctx, target, since, hold)
 		if err != nil {
 			if !pause(ctx, n.jitter(cacheRetry)) {
 				return
@@ -84,11 +97,15 @@
 			continue
 		}
 		since, epoch = page.Next, page.Epoch
-		wait = cacheWait
+		hold = cacheWait
 		n.Lock()
 		n.Board().PartChanges(time.Now(), target, anew, page.Changes)
 		n.Unlock()
-		if !pause(ctx, cachePause) {
+		wait := cachePause
+		if n.relays.leads() {
+			wait = relayPause
+		}
+		if !pause(ctx, wait) {
 			return
 		}
 	}
--- a/node/duty.go
+++ b/node/duty.go
@@ -96,9 +96,12 @@
 func (d *duty) loop(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := idleEvery
-		if named, targets := d.work(); len(targets) > 0 && d.due(named, targets) {
+		named, targets := d.work()
+		switch {
+		case d.left():
+		case len(targets) > 0 && d.due(named, targets):
 			wait = d.round(ctx, named, targets)
-		} else {
+		default:
 			d.rest(ctx)
 		}
 		t := time.NewTimer(wait)
@@ -111,6 +114,17 @@
 	}
 }
 
+// left reports whether the work is left to the relays of a large fleet: each try
+// for the lease is a call to the store.
+func (d *duty) left() bool {
+	if !d.n.relays.follows() {
+		return false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.held
+}
+
 // work returns the newest weights of each model and the targets that serve one.
 func (d *duty) work() (map[string]string, []fleet.RollTarget) {
 	named := make(map[string]string)
@@ -246,10 +260,11 @@
 	}
 	d.mu.Lock()
 	begun := time.Now()
-	w, ok := d.lease.Next(begun)
+	token := rand.Text()
+	w, ok := d.lease.Next(begun, token)
 	d.mu.Unlock()
 	if ok {
-		rev, err := d.n.store.Commit(ctx, rand.Text(), w)
+		rev, err := d.n.store.Commit(ctx, token, w)
 		d.mu.Lock()
 		d.lease.Wrote(time.Now(), rev, err)
 		settled := d.lease.Settled()
@@ -282,7 +297,7 @@
 	steps := d.roll.Next(time.Now(), named, targets, route.OlderWeights)
 	if d.setHolds(steps.Holds) {
 		d.n.tellBoard()
-		d.n.gossip.Sweep(ctx)
+		d.n.tellEveryone(ctx)
 	}
 	var calls sync.WaitGroup
 	for _, o := range steps.Orders {
--- a/node/list.go
+++ b/node/list.go
@@ -13,18 +13,20 @@
 // targetList is the list of targets as it was last read.
 type targetList struct {
 	mu      sync.Mutex
-	targets map[netip.AddrPort]Target
+	targets map[netip.AddrPort]route.Entry
 	failing bool
 	// backAt is when the store answered again after it had failed.
 	backAt time.Time
 	readAt time.Time
 	conns  map[netip.AddrPort]int
 	// fixed are targets that stand in the configuration.
-	fixed []Target
+	fixed []route.Entry
+	// beats are the revisions of the targets' entries that the board was told of.
+	beats map[netip.AddrPort]int64
 }
 
 // setFixed takes the targets that stand in the configuration.
-func (l *targetList) setFixed(ts []Target) {
+func (l *targetList) setFixed(ts []route.Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.fixed = ts
@@ -36,7 +38,7 @@
 
 // merge takes a new reading. Of two entries with one address the newer counts.
 // Targets that are gone stay for a while after an outage of the store.
-func (l *targetList) merge(now time.Time, read []Target) []Target {
+func (l *targetList) merge(now time.Time, read []route.Entry) []route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.failing {
@@ -44,7 +46,7 @@
 		l.backAt = now
 	}
 	l.readAt = now
-	fresh := make(map[netip.AddrPort]Target, len(read))
+	fresh := make(map[netip.AddrPort]route.Entry, len(read))
 	for _, t := range append(read, l.fixed...) {
 		if other, ok := fresh[t.Seen.Addr]; !ok || other.Revision < t.Revision {
 			fresh[t.Seen.Addr] = t
@@ -58,11 +60,11 @@
 		}
 	}
 	l.targets = fresh
-	out := make([]Target, 0, len(fresh))
+	out := make([]route.Entry, 0, len(fresh))
 	for _, t := range fresh {
 		out = append(out, t)
 	}
-	slices.SortFunc(out, func(a, b Target) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
+	slices.SortFunc(out, func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
 	return out
 }
 
@@ -74,10 +76,10 @@
 }
 
 // get returns the targets of the last reading.
-func (l *targetList) get() []Target {
+func (l *targetList) get() []route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]Target, 0, len(l.targets))
+	out := make([]route.Entry, 0, len(l.targets))
 	for _, t := range l.targets {
 		out = append(out, t)
 	}
@@ -108,15 +110,19 @@
 	return ok
 }
 
-// listLoop reads the list of targets.
+// listLoop reads the list of targets, unless a relay tells it.
 func (n *Node) listLoop(ctx context.Context) {
 	var (
 		retry   backoff
 		readers cacheReaders
 	)
-	every := part(n.settings().Bounds.Drain, listPart)
-	seen := make(map[netip.AddrPort]int64)
 	for ctx.Err() == nil {
+		readers.follow(ctx, n, n.list.get())
+		if n.relays.follows() {
+			pause(ctx, followPause)
+			continue
+		}
+		begun := time.Now()
 		read, err := n.store.Targets(ctx)
 		if ctx.Err() != nil {
 			return
@@ -130,28 +136,34 @@
 			continue
 		}
 		retry.ok()
-		list := n.list.merge(time.Now(), read)
-		n.takeList(list, seen)
-		readers.follow(ctx, n, list)
-		if !pause(ctx, n.jitter(every)) {
+		n.takeEntries(begun, read)
+		if !pause(ctx, n.jitter(n.listTime())) {
 			return
 		}
 	}
 }
 
-// takeList gives the board the targets, and what those said that showed a sign of life since.
-func (n *Node) takeList(list []Target, seen map[netip.AddrPort]int64) {
+// listTime is the time between two reads of the list.
+func (n *Node) listTime() time.Duration {
+	if n.relays.leads() {
+		return part(n.settings().Bounds.Drain, relayListPart)
+	}
+	return part(n.settings().Bounds.Drain, listPart)
+}
+
+// takeEntries takes a reading of the list that began at a time, and gives the board
+// the targets and what those said that showed a sign of life since.
+func (n *Node) takeEntries(at time.Time, read []route.Entry) {
+	list := n.list.merge(time.Now(), read)
+	n.relays.told(at, list)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		all := make([]route.Seen, 0, len(list))
 		for _, t := range list {
 			all = append(all, t.Seen)
 		}
 		out := b.Targets(now, all)
-		for _, t := range list {
-			if seen[t.Seen.Addr] != t.Revision {
-				seen[t.Seen.Addr] = t.Revision
-				out = append(out, b.Report(now, t.Seen.Addr, t.Report)...)
-			}
+		for _, t := range n.list.alive(list) {
+			out = append(out, b.Report(now, t.Seen.Addr, t.Report)...)
 		}
 		return out
 	})
@@ -159,13 +171,29 @@
 	n.duty.poke()
 }
 
+// alive returns the targets that showed a sign of life since the last call.
+func (l *targetList) alive(list []route.Entry) []route.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []route.Entry
+	beats := make(map[netip.AddrPort]int64, len(list))
+	for _, t := range list {
+		if l.beats[t.Seen.Addr] != t.Revision {
+			out = append(out, t)
+		}
+		beats[t.Seen.Addr] = t.Revision
+	}
+	l.beats = beats
+	return out
+}
+
 // shareConns divides the connections that each target takes by the nodes.
-func (n *Node) shareConns(list []Target) {
+func (n *Node) shareConns(list []route.Entry) {
 	snap := n.snapshot()
 	if snap == nil {
 		return
 	}
-	nodes := 1 + len(n.gossip.Live())
+	nodes, _ := n.relays.size()
 	conns := make(map[netip.AddrPort]int, len(list))
 	for _, t := range list {
 		if p, ok := snap.Pool(t.Seen.Labels[labelPool]); ok && p.MaxConns > 0 {
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -11,15 +11,15 @@
 	"github.com/pathhead/pathhead/route"
 )
 
-func listed(addr, incarnation string, revision int64) Target {
-	return Target{
+func listed(addr, incarnation string, revision int64) route.Entry {
+	return route.Entry{
 		Seen:     route.Seen{Addr: netip.MustParseAddrPort(addr)},
 		Report:   route.Report{Incarnation: incarnation},
 		Revision: revision,
 	}
 }
 
-func incarnations(ts []Target) []string {
+func incarnations(ts []route.Entry) []string {
 	var out []string
 	for _, t := range ts {
 		out = append(out, t.Report.Incarnation)
@@ -33,19 +33,19 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []Target{a, b})))
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []route.Entry{a, b})))
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []Target{a})), "a missing entry is gone")
-	l.merge(now, []Target{a, b})
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []route.Entry{a})), "a missing entry is gone")
+	l.merge(now, []route.Entry{a, b})
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []Target{a})), "the store was away")
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []route.Entry{a})), "the store was away")
 	now = now.Add(relistTime)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []Target{a})))
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []route.Entry{a})))
 	newer := listed("10.0.0.1:80", "a2", 9)
-	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, []Target{newer, a})))
-	l.setFixed([]Target{listed("10.0.0.9:80", "store", 1)})
-	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, []Target{newer})))
+	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, []route.Entry{newer, a})))
+	l.setFixed([]route.Entry{listed("10.0.0.9:80", "store", 1)})
+	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, []route.Entry{newer})))
 	require.True(t, l.has(netip.MustParseAddrPort("10.0.0.9:80")))
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -64,6 +64,16 @@
 	})
 	n.metrics.NewGauge("pathhead_requests_in_flight", func() float64 { return float64(n.Calls()) })
 	n.metrics.NewGauge("pathhead_peers_live", func() float64 { return float64(len(n.gossip.Live())) })
+	n.metrics.NewGauge("pathhead_nodes", func() float64 {
+		nodes, _ := n.relays.size()
+		return float64(nodes)
+	})
+	n.metrics.NewGauge("pathhead_relays", func() float64 {
+		if n.relays.leads() {
+			return 1
+		}
+		return 0
+	})
 	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(len(n.list.get())) })
 	n.metrics.NewGauge("pathhead_gossip_bytes", func() float64 {
 		sent, read := n.peers.Traffic()
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,9 @@
 	limits   Limits
 	list     targetList
 	duty     *duty
+	relays   *relays
+	// smallFleet is the size of fleet up to which all nodes talk to each other.
+	smallFleet int
 	// metricsAddr is where the counters are served, invalid for nowhere.
 	metricsAddr netip.AddrPort
 	metricsPath string
@@ -80,6 +83,16 @@
 	return func(n *Node) { n.placement = p }
 }
 
+// DefaultSmallFleet is the size of fleet up to which all nodes talk to each other
+// and read the store: gossip with a few peers at a time tells of 16 within a second.
+const DefaultSmallFleet = 16
+
+// WithSmallFleet sets the size of fleet up to which all nodes talk to each other
+// and read the store; in a larger one a few relay for the others.
+func WithSmallFleet(nodes int) Option {
+	return func(n *Node) { n.smallFleet = nodes }
+}
+
 // The times of gossip.
 const (
 	// gossipEvery is the time between two rounds with a few peers.
@@ -108,6 +121,8 @@
 		adoption:  fleet.NewAdoption(part(s.Bounds.Revoke, revokePart), false),
 		placement: route.Predict,
 		limits:    defaultLimits,
+
+		smallFleet: DefaultSmallFleet,
 	}
 	n.set.Store(&s)
 	n.adoption.Strict()
@@ -134,6 +149,7 @@
 		Payload: n.payload, Heard: n.heard,
 	}, n.peers, n.events)
 	n.duty = newDuty(n)
+	n.relays = newRelays(n, n.smallFleet)
 	n.gauges()
 	return n, nil
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -11,12 +11,28 @@
 
 // gossipLoop exchanges with a few peers each round and gives the board what they told.
 func (n *Node) gossipLoop(ctx context.Context) {
-	for pause(ctx, n.jitter(n.gossip.Period(gossipEvery))) {
-		n.gossip.Round(ctx)
+	every := gossipEvery
+	for pause(ctx, n.jitter(every)) {
+		if _, large := n.relays.size(); large {
+			n.relays.round(ctx)
+			every = relayEvery
+		} else {
+			n.gossip.Round(ctx)
+			every = n.gossip.Period(gossipEvery)
+		}
 		n.tellBoard()
 	}
 }
 
+// tellEveryone tells all nodes at once what this one says of itself.
+func (n *Node) tellEveryone(ctx context.Context) {
+	if _, large := n.relays.size(); large {
+		n.gossip.Tell(ctx, n.relays.everyone())
+		return
+	}
+	n.gossip.Sweep(ctx)
+}
+
 // payload is what the node says of itself.
 func (n *Node) payload(now time.Time) peer.Payload {
 	n.Lock()
@@ -27,6 +43,8 @@
 		Kind:     peer.KindRouter,
 		Draining: n.stopping.Load(),
 		Door:     n.settings().Operators,
+		Zone:     n.settings().Zone,
+		Power:    n.settings().Power,
 		Word:     n.adoption.Word(now),
 		State:    state,
 	}
@@ -53,18 +71,27 @@
 	return n.document, n.document.Revision > 0
 }
 
-// tellBoard gives the board the states of the live peers.
+// tellBoard gives the board the states of the live peers: each one's own, or in a
+// large fleet the joined one that relays tell. Holds come from their holder alone.
 func (n *Node) tellBoard() {
+	nodes, large := n.relays.size()
 	states := make(map[string]route.PeerState)
 	held := make(map[route.Mark]bool)
 	var loaded []route.WeightsWord
 	for _, e := range n.gossip.Live() {
-		states[e.ID] = e.Payload.State
+		if !large {
+			states[e.ID] = e.Payload.State
+		}
 		for _, m := range e.Payload.State.Holds {
 			held[m] = true
 		}
 		loaded = append(loaded, e.Payload.State.Loaded...)
 	}
+	if large {
+		others := n.relays.others()
+		states[allOthers] = others
+		loaded = append(loaded, others.Loaded...)
+	}
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		holds, own := n.duty.told()
 		for _, m := range holds {
@@ -75,8 +102,14 @@
 			out = append(out, b.Loaded(now, w)...)
 		}
 		b.Hold(held)
-		return append(out, b.Peers(now, states, 1+max(len(states), len(n.settings().Seeds)-1))...)
+		return append(out, b.Peers(now, states, max(nodes, len(n.settings().Seeds)))...)
 	})
 }
 
-var _ peer.Handler = (*Node)(nil)
+// allOthers names the joined state of all other nodes among those of single ones.
+const allOthers = "all others"
+
+var (
+	_ peer.Handler      = (*Node)(nil)
+	_ peer.RelayHandler = (*Node)(nil)
+)
--- a/node/ports.go
+++ b/node/ports.go
@@ -80,7 +80,7 @@
 	// Limits bound what callers may send.
 	Limits Limits
 	// Fixed are targets that stand in the configuration and on no list.
-	Fixed []Target
+	Fixed []route.Entry
 }
 
 // Limits bound a caller's connection.
@@ -111,14 +111,6 @@
 // ErrHistoryGone says that a watch has to begin anew.
 var ErrHistoryGone = errs.Tag("the store's history does not reach back that far")
 
-// Target is one entry of the list of targets.
-type Target struct {
-	Seen   route.Seen
-	Report route.Report
-	// Revision grows with each sign of life of the target.
-	Revision int64
-}
-
 // Store is the installation's store.
 type Store interface {
 	fleet.Table
@@ -128,7 +120,7 @@
 	// Parse reads a configuration's text, as a peer passed it on.
 	Parse(revision int64, text string) (*Declared, error)
 	// Targets reads the list of targets.
-	Targets(ctx context.Context) ([]Target, error)
+	Targets(ctx context.Context) ([]route.Entry, error)
 }
 
 // TargetState is what a target says of itself when it is asked.
--- a/node/settings.go
+++ b/node/settings.go
@@ -26,6 +26,8 @@
 	// Memory is the process's limit in bytes, Files its limit of descriptors.
 	Memory int64
 	Files  int
+	// Power is the processor that the VM has, in cores.
+	Power  float64
 	Bounds Bounds
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/netip"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -34,8 +35,12 @@
 		cursor int64
 		retry  backoff
 	)
-	hold := part(n.settings().Bounds.Revoke, watchPart)
 	for ctx.Err() == nil {
+		if n.relays.follows() {
+			pause(ctx, followPause)
+			continue
+		}
+		hold := n.watchTime()
 		begun := time.Now()
 		changes, err := n.store.Watch(ctx, cursor, hold)
 		switch {
@@ -64,6 +69,18 @@
 	}
 }
 
+// followPause is how often a node to which a relay tells what the store says looks
+// whether it still does.
+const followPause = 100 * time.Millisecond
+
+// watchTime is how long a watch is held.
+func (n *Node) watchTime() time.Duration {
+	if n.relays.leads() {
+		return part(n.settings().Bounds.Revoke, relayWatchPart)
+	}
+	return part(n.settings().Bounds.Revoke, watchPart)
+}
+
 // take puts what a watch brought in force.
 func (n *Node) take(begun time.Time, c Changes) {
 	if c.Rejected != nil {
@@ -79,15 +96,16 @@
 	}
 	n.Unlock()
 	for _, name := range c.Named {
-		n.named(name)
+		n.named(time.Now(), name)
 	}
 }
 
-func (n *Node) named(name Naming) {
+// named takes the news that weights were named, as was known at a time.
+func (n *Node) named(at time.Time, name Naming) {
 	fresh := false
-	n.Do(func(b *route.Board, now time.Time) []route.Action {
+	n.Do(func(b *route.Board, _ time.Time) []route.Action {
 		before := b.NewestWeights(name.Model)
-		b.Name(now, name.Model, name.Weights)
+		b.Name(at, name.Model, name.Weights)
 		fresh = b.NewestWeights(name.Model) != before
 		return nil
 	})
@@ -143,17 +161,23 @@
 		return
 	}
 	for _, addr := range n.gossip.Sweep(ctx) {
-		d, err := n.peers.Config(ctx, addr, n.settings().Name)
-		if err != nil {
-			continue
-		}
-		declared, err := n.store.Parse(d.Revision, d.Text)
-		if err != nil {
-			n.events.Record(event.Event{Code: event.ConfigRejected, Revision: d.Revision, Detail: err.Error()})
-			continue
-		}
-		n.adopt(*declared, "peer "+addr.String())
+		n.fetchFrom(ctx, addr)
+	}
+}
+
+// fetchFrom takes the configuration of a peer, if it is newer.
+func (n *Node) fetchFrom(ctx context.Context, addr netip.AddrPort) {
+	d, err := n.peers.Config(ctx, addr, n.settings().Name)
+	if err != nil {
+		n.log.Debug("a peer gave no configuration", "peer", addr, "error", err)
+		return
+	}
+	declared, err := n.store.Parse(d.Revision, d.Text)
+	if err != nil {
+		n.events.Record(event.Event{Code: event.ConfigRejected, Revision: d.Revision, Detail: err.Error()})
+		return
 	}
+	n.adopt(*declared, "peer "+addr.String())
 }
 
 // storeState notes whether the store answers.
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -34,6 +34,8 @@
 	view *fleet.View[Payload]
 	rng  *rand.Rand
 	last time.Time
+	// quiet says that peers seen and lost are no events.
+	quiet bool
 }
 
 // GossipConfig describes a process that gossips.
@@ -94,6 +96,20 @@
 	g.view.SetSeeds(seeds)
 }
 
+// SetQuiet makes peers that are seen and lost no events: in a fleet whose processes
+// do not all talk to each other that says nothing.
+func (g *Gossip) SetQuiet(quiet bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.quiet = quiet
+}
+
+// Tell exchanges with the processes at the addresses.
+func (g *Gossip) Tell(ctx context.Context, addrs []netip.AddrPort) { g.exchangeAll(ctx, addrs) }
+
+// Expire notes which peers were lost, where no rounds do.
+func (g *Gossip) Expire() { g.expire() }
+
 // Sweep exchanges with every seed and live peer, and returns their addresses.
 func (g *Gossip) Sweep(ctx context.Context) []netip.AddrPort {
 	g.mu.Lock()
@@ -133,6 +149,9 @@
 	g.rec.Clock().Observe(in.Stamp)
 	g.mu.Lock()
 	joined := g.view.Merge(time.Now(), in.Entries)
+	if g.quiet {
+		joined = nil
+	}
 	g.mu.Unlock()
 	for _, id := range joined {
 		g.rec.Record(event.Event{Code: event.PeerSeen, Detail: id})
@@ -156,6 +175,9 @@
 	g.mu.Lock()
 	now := time.Now()
 	lost := g.view.Expire(g.last, now)
+	if g.quiet {
+		lost = nil
+	}
 	g.last = now
 	g.mu.Unlock()
 	for _, id := range lost {
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -28,8 +28,11 @@
 	Kind     string
 	Draining bool
 	Door     netip.AddrPort // the operators' door
-	Word     fleet.PeerWord
-	State    route.PeerState
+	// Zone is the failure domain the process stands in, Power how much work it can take beside others.
+	Zone  string
+	Power float64
+	Word  fleet.PeerWord
+	State route.PeerState
 }
 
 // Entry is one process's entry in gossip.
--- /dev/null
+++ b/peer/relay.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
+)
+
+// RelayReport is what a process of a large fleet tells a relay.
+type RelayReport struct {
+	Stamp event.Stamp
+	Word  fleet.Word[route.PeerState]
+	// Config is the reporter's word on the configuration.
+	Config fleet.PeerWord
+	// Asks says that the reporter wants news, after what Known has of them.
+	Asks  bool
+	Known RelayCursor
+	// Digest names the members that the reporter was told of last.
+	Digest uint64
+}
+
+// RelayCursor says how much of a relay's news a process has; one of another epoch has none.
+type RelayCursor struct {
+	Epoch   int64
+	Entries int64
+	Beats   int64
+	Parts   int64
+}
+
+// RelayAnswer is a relay's answer to a report.
+type RelayAnswer struct {
+	Stamp event.Stamp
+	Word  fleet.Word[route.PeerState]
+	// Whole says that the word speaks for everyone but the reporter.
+	Whole bool
+	// Digest names the word's members; they are left out where the reporter knows them.
+	Digest uint64
+	Same   bool
+	Config fleet.PeerWord
+	Named  []Named
+	News   *RelayNews
+}
+
+// Named says that weights of a model are the newest, and how long that has been known.
+type Named struct {
+	Model   string
+	Weights string
+	Age     time.Duration
+}
+
+// RelayNews is what changed at a relay since a cursor.
+type RelayNews struct {
+	Cursor RelayCursor
+	// ListAge is how long ago the reading of the list of targets began that this is as of.
+	ListAge time.Duration
+	// Entries are changes of what the list says, Beats the signs of life of targets
+	// whose entry says nothing new; Full ones replace what was told before.
+	Entries     []route.Change[netip.AddrPort, route.Entry]
+	EntriesFull bool
+	Beats       []route.Change[netip.AddrPort, int64]
+	BeatsFull   bool
+	Parts       route.PartsNews
+}
+
+// RelayHandler answers the reports of a large fleet's processes; a [Handler] may be one.
+type RelayHandler interface {
+	Relay(in RelayReport) RelayAnswer
+}
+
+// Relay answers a report.
+func (s peerService) Relay(in *RelayReport, out *RelayAnswer) error {
+	h, ok := s.handler.(RelayHandler)
+	if !ok {
+		return errors.New("this process relays nothing")
+	}
+	*out = h.Relay(*in)
+	return nil
+}
+
+// Relay reports to the process at addr.
+func (p *Client) Relay(ctx context.Context, addr netip.AddrPort, in RelayReport) (RelayAnswer, error) {
+	var out RelayAnswer
+	err := p.call(ctx, addr, "Relay", &in, &out)
+	return out, err
+}
