route: shared and hot parts over the fleet, what a prompt displaces, retries of large fleets

Cause: in a large fleet only few requests for a part come to one node, so it knew neither who holds it nor that it is hot: a hot part's home got what all nodes sent in the half second before loads were told. The part of the retry reserve of one of 69 nodes is below one, so nothing was retried in the first window. What a request brings displaced what many ask for, wherever it ran. Change: ids of shared parts and rates of last parts are joined over the fleet; a hot part has several homes and each request draws one; a request pays for what it displaces, by the part of an engine's memory that has the only copy of something shared; parts of retries are rounded up by chance and counted from the adoption of the first configuration.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -164,6 +164,7 @@
 			b.moves.level -= float64(c.fetched - c.trusted)
 		}
 		a.Save = b.considerSave(now, c, r)
+		b.countShared(now, r)
 		b.expectFill(now, c)
 	}
 	r.attempt = a
--- a/route/board.go
+++ b/route/board.go
@@ -29,6 +29,8 @@
 	beliefs  *beliefs
 	// partHolders finds targets by the parts that their events say they hold.
 	partHolders partIndex
+	shared      sharedParts
+	hot         hotParts
 	// firstParts measures how often prompts begin with a part.
 	firstParts *generations[Block, meter]
 	fills      []Fill
@@ -40,8 +42,12 @@
 	// saves bounds what this router has engines save to a store.
 	saves bucket
 	// moves bounds what moves over a store's link, in tokens.
-	moves     bucket
-	routers   int
+	moves   bucket
+	routers int
+	// begun is when the first configuration was adopted, rounding the part of one
+	// retry that this router's part of the reserve is rounded up by.
+	begun     time.Time
+	rounding  float64
 	peers     map[string]PeerState
 	closed    *Refusal
 	round     uint64
@@ -122,6 +128,8 @@
 		beliefs:  newBeliefs(),
 
 		partHolders: make(partIndex),
+		shared:      newSharedParts(),
+		hot:         newHotParts(),
 		firstParts:  newGenerations[Block, meter](homeKept),
 		kept:        newGenerations[Block, keptPrefix](keptEntries),
 		routers:     1,
@@ -134,6 +142,7 @@
 	for _, opt := range opts {
 		opt(b)
 	}
+	b.rounding = b.rng.Float64()
 	return b
 }
 
@@ -144,6 +153,9 @@
 	if b.snap != nil && snap.Revision < b.snap.Revision {
 		return nil
 	}
+	if b.begun.IsZero() {
+		b.begun = now
+	}
 	b.snap = snap
 	clear(b.serving)
 	b.adoptPools(now)
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -8,13 +8,32 @@
 // The bounds of fetching cached parts from another target: how many tokens it
 // must save, and what it takes besides the transfer, which is the engines' set-up
 // time of 3 to 5 ms on the users' sites. displacePart is the part of the fetched
-// tokens that a copy is taken to displace and that will be wanted again.
+// tokens that a copy is taken to displace and that will be wanted again, at an
+// engine of which nothing better is known.
 const (
 	fetchLeast   = 48
 	fetchSetup   = 5 * time.Millisecond
 	displacePart = 1.5
 )
 
+// displaceCost is what a token costs that is wanted again and was displaced, in
+// times that an engine takes to read it: the reading, and the wait of others.
+const displaceCost = 2
+
+// displaces is what a request costs by displacing what the engine holds. All that
+// it brings there takes room: what it reads, fetches and makes. The more of the
+// engine's memory has parts that no other engine holds, the more of that is
+// missed. So prompts with a long part of their own run where little is kept and
+// fetch what they share, and what many share stays where it is kept.
+func (b *Board) displaces(now time.Time, c *candidate, p *pool, r *request) time.Duration {
+	if !c.target.parts.known(now) || p.compiled.CacheTokens == 0 {
+		return seconds(displacePart * float64(max(0, c.fetched-c.trusted)) / c.target.rate() / b.uses(r, p))
+	}
+	brought := float64(r.size() - c.trusted)
+	missed := min(1, float64(c.target.parts.only)/float64(p.compiled.CacheTokens))
+	return seconds(displaceCost * missed * brought / c.target.rate())
+}
+
 // considerFetches lets candidates fetch what the best holder has beyond their own.
 func (b *Board) considerFetches(now time.Time, cs []candidate, p *pool, r *request) {
 	if !p.compiled.Fetches {
@@ -38,9 +57,20 @@
 		}
 		if c.fetched > 0 && c.fetchFrom != storeAddr(store) {
 			fetched := float64(c.fetched - c.trusted)
-			c.transfer = fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate)) + seconds(displacePart*fetched/c.target.rate())
+			c.transfer = fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate))
 		}
+		c.extra += b.displaces(now, c, p, r)
+	}
+}
+
+// uses is how often a copy of a request's shared parts will be used at one engine
+// while it counts as wanted: what a copy displaces is paid for by all its uses.
+func (b *Board) uses(r *request, p *pool) float64 {
+	if r.homes.rate < hotRate {
+		return 1
 	}
+	horizon := time.Duration(b.snap.Config.Placement.Horizon).Seconds()
+	return max(1, r.homes.rate*horizon/float64(min(r.homes.engines, len(p.members))))
 }
 
 // assumeHolders stands in for events where there are more routers than an engine
@@ -86,7 +116,7 @@
 	}
 	c.fetchFrom, c.fetched = store.addr, held
 	moved := float64(held - c.trusted)
-	c.transfer = fetchSetup + seconds(moved/b.storeRate(p)) + seconds(displacePart*moved/c.target.rate())
+	c.transfer = fetchSetup + seconds(moved/b.storeRate(p))
 }
 
 // storeRate is the rate of the link of the store that a pool's engines use, in tokens per second.
--- a/route/homes.go
+++ b/route/homes.go
@@ -19,6 +19,10 @@
 	// size is how many engines the first part's set has; it is 0 for a prompt
 	// without shared parts, which has no homes.
 	size float64
+	// rate is how often all routers together get requests with this last shared
+	// part, engines over how many engines it is spread for that.
+	rate    float64
+	engines int
 }
 
 // The size of a first part's set: how many requests a second one engine is to get
@@ -43,6 +47,12 @@
 	seed := xxh3.HashString(r.Salt("").String())
 	r.homes.first = xxh3.HashStringSeed(r.Parts[0].ID, seed)
 	r.homes.last = xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, seed)
+	r.homes.rate = b.hot.count(now, Block(r.homes.last))
+	r.homes.engines = spread(r.homes.rate, b.ownPrefill(r))
+	if n := r.homes.engines; n > 1 {
+		// Each of the requests has one of n engines as its home.
+		r.homes.last = mix(r.homes.last + uint64(b.rng.IntN(n)))
+	}
 	m := b.firstParts.use(Block(r.homes.first))
 	if m.over == 0 {
 		*m = newMeter(homeWindow)
@@ -52,6 +62,15 @@
 	r.homes.size = homeLeast + rate/homeRate
 }
 
+// ownPrefill is how long the request's own part takes an engine of its pool.
+func (b *Board) ownPrefill(r *request) time.Duration {
+	rate := float64(defaultPrefillRate)
+	if p := b.pools[r.Pool]; p != nil && len(p.members) > 0 {
+		rate = p.members[0].rate()
+	}
+	return seconds(float64(r.Parts[len(r.Parts)-1].Tokens) / rate)
+}
+
 // rank orders an engine of a pool of n for the prompt.
 func (h homes) rank(n int, t *target) uint64 {
 	rank := mix(h.last ^ t.hash)
--- /dev/null
+++ b/route/hot.go
@@ -0,0 +1,111 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// PartRate is how often prompts end their shared parts with one part, in requests per second.
+type PartRate struct {
+	// Part names the part and who shares it, whatever the weights.
+	Part uint64
+	Rate float64
+}
+
+// hotParts measures how often prompts are about the same thing: the last part that
+// they share. One that is asked for more often than one engine should serve is
+// spread over several, the same way on every router.
+type hotParts struct {
+	own *generations[Block, meter]
+	// others are the rates at the peers, of the parts that are hot there together.
+	others map[Block]float64
+}
+
+// The bounds of hot parts: the time over which a rate is measured, the number of
+// parts measured and of those told of, the rate from which a part is hot, and the
+// part of an engine's time that the prefills of one may take.
+const (
+	hotWindow = 4 * time.Second
+	hotKept   = 1 << 12
+	maxHot    = 32
+	hotRate   = 1.5
+	hotShare  = 0.2
+	// leastTold is the rate below which a router tells nothing: one request a window ago.
+	leastTold = 0.09
+)
+
+func newHotParts() hotParts {
+	return hotParts{own: newGenerations[Block, meter](hotKept), others: make(map[Block]float64)}
+}
+
+// count counts a request and returns the rate of its last shared part over all routers.
+func (h *hotParts) count(now time.Time, part Block) float64 {
+	m := h.own.use(part)
+	if m.over == 0 {
+		*m = newMeter(hotWindow)
+	}
+	m.add(now, 1)
+	return m.level(now) + h.others[part]
+}
+
+// told returns the rates to tell peers of.
+func (h *hotParts) told(now time.Time) []PartRate {
+	var out []PartRate
+	for part, m := range h.own.young {
+		if rate := m.level(now); rate > leastTold {
+			out = append(out, PartRate{uint64(part), rate})
+		}
+	}
+	return mostAsked(out)
+}
+
+func mostAsked(rates []PartRate) []PartRate {
+	slices.SortFunc(rates, func(a, b PartRate) int {
+		return cmp.Or(cmp.Compare(b.Rate, a.Rate), cmp.Compare(a.Part, b.Part))
+	})
+	return rates[:min(len(rates), maxHot)]
+}
+
+// Hottest returns those of a fleet's joined rates that are hot.
+func Hottest(rates []PartRate) []PartRate {
+	return mostAsked(slices.DeleteFunc(slices.Clone(rates), func(r PartRate) bool { return r.Rate < hotRate/2 }))
+}
+
+// merge takes the rates that peers told.
+func (h *hotParts) merge(states map[string]PeerState) {
+	clear(h.others)
+	for _, s := range states {
+		for _, r := range s.Hot {
+			h.others[Block(r.Part)] += r.Rate
+		}
+	}
+}
+
+// spread returns over how many engines a part of this rate is spread, where a
+// request's own part takes an engine so long.
+func spread(rate float64, prefill time.Duration) int {
+	if rate < hotRate {
+		return 1
+	}
+	return max(1, int(math.Ceil(rate*prefill.Seconds()/hotShare)))
+}
+
+// hotDetour is what a request about a hot part pays for any engine but its home.
+// The loads that are told of are old: without it, all routers would send what they
+// get in the meantime to the engine that was the least loaded.
+const hotDetour = 40 * time.Millisecond
+
+// keepHome prices the candidates that are not the home of a request about a hot part.
+func keepHome(cs []candidate, r *request) {
+	if r.homes.engines <= 1 || len(cs) == 0 {
+		return
+	}
+	home := slices.MaxFunc(cs, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) }).rank
+	for i := range cs {
+		if cs[i].rank != home {
+			cs[i].extra += hotDetour
+		}
+	}
+}
--- a/route/limit.go
+++ b/route/limit.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -99,11 +101,17 @@
 
 // PeerState is what a router tells its peers; every list is bounded.
 type PeerState struct {
+	// Speaks is the number of routers that the state is of; zero stands for one.
+	Speaks   int
 	Revision int64
 	Leaving  []Mark
 	Loads    []Load
 	Demands  []Demand
 	Fills    []Fill
+	// Hot are the parts that prompts are asked about most.
+	Hot []PartRate
+	// Shared are the hashed ids of parts that were seen to be shared lately.
+	Shared []uint64
 	// Kept are the prefixes that this router stored last.
 	Kept []Kept
 	// Holds are the targets that a pool's lease holder is emptying before an order.
@@ -145,6 +153,49 @@
 	fillsKept  = 2 * time.Second
 )
 
+func (s PeerState) speaks() int { return max(1, s.Speaks) }
+
+// Join joins the states of several routers into one.
+func Join(states []PeerState) PeerState {
+	var out PeerState
+	loads := make(map[Mark]Load)
+	demands := make(map[string]float64)
+	leaving := make(map[Mark]bool)
+	loaded := make(map[WeightsWord]bool)
+	hot := make(map[uint64]float64)
+	for _, s := range states {
+		out.Shared = append(out.Shared, s.Shared...)
+		for _, r := range s.Hot {
+			hot[r.Part] += r.Rate
+		}
+		out.Speaks += s.speaks()
+		out.Revision = max(out.Revision, s.Revision)
+		for _, l := range s.Loads {
+			sum := loads[l.Target]
+			loads[l.Target] = Load{l.Target, sum.InFlight + l.InFlight, sum.Prefill + l.Prefill, sum.Tokens + l.Tokens}
+		}
+		for _, d := range s.Demands {
+			demands[d.Org] += d.Rate
+		}
+		for _, m := range s.Leaving {
+			leaving[m] = true
+		}
+		for _, w := range s.Loaded {
+			loaded[w] = true
+		}
+	}
+	out.Loads = slices.Collect(maps.Values(loads))
+	out.Leaving = slices.Collect(maps.Keys(leaving))
+	out.Loaded = slices.Collect(maps.Keys(loaded))
+	for part, rate := range hot {
+		out.Hot = append(out.Hot, PartRate{part, rate})
+	}
+	for org, rate := range demands {
+		out.Demands = append(out.Demands, Demand{org, rate})
+	}
+	return out
+}
+
 // State returns what this router tells its peers.
 func (b *Board) State(now time.Time) PeerState {
 	s := PeerState{Revision: b.Revision(), Leaving: b.Marks(), Kept: b.newlyKept}
@@ -159,6 +210,8 @@
 			s.Demands = append(s.Demands, Demand{name, rate})
 		}
 	}
+	s.Hot = b.hot.told(now)
+	s.Shared = b.shared.told(now)
 	b.trimFills(now)
 	for _, f := range b.fills[max(0, len(b.fills)-maxFills):] {
 		f.Age = now.Sub(f.at)
@@ -188,6 +241,8 @@
 	b.mergeLoads(now)
 	b.mergeFills(now, states)
 	b.mergeKept(states)
+	b.hot.merge(states)
+	b.mergeShared(states)
 	b.shareLimits(now)
 	return b.dispatch(now)
 }
@@ -195,11 +250,15 @@
 // forgetPeers keeps the last word of a peer that fell silent while it may still
 // run, so that its part of the limits is not given away.
 func (b *Board) forgetPeers(states map[string]PeerState) {
+	silent := b.routers - 1
+	for _, s := range states {
+		silent -= s.speaks()
+	}
 	for id, s := range b.peers {
 		if _, live := states[id]; live {
 			continue
 		}
-		if len(b.peers) >= b.routers {
+		if silent -= s.speaks(); silent < 0 {
 			delete(b.peers, id)
 			continue
 		}
@@ -248,7 +307,9 @@
 // router that has not been heard of yet is within its part all the same.
 func (b *Board) shareLimits(now time.Time) {
 	total := make(map[string]float64)
+	known := 1
 	for _, s := range b.peers {
+		known += s.speaks()
 		for _, d := range s.Demands {
 			total[d.Org] += d.Rate
 		}
@@ -260,7 +321,7 @@
 		if sum := own + total[name]; sum > 0 {
 			byDemand = own / sum
 		}
-		if len(b.peers)+1 < b.routers {
+		if known < b.routers {
 			byDemand = math.Min(byDemand, even)
 		}
 		o.share = evenPart*even + (1-evenPart)*byDemand
--- a/route/meter.go
+++ b/route/meter.go
@@ -38,6 +38,13 @@
 	return m.value / (m.over.Seconds() * (1 - math.Exp(-float64(seen)/float64(m.over))))
 }
 
+// level is the rate over the time constant, which is low before that has passed:
+// one event alone makes no high rate.
+func (m *meter) level(now time.Time) float64 {
+	m.decay(now)
+	return m.value / m.over.Seconds()
+}
+
 // bucket is a token bucket whose rate may change at any time.
 type bucket struct {
 	level float64
--- a/route/parts.go
+++ b/route/parts.go
@@ -28,6 +28,10 @@
 	tokens map[partKey]int
 	// at is when the events were last read; without that they are no news.
 	at time.Time
+	// relayed says that another router read them.
+	relayed bool
+	// only counts the tokens of shared parts that no other target holds.
+	only int
 }
 
 // The times of a target's events about its cache.
@@ -38,6 +42,9 @@
 	// eventsLag is how long it may take until an event tells of what was sent. On
 	// the users' sites they are told up to 0.2 s late, after the prefill itself.
 	eventsLag = 700 * time.Millisecond
+	// relayedLag is the same for events that another router passed on, which takes
+	// a pause of its reading and one between reports longer.
+	relayedLag = 1700 * time.Millisecond
 )
 
 // PartChanges takes a target's events in their order; anew says that they begin
@@ -51,23 +58,47 @@
 		b.dropParts(t)
 		t.parts.tokens = make(map[partKey]int)
 	}
-	t.parts.at = now
+	t.parts.at, t.parts.relayed = now, false
 	for _, c := range changes {
 		key := keyOfPart(c.Salt, c.ID)
-		if c.Tokens > 0 {
-			t.parts.tokens[key] = c.Tokens
-			b.partHolders.add(key, t)
-			continue
+		shared := b.shared.named(c.ID, key)
+		b.setPart(t, key, c.Tokens, shared)
+		if shared || c.Tokens == 0 {
+			b.shared.held(t, key, c.Tokens)
 		}
+		if len(b.partHolders[key]) == 0 {
+			delete(b.shared.counted, key)
+		}
+	}
+}
+
+// setPart notes how many tokens of a part a target holds.
+func (b *Board) setPart(t *target, key partKey, tokens int, shared bool) {
+	if shared {
+		b.countOnly(key, -1)
+		defer b.countOnly(key, 1)
+	}
+	if tokens > 0 {
+		t.parts.tokens[key] = tokens
+		b.partHolders.add(key, t)
+	} else {
 		delete(t.parts.tokens, key)
 		b.partHolders.remove(key, t)
 	}
 }
 
+// countOnly adds a shared part to, or takes it from, what its only holder alone holds.
+func (b *Board) countOnly(key partKey, sign int) {
+	if holders := b.partHolders[key]; len(holders) == 1 {
+		holders[0].parts.only += sign * holders[0].parts.tokens[key]
+	}
+}
+
 // dropParts forgets what a target's events said.
 func (b *Board) dropParts(t *target) {
 	for key := range t.parts.tokens {
-		b.partHolders.remove(key, t)
+		b.setPart(t, key, 0, b.shared.has(key))
+		b.shared.held(t, key, 0)
 	}
 	t.parts = heldParts{}
 }
--- a/route/place.go
+++ b/route/place.go
@@ -270,6 +270,7 @@
 	}
 	cs = b.weigh(cs, now, r)
 	b.believe(cs, now, r, len(list))
+	keepHome(cs, r)
 	b.considerImports(now, cs, r)
 	b.considerFetches(now, cs, p, r)
 	return cs
@@ -410,7 +411,10 @@
 // trusts reports whether a belief of this age is relied on: only while no event
 // can have told of it, where the target's events are read.
 func (t *target) trusts(now time.Time, age time.Duration) bool {
-	if t.parts.known(now) {
+	switch {
+	case t.parts.known(now) && t.parts.relayed:
+		return age <= relayedLag
+	case t.parts.known(now):
 		return age <= eventsLag
 	}
 	return t.horizon.trusts(age)
--- a/route/retry.go
+++ b/route/retry.go
@@ -11,7 +11,6 @@
 type retryBudget struct {
 	tokens float64
 
-	begun time.Time
 	sent  window
 	spent window
 }
@@ -24,7 +23,9 @@
 // The parts of a stated bound that a router uses. A router that was restarted has
 // forgotten what it spent: until it has lived for a window it uses startPart of
 // its part of the reserve, and reservePart leaves room for that. ratioPart leaves
-// room for requests that the installation counts elsewhere than here.
+// room for requests that the installation counts elsewhere than here. A router's
+// part of a large fleet's reserve may be below one: each rounds up by a part that
+// it draws at its start, so that all together spend what they may.
 const (
 	reservePart = 0.65
 	startPart   = 0.3
@@ -35,9 +36,6 @@
 
 // earnRetry counts a request that is sent for the first time.
 func (b *Board) earnRetry(now time.Time, k *retryBudget) {
-	if k.begun.IsZero() {
-		k.begun = now
-	}
 	q := b.snap.Config.Requests
 	k.tokens = math.Min(k.tokens+q.RetryBudget, defaultRetryReserve)
 	k.sent.add(now, time.Duration(q.RetryWindow))
@@ -55,11 +53,11 @@
 	}
 	over := time.Duration(q.RetryWindow)
 	part := reservePart
-	if now.Sub(k.begun) < over {
+	if now.Sub(b.begun) < over {
 		part = startPart
 	}
 	most := ratioPart*q.RetryBudget*float64(k.sent.count(now, over)) + part*q.RetryReserve/float64(b.routers)
-	if float64(k.spent.count(now, over)+1) > most {
+	if float64(k.spent.count(now, over)+1) > most+b.rounding {
 		return false
 	}
 	k.spent.add(now, over)
--- a/route/retry_test.go
+++ b/route/retry_test.go
@@ -9,9 +9,11 @@
 	"github.com/pathhead/pathhead/policy"
 )
 
-// boundBoard is a board whose configuration states a bound on repeats.
-func boundBoard(routers int) *Board {
+// boundBoard is the board of a router that has just started, whose configuration
+// states a bound on repeats.
+func boundBoard(now time.Time, routers int) *Board {
 	b := NewBoard()
+	b.begun = now
 	b.snap = &policy.Snapshot{Config: &policy.Config{Requests: policy.Requests{
 		RetryBudget: 0.2, RetryReserve: 50, RetryWindow: policy.Duration(10 * time.Second),
 	}}}
@@ -23,8 +25,8 @@
 // router's part of the reserve, also where a restart forgot what was spent.
 func TestRetryBound(t *testing.T) {
 	const routers = 5
-	b := boundBoard(routers)
 	now := time.Unix(1000, 0)
+	b := boundBoard(now, routers)
 	spend := func(k *retryBudget) (n int) {
 		for b.spendRetry(now, k) {
 			n++
@@ -34,6 +36,7 @@
 	k := newRetryBudget()
 	b.earnRetry(now, &k)
 	before := spend(&k)
+	b = boundBoard(now, routers)
 	restarted := newRetryBudget()
 	b.earnRetry(now, &restarted)
 	require.LessOrEqual(t, before+spend(&restarted), 50/routers+1)
@@ -63,3 +66,21 @@
 	require.InDelta(t, 5, w.count(now.Add(5*time.Second), 10*time.Second), 1)
 	require.Zero(t, w.count(now.Add(time.Hour), 10*time.Second))
 }
+
+// Routers whose part of the reserve is less than one spend it together all the same.
+func TestRetryBoundLargeFleet(t *testing.T) {
+	const routers = 400
+	now := time.Unix(1000, 0)
+	total := 0
+	for i := range routers {
+		b := NewBoard(WithSeed(uint64(i)))
+		b.snap = boundBoard(now, 1).snap
+		b.begun, b.routers = now.Add(-time.Minute), routers
+		k := newRetryBudget()
+		for b.spendRetry(now, &k) {
+			total++
+		}
+	}
+	require.LessOrEqual(t, total, 50)
+	require.Greater(t, total, 15, "a tenth of a retry each is some for all")
+}
--- /dev/null
+++ b/route/shared.go
@@ -0,0 +1,228 @@
+package route
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// sharedParts are the parts that prompts share, as far as this router and its
+// peers have seen, with the targets that hold them. In a large fleet a few routers
+// read the targets' events and pass these on; the parts that end a prompt are of
+// no use to any other request, and there are many more of them. A part is known
+// to be shared by its id alone: new weights change what it is kept under.
+type sharedParts struct {
+	ids *generations[partID, sharedPart]
+	// fresh are those that this router saw first itself, to be told of.
+	fresh []freshPart
+	feed  *Feed[heldPart, int]
+	// counted are the keys of shared parts that some target was said to hold.
+	counted map[partKey]bool
+}
+
+// freshPart is a part that was seen to be shared at a time.
+type freshPart struct {
+	id partID
+	at time.Time
+}
+
+// partID names a part under whatever salt.
+type partID uint64
+
+func idOfPart(id string) partID { return partID(xxh3.HashString(id)) }
+
+// sharedPart is what is known of the parts of one id.
+type sharedPart struct {
+	shared bool
+	// keys are those that targets' events named lately.
+	keys []partKey
+}
+
+// heldPart is a part at a target.
+type heldPart struct {
+	target netip.AddrPort
+	key    partKey
+}
+
+// The bounds of what is remembered of parts: how many ids, under how many salts
+// each, and how many new shared ones are told of and for how long, in which all
+// peers hear of them.
+const (
+	sharedKept = 1 << 14
+	keysKept   = 32
+	maxFresh   = 64
+	freshTold  = 2 * time.Second
+)
+
+func newSharedParts() sharedParts {
+	return sharedParts{
+		ids:  newGenerations[partID, sharedPart](sharedKept),
+		feed: NewFeed[heldPart](func(a, b int) bool { return a == b }),
+
+		counted: make(map[partKey]bool),
+	}
+}
+
+// has reports whether a part was counted as shared.
+func (s *sharedParts) has(key partKey) bool { return s.counted[key] }
+
+// named notes that an event named a part, and reports whether the part is shared.
+func (s *sharedParts) named(id string, key partKey) bool {
+	p := s.ids.use(idOfPart(id))
+	if !slices.Contains(p.keys, key) {
+		p.keys = append(p.keys, key)
+		p.keys = p.keys[max(0, len(p.keys)-keysKept):]
+	}
+	if p.shared {
+		s.counted[key] = true
+	}
+	return p.shared
+}
+
+// held tells what a target holds of a shared part.
+func (s *sharedParts) held(t *target, key partKey, tokens int) {
+	if tokens > 0 {
+		s.feed.Set(heldPart{t.addr, key}, tokens)
+		return
+	}
+	s.feed.Drop(heldPart{t.addr, key})
+}
+
+// share notes that parts of an id are shared, and who holds them. It reports
+// whether that is new.
+func (b *Board) share(id partID) bool {
+	p := b.shared.ids.use(id)
+	if p.shared {
+		return false
+	}
+	p.shared = true
+	for _, key := range p.keys {
+		if !b.shared.has(key) {
+			b.shared.counted[key] = true
+			b.countOnly(key, 1)
+		}
+		for _, t := range b.partHolders[key] {
+			b.shared.held(t, key, t.parts.tokens[key])
+		}
+	}
+	return true
+}
+
+// countShared notes the shared parts of a prompt.
+func (b *Board) countShared(now time.Time, r *request) {
+	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
+		if id := idOfPart(part.ID); b.share(id) {
+			b.shared.fresh = append(b.shared.fresh, freshPart{id, now})
+		}
+	}
+}
+
+// told returns the hashed ids of the shared parts that peers may not know yet.
+func (s *sharedParts) told(now time.Time) []uint64 {
+	s.fresh = slices.DeleteFunc(s.fresh, func(f freshPart) bool { return now.Sub(f.at) > freshTold })
+	var out []uint64
+	for _, f := range s.fresh[max(0, len(s.fresh)-maxFresh):] {
+		out = append(out, uint64(f.id))
+	}
+	return out
+}
+
+// mergeShared takes the parts that peers saw to be shared.
+func (b *Board) mergeShared(states map[string]PeerState) {
+	for _, s := range states {
+		for _, id := range s.Shared {
+			b.share(partID(id))
+		}
+	}
+}
+
+// PartsNews is what changed of the shared parts that targets hold.
+type PartsNews struct {
+	// Next is the version to ask for next.
+	Next int64
+	// Full says that the news replaces everything told before.
+	Full    bool
+	Targets []TargetParts
+	// Unread are targets whose events the teller does not read now.
+	Unread []netip.AddrPort
+}
+
+// TargetParts is what changed at one target: keys of parts, and for each the tokens held now.
+type TargetParts struct {
+	Target Mark
+	Keys   []uint64
+	Tokens []int
+}
+
+// PartsSince tells what changed after a version of what was told before.
+func (b *Board) PartsSince(now time.Time, after int64) PartsNews {
+	changes, full := b.shared.feed.Since(after)
+	out := PartsNews{Next: b.shared.feed.Version(), Full: full}
+	byTarget := make(map[netip.AddrPort]*TargetParts)
+	for _, c := range changes {
+		t, ok := b.targets[c.Key.target]
+		if !ok {
+			continue
+		}
+		told := byTarget[t.addr]
+		if told == nil {
+			told = &TargetParts{Target: Mark{t.addr, t.incarnation}}
+			byTarget[t.addr] = told
+		}
+		told.Keys = append(told.Keys, uint64(c.Key.key))
+		told.Tokens = append(told.Tokens, c.Value)
+	}
+	for _, told := range byTarget {
+		out.Targets = append(out.Targets, *told)
+	}
+	for _, t := range b.targets {
+		if !t.parts.known(now) {
+			out.Unread = append(out.Unread, t.addr)
+		}
+	}
+	return out
+}
+
+// TakeParts takes the news of another router that reads the targets' events.
+func (b *Board) TakeParts(now time.Time, news PartsNews) {
+	unread := make(map[netip.AddrPort]bool, len(news.Unread))
+	for _, addr := range news.Unread {
+		unread[addr] = true
+	}
+	for addr, t := range b.targets {
+		if unread[addr] || news.Full {
+			b.dropParts(t)
+		}
+		if unread[addr] {
+			continue
+		}
+		if t.parts.tokens == nil {
+			t.parts.tokens = make(map[partKey]int)
+		}
+		t.parts.at, t.parts.relayed = now, true
+	}
+	for _, told := range news.Targets {
+		t, ok := b.targets[told.Target.Target]
+		if !ok || t.incarnation != told.Target.Incarnation || t.parts.tokens == nil || len(told.Keys) != len(told.Tokens) {
+			continue
+		}
+		for i, key := range told.Keys {
+			b.takePart(t, partKey(key), told.Tokens[i])
+		}
+	}
+}
+
+// takePart notes what another router said that a target holds of a shared part.
+func (b *Board) takePart(t *target, key partKey, tokens int) {
+	if !b.shared.has(key) {
+		b.shared.counted[key] = true
+		b.countOnly(key, 1)
+	}
+	b.setPart(t, key, tokens, true)
+	b.shared.held(t, key, tokens)
+	if len(b.partHolders[key]) == 0 {
+		delete(b.shared.counted, key)
+	}
+}
--- /dev/null
+++ b/route/shared_test.go
@@ -0,0 +1,123 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/zeebo/xxh3"
+)
+
+// What a router that reads the engines' events tells of shared parts lets another
+// place as if it read them itself; parts that end a prompt are not told.
+func TestPartsRelayed(t *testing.T) {
+	reader, other := newPartsBoard(t, 3), newPartsBoard(t, 3)
+	r := other.request("a", append(shared, own)...)
+	salt := r.Salt("1").String()
+	for i := range 3 {
+		reader.holds(testAddr(i), salt)
+	}
+	reader.holds(testAddr(1), salt, append(shared, own)...)
+	other.done(other.ask(r))
+	told := other.b.State(other.now)
+	require.Len(t, told.Shared, len(shared))
+	require.Empty(t, other.b.State(other.now.Add(2*freshTold)).Shared, "all have heard of it")
+
+	news := reader.b.PartsSince(reader.now, 0)
+	require.Empty(t, news.Targets, "nobody said that these are shared")
+	reader.b.Peers(reader.now, map[string]PeerState{"other": told}, 2)
+	news = reader.b.PartsSince(reader.now, news.Next)
+	require.Len(t, news.Targets, 1)
+	require.Len(t, news.Targets[0].Keys, len(shared))
+	other.now = other.now.Add(time.Minute)
+	other.b.TakeParts(other.now, news)
+	a := other.ask(other.request("a", append(shared, Part{"own2", 500})...))
+	require.Equal(t, testAddr(1), a.Target, a.Reason)
+	other.done(a)
+
+	// What the engine drops is told too, and so is an engine that nobody reads any more.
+	reader.holds(testAddr(1), salt, Part{shared[1].ID, 0})
+	news = reader.b.PartsSince(reader.now, news.Next)
+	require.Equal(t, []int{0}, news.Targets[0].Tokens)
+	other.b.TakeParts(other.now, news)
+	require.Equal(t, shared[0].Tokens, other.b.targets[testAddr(1)].parts.leading(newPartsChain(salt, shared)))
+	news.Unread = append(news.Unread, testAddr(1))
+	other.b.TakeParts(other.now, news)
+	require.False(t, other.b.targets[testAddr(1)].parts.known(other.now))
+}
+
+// Joined states say what the single ones say together.
+func TestJoin(t *testing.T) {
+	m := Mark{testAddr(1), "x"}
+	joined := Join([]PeerState{
+		{Loads: []Load{{m, 1, 20, 300}}, Demands: []Demand{{"a", 1}}, Revision: 3},
+		{Speaks: 4, Loads: []Load{{m, 2, 30, 400}}, Demands: []Demand{{"a", 2}}, Leaving: []Mark{m}, Revision: 5},
+	})
+	require.Equal(t, PeerState{
+		Speaks: 5, Revision: 5, Loads: []Load{{m, 3, 50, 700}}, Demands: []Demand{{"a", 3}}, Leaving: []Mark{m},
+	}, joined)
+}
+
+// A part that is asked about far more often than one engine should serve is spread
+// over several, whichever routers its requests come to; the others keep one home.
+func TestHotPartSpreads(t *testing.T) {
+	p := newPartsBoard(t, 40)
+	placed := func(last string) map[string]int {
+		places := make(map[string]int)
+		for range 60 {
+			a := p.ask(p.request("a", shared[0], Part{last, 4000}, own))
+			places[a.Target.String()]++
+			p.done(a)
+			p.now = p.now.Add(time.Second)
+		}
+		return places
+	}
+	require.Len(t, placed("calm"), 1)
+	r := p.request("a", shared[0], Part{"hot", 4000}, own)
+	told := newHotParts()
+	require.Positive(t, told.count(p.now, Block(xxh3.HashStringSeed("hot", xxh3.HashString(r.Salt("").String())))))
+	state := PeerState{Hot: told.told(p.now)}
+	require.Len(t, state.Hot, 1)
+	state.Hot[0].Rate = 60
+	p.b.Peers(p.now, map[string]PeerState{"peer": state}, 2)
+	require.GreaterOrEqual(t, len(placed("hot")), 3)
+	require.Len(t, placed("calm2"), 1)
+}
+
+// A prompt with a long part of its own runs where it displaces nothing that is
+// held there alone, and fetches what it shares; a short one runs where that is held.
+func TestPartsDisplaced(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	r := p.request("a", append(shared, own)...)
+	salt := r.Salt("1").String()
+	kept := append([]Part{{"k1", 9000}, {"k2", 9000}, {"k3", 9000}}, shared...)
+	p.b.Peers(p.now, map[string]PeerState{"peer": {Shared: sharedIDs(kept)}}, 2)
+	p.holds(testAddr(0), salt, kept...)
+	p.holds(testAddr(1), salt)
+	require.Equal(t, 33000, p.b.targets[testAddr(0)].parts.only)
+
+	a := p.ask(p.request("a", append(shared, Part{"long", 9000})...))
+	require.Equal(t, testAddr(1), a.Target, a.Reason)
+	require.Equal(t, testAddr(0), a.Fetch)
+	p.done(a)
+	p.now = p.now.Add(time.Minute)
+	p.holds(testAddr(0), salt)
+	p.holds(testAddr(1), salt)
+	a = p.ask(p.request("a", append(shared, Part{"short", 50})...))
+	require.Equal(t, testAddr(0), a.Target, a.Reason)
+	p.done(a)
+
+	// What two engines hold is not missed at one of them.
+	p.holds(testAddr(1), salt, kept[:3]...)
+	require.Equal(t, 6000, p.b.targets[testAddr(0)].parts.only)
+	p.holds(testAddr(1), salt, Part{"k1", 0})
+	require.Equal(t, 15000, p.b.targets[testAddr(0)].parts.only)
+}
+
+func sharedIDs(parts []Part) []uint64 {
+	var out []uint64
+	for _, part := range parts {
+		out = append(out, uint64(idOfPart(part.ID)))
+	}
+	return out
+}
--- a/route/target.go
+++ b/route/target.go
@@ -34,6 +34,14 @@
 	Leaving bool
 }
 
+// Entry is one entry of a list that also has what the targets report.
+type Entry struct {
+	Seen   Seen
+	Report Report
+	// Revision grows with each sign of life of the target.
+	Revision int64
+}
+
 // Mark says that one incarnation of a target is leaving.
 type Mark struct {
 	Target      netip.AddrPort
--- a/route/weights.go
+++ b/route/weights.go
@@ -59,6 +59,22 @@
 	return list[len(list)-1].weights
 }
 
+// Naming is the newest weights of a model, and when they were named.
+type Naming struct {
+	Weights string
+	At      time.Time
+}
+
+// Namings returns the newest weights of each model that the board was told of.
+func (b *Board) Namings() map[string]Naming {
+	out := make(map[string]Naming, len(b.named))
+	for model, list := range b.named {
+		newest := list[len(list)-1]
+		out[model] = Naming{Weights: newest.weights, At: newest.at}
+	}
+	return out
+}
+
 // replacedAt returns when the first weights newer than the given ones were named.
 func (b *Board) replacedAt(model, weights string) (at time.Time, ok bool) {
 	for _, n := range b.named[model] {
