event: what follows after trouble is in the log too

Change: requests with which something went wrong are remembered, in two sets of 512, and all that follows is told. Conclusion: TestTroubledRequestIsToldWhole, red before.

--- a/event/recorder.go
+++ b/event/recorder.go
@@ -116,8 +116,14 @@
 	ring []Event
 	next int
 	full bool
+	// troubled are the requests with which something went wrong lately, before those
+	// that did so earlier: all that follows is told of them too.
+	troubled, before map[string]bool
 }
 
+// troubledKept is the number of requests after which the older of the two sets is forgotten.
+const troubledKept = 512
+
 // defaultSize is the number of events kept: at 36 requests/s, the share of one
 // node of 390 at 14,000/s, and four events a request it holds about 28 s.
 const defaultSize = 4096
@@ -189,12 +195,13 @@
 // logRequest logs an event of a request. What is not worth a line while all goes
 // well is kept, and told as soon as it does not.
 func (r *Recorder) logRequest(e Event, level slog.Level) {
-	told := level >= slog.LevelInfo
-	if !told && xxh3.HashString(e.Request)%r.sample != 0 {
+	wrong := level >= slog.LevelInfo
+	if !wrong && !r.wentWrong(e.Request) && xxh3.HashString(e.Request)%r.sample != 0 {
 		r.keep(e)
 		return
 	}
-	if told {
+	if wrong {
+		r.noteWrong(e.Request)
 		for _, earlier := range r.takeUntold(e.Request) {
 			r.write(earlier, slog.LevelInfo)
 		}
@@ -204,6 +211,22 @@
 	r.write(e, max(level, slog.LevelInfo))
 }
 
+// wentWrong reports whether something went wrong with a request lately.
+func (r *Recorder) wentWrong(request string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.troubled[request] || r.before[request]
+}
+
+func (r *Recorder) noteWrong(request string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.troubled == nil || len(r.troubled) >= troubledKept {
+		r.before, r.troubled = r.troubled, make(map[string]bool)
+	}
+	r.troubled[request] = true
+}
+
 // takeUntold returns the kept events of a request that were not logged, and notes that they are.
 func (r *Recorder) takeUntold(request string) []Event {
 	r.mu.Lock()
