route: silent targets are told of, the rate of prefill is the pool's where a target is hardly known

Change: targets that gave no sign of life are told of for 1.5 s; where two peers say so, a target is taken out until its next sign of life. A rate is learned without the predicted wait, rises faster than it falls, and stands in for the pool's members that are hardly known. Ruled out: one peer's word alone (its own path may be at fault), and the word of one to which two fifths of all targets are silent. Conclusion: TestSilentByPeers.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -150,7 +150,7 @@
 	if r.tries == 0 {
 		b.earnRetry(now, &p.retries)
 	}
-	a := &attempt{target: c.target, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age}
+	a := &attempt{target: c.target, wait: c.wait, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age}
 	a.Attempt = Attempt{
 		ID: r.newAttempt(), Request: r.ID, Target: c.target.addr, Incarnation: c.target.incarnation,
 		Weights: c.weights, Resume: r.delivered, Fetch: c.fetchFrom, Number: r.tries, Reason: c.reason(r, len(b.scratch)),
@@ -195,7 +195,8 @@
 	}
 	a.first = true
 	a.progress = now
-	a.target.learnRate(a.uncached, now.Sub(a.sent), a.fetched)
+	a.target.answeredAt = now
+	a.target.learnRate(a.uncached, a.wait, now.Sub(a.sent), a.fetched)
 	a.target.prefill -= a.uncached
 	b.recovered(a.target)
 	if a.Salt != "" {
@@ -226,6 +227,7 @@
 		return
 	}
 	a.progress = now
+	a.target.answeredAt = now
 	r.delivered = true
 	r.weights = a.Weights
 }
@@ -251,6 +253,7 @@
 	}
 	a.target.sends.add(now, 1)
 	if o.Kind == OutcomeDone {
+		a.target.answeredAt = now
 		if o.TargetError {
 			a.target.misses.add(now, 1)
 		}
--- a/route/limit.go
+++ b/route/limit.go
@@ -108,6 +108,8 @@
 	Loads    []Load
 	Demands  []Demand
 	Fills    []Fill
+	// Silent are targets that gave no sign of life lately.
+	Silent []SilentWord
 	// Hot are the parts that prompts are asked about most.
 	Hot []PartRate
 	// Shared are the hashed ids of parts that were seen to be shared lately.
@@ -163,8 +165,12 @@
 	leaving := make(map[Mark]bool)
 	loaded := make(map[WeightsWord]bool)
 	hot := make(map[uint64]float64)
+	silent := make(map[Mark]int)
 	for _, s := range states {
 		out.Shared = append(out.Shared, s.Shared...)
+		for _, w := range s.Silent {
+			silent[w.Target] += w.Routers
+		}
 		for _, r := range s.Hot {
 			hot[r.Part] += r.Rate
 		}
@@ -187,6 +193,9 @@
 	out.Loads = slices.Collect(maps.Values(loads))
 	out.Leaving = slices.Collect(maps.Keys(leaving))
 	out.Loaded = slices.Collect(maps.Keys(loaded))
+	for m, n := range silent {
+		out.Silent = append(out.Silent, SilentWord{m, n})
+	}
 	for part, rate := range hot {
 		out.Hot = append(out.Hot, PartRate{part, rate})
 	}
@@ -210,6 +219,7 @@
 			s.Demands = append(s.Demands, Demand{name, rate})
 		}
 	}
+	s.Silent = b.silentTold(now)
 	s.Hot = b.hot.told(now)
 	s.Shared = b.shared.told(now)
 	b.trimFills(now)
@@ -243,6 +253,7 @@
 	b.mergeKept(states)
 	b.hot.merge(states)
 	b.mergeShared(states)
+	b.mergeSilent(now, states)
 	b.shareLimits(now)
 	return b.dispatch(now)
 }
--- a/route/request.go
+++ b/route/request.go
@@ -327,6 +327,8 @@
 	Attempt
 	target *target
 	sent   time.Time
+	// wait is how long the attempt was expected to wait at the target.
+	wait time.Duration
 	// uncached is the prompt's part that the target was expected to prefill, in tokens.
 	uncached int
 	// heldTokens and heldAge are what the target was believed to hold and how old that belief was.
--- a/route/shared_test.go
+++ b/route/shared_test.go
@@ -121,3 +121,30 @@
 	}
 	return out
 }
+
+// A target that several peers found silent gets nothing until it shows a sign of
+// life, unless it answers here; what one peer alone says is its own path's matter.
+func TestSilentByPeers(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	mark := Mark{testAddr(0), "0"}
+	told := func(routers int) {
+		p.b.Peers(p.now, map[string]PeerState{"others": {Speaks: 9, Silent: []SilentWord{{mark, routers}}}}, 10)
+	}
+	usable := func() bool { return p.b.targets[testAddr(0)].usable() }
+	told(1)
+	require.True(t, usable())
+	told(2)
+	require.False(t, usable())
+	p.report(0, "1")
+	require.True(t, usable(), "its entry showed a sign of life")
+	p.b.targets[testAddr(0)].answeredAt = p.now
+	told(2)
+	require.True(t, usable(), "it answered here just now")
+
+	p.now = p.now.Add(time.Minute)
+	p.b.suspect(p.now, p.b.targets[testAddr(0)])
+	require.Equal(t, []SilentWord{{mark, 1}}, p.b.State(p.now).Silent)
+	p.b.suspect(p.now, p.b.targets[testAddr(1)])
+	require.Empty(t, p.b.State(p.now).Silent, "to whom all are silent, that one's path is at fault")
+	require.Empty(t, p.b.State(p.now.Add(2*silentTold)).Silent)
+}
--- /dev/null
+++ b/route/silent.go
@@ -0,0 +1,56 @@
+package route
+
+import "time"
+
+// SilentWord says that a target's machine gave some routers no sign of life lately.
+type SilentWord struct {
+	Target  Mark
+	Routers int
+}
+
+// The bounds of what routers tell of silent targets: for how long, how many must
+// say so, which part of all targets may be silent at once for a router to trust
+// its own path to them, and how long an answer of a target stands against it.
+const (
+	silentTold    = 1500 * time.Millisecond
+	silentRouters = 2
+	silentPart    = 0.4
+	answeredGood  = time.Second
+)
+
+// silentTold returns the targets that were silent to this router lately. One to
+// which many are silent at once tells of none: its own path is at fault.
+func (b *Board) silentTold(now time.Time) []SilentWord {
+	var out []SilentWord
+	listed := 0
+	for _, t := range b.targets {
+		if t.listed {
+			listed++
+		}
+		if !t.silentAt.IsZero() && now.Sub(t.silentAt) < silentTold {
+			out = append(out, SilentWord{Mark{t.addr, t.incarnation}, 1})
+		}
+	}
+	if float64(len(out)) > max(1, silentPart*float64(listed)) {
+		return nil
+	}
+	return out[:min(len(out), maxMarks)]
+}
+
+// mergeSilent takes the targets out that several peers found silent, unless they
+// answered this router in the meantime: each router that found out for itself
+// would pay with a request.
+func (b *Board) mergeSilent(now time.Time, states map[string]PeerState) {
+	silent := make(map[Mark]int)
+	for _, s := range states {
+		for _, w := range s.Silent {
+			silent[w.Target] += w.Routers
+		}
+	}
+	for m, routers := range silent {
+		t, ok := b.targets[m.Target]
+		if ok && t.incarnation == m.Incarnation && routers >= silentRouters && now.Sub(t.answeredAt) > answeredGood {
+			b.takeOut(now, t, "peers had no sign of life of it")
+		}
+	}
+}
--- a/route/target.go
+++ b/route/target.go
@@ -76,13 +76,13 @@
 	held        bool
 	failures    int
 	failing     bool
-	// suspectedAt is when the target last gave no sign of life.
-	suspectedAt time.Time
+	// suspectedAt is when the target was last taken out for giving no sign of life,
+	// silentAt when this router found that itself, answeredAt when it last got an answer.
+	suspectedAt, silentAt, answeredAt time.Time
 	// sends and misses measure the attempts that ended here and those of them that failed.
 	sends, misses meter
-	// learned is the rate of prefill seen in answers, in tokens per second; zero before the first.
-	learned  float64
-	attempts map[string]*attempt
+	prefillRate   learnedRate
+	attempts      map[string]*attempt
 	// prefill is the uncached tokens of attempts that have no first token yet.
 	prefill int
 	// tokens is what this router's attempts take of the target's memory, peerTokens what others' take.
@@ -146,30 +146,61 @@
 	switch {
 	case t.report.PrefillRate > 0:
 		return t.report.PrefillRate
-	case t.learned > 0:
-		return t.learned
+	case t.prefillRate.known():
+		return t.prefillRate.perSecond
+	}
+	for _, p := range t.pools {
+		if p.prefillRate.known() {
+			return p.prefillRate.perSecond
+		}
 	}
 	return defaultPrefillRate
 }
 
-// learnTokens is the least prefill that the rate is learned from: with less, what
-// else an answer takes outweighs it. learnPart is the part of one observation.
+// learnedRate is a rate of prefill that is learned from answers, in tokens per second.
+type learnedRate struct {
+	perSecond float64
+	seen      int
+}
+
+// The bounds of learning a rate: the least prefill that one is learned from, since
+// with less, what else an answer takes outweighs it; the parts of a higher and of a
+// lower observation that are taken over; and the observations needed. An answer
+// that took long mostly waited for others, so the rate falls slowly.
 const (
 	learnTokens = 1500
-	learnPart   = 0.2
+	learnUp     = 0.4
+	learnDown   = 0.05
+	learnLeast  = 3
 )
 
-// learnRate takes the time that an answer's prefill took; one with fetched parts says little.
-func (t *target) learnRate(uncached int, took time.Duration, fetched bool) {
+func (l *learnedRate) known() bool { return l.seen >= learnLeast }
+
+func (l *learnedRate) learn(rate float64) {
+	l.seen++
+	step := learnDown
+	if rate > l.perSecond {
+		step = learnUp
+	}
+	if l.seen == 1 {
+		step = 1
+	}
+	l.perSecond += step * (rate - l.perSecond)
+}
+
+// learnRate takes the time that an answer's prefill took after a wait that was
+// predicted; one with fetched parts says little. A router of a large fleet seldom
+// sends to one target, so the pool's rate stands in for those that it hardly knows.
+func (t *target) learnRate(uncached int, wait, took time.Duration, fetched bool) {
+	took -= min(wait, took/2)
 	if uncached < learnTokens || took <= 0 || fetched {
 		return
 	}
 	rate := float64(uncached) / took.Seconds()
-	if t.learned == 0 {
-		t.learned = rate
-		return
+	t.prefillRate.learn(rate)
+	for _, p := range t.pools {
+		p.prefillRate.learn(rate)
 	}
-	t.learned += learnPart * (rate - t.learned)
 }
 
 // missWindow is the time over which failures count against a target, and
@@ -190,8 +221,14 @@
 	return time.Duration(t.misses.value / (t.sends.value + 1) * float64(missPrice))
 }
 
-// suspect takes a silent target out at once; its next sign of life brings it back.
+// suspect takes a target out at once that this router found silent.
 func (b *Board) suspect(now time.Time, t *target) {
+	t.silentAt = now
+	b.takeOut(now, t, "it gave no sign of life")
+}
+
+// takeOut takes a target out that seems to be dark; its next sign of life brings it back.
+func (b *Board) takeOut(now time.Time, t *target, why string) {
 	t.suspectedAt = now
 	t.failures = max(t.failures, failuresToFail)
 	if t.failing {
@@ -199,7 +236,7 @@
 	}
 	b.version++
 	t.failing = true
-	b.note(event.Event{Code: event.TargetFailing, Target: t.name(), Detail: "it gave no sign of life"})
+	b.note(event.Event{Code: event.TargetFailing, Target: t.name(), Detail: why})
 }
 
 // Targets takes the VM list; targets that are not on it any more get no new work.
