node, peer: a newcomer hears at once that the fleet is large

Change: an exchange names the relays of a large fleet, the newcomer reports to them; in a large fleet an exchange carries holds and new weights alone.

--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -202,6 +202,12 @@
 	return r.members
 }
 
+// Relays returns the relays as this process sees them.
+func (r *Roster[S]) Relays(now time.Time) []Member {
+	r.work(now)
+	return r.relays
+}
+
 // Acting reports whether this process relays now.
 func (r *Roster[S]) Acting(now time.Time) bool {
 	r.work(now)
--- a/node/caches.go
+++ b/node/caches.go
@@ -43,12 +43,13 @@
 		return
 	}
 	wanted := make(map[netip.AddrPort]bool)
+	reads := n.readsCaches()
 	for _, t := range list {
 		p, ok := snap.Pool(t.Seen.Labels[labelPool])
 		if !ok || p.Kind == policy.KindService || p.CacheReaders == 0 {
 			continue
 		}
-		if n.readsCaches(p.CacheReaders) {
+		if reads(p.CacheReaders) {
 			wanted[t.Seen.Addr] = true
 		}
 	}
@@ -68,14 +69,12 @@
 	}
 }
 
-// readsCaches reports whether this node follows targets that take so many readers:
+// readsCaches returns whether this node follows targets that take so many readers:
 // all nodes of a fleet do that are not more, and the relays of a larger one.
-func (n *Node) readsCaches(readers int) bool {
+func (n *Node) readsCaches() func(readers int) bool {
 	nodes, large := n.relays.size()
-	if large {
-		return n.relays.leads()
-	}
-	return nodes <= readers
+	leads := n.relays.leads()
+	return func(readers int) bool { return large && leads || !large && nodes <= readers }
 }
 
 // readCache follows the events of one engine's cache.
--- a/node/node.go
+++ b/node/node.go
@@ -147,6 +147,8 @@
 	n.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed,
 		Payload: n.payload, Heard: n.heard,
+		Relays:      func() []fleet.Member { return n.relays.known() },
+		HeardRelays: func(relays []fleet.Member) { n.relays.heardOf(relays) },
 	}, n.peers, n.events)
 	n.duty = newDuty(n)
 	n.relays = newRelays(n, n.smallFleet)
--- a/node/peers.go
+++ b/node/peers.go
@@ -33,11 +33,15 @@
 	n.gossip.Sweep(ctx)
 }
 
-// payload is what the node says of itself.
+// payload is what the node says of itself. In a large fleet relays tell the most of it.
 func (n *Node) payload(now time.Time) peer.Payload {
+	_, large := n.relays.size()
 	n.Lock()
 	defer n.Unlock()
-	state := n.Board().State(now)
+	var state route.PeerState
+	if !large {
+		state = n.Board().State(now)
+	}
 	state.Holds, state.Loaded = n.duty.told()
 	return peer.Payload{
 		Kind:     peer.KindRouter,
--- a/node/relay.go
+++ b/node/relay.go
@@ -52,6 +52,8 @@
 	roster *fleet.Roster[route.PeerState]
 	large  bool
 	acting bool
+	// largeAt is when the fleet became large.
+	largeAt time.Time
 	// entries and beats are the list as it is told to others, read at listAt.
 	entries *route.Feed[netip.AddrPort, route.Entry]
 	beats   *route.Feed[netip.AddrPort, int64]
@@ -105,7 +107,7 @@
 		r.begin(now, live)
 	}
 	nodes = len(r.roster.Members(now))
-	if float64(max(nodes, 1+len(live))) < smallAgain*float64(r.small) {
+	if now.Sub(r.largeAt) > rosterTimeout && float64(max(nodes, 1+len(live))) < smallAgain*float64(r.small) {
 		r.large = false
 		r.n.gossip.SetQuiet(false)
 	}
@@ -114,13 +116,35 @@
 
 // begin begins to report to relays; the caller holds the lock.
 func (r *relays) begin(now time.Time, live []peer.Entry) {
-	r.large = true
+	r.large, r.largeAt = true, now
 	r.n.gossip.SetQuiet(true)
 	for _, e := range live {
 		r.roster.Hint(now, fleet.Member{ID: e.ID, Addr: e.Addr, Zone: e.Payload.Zone, Epoch: e.Epoch, Power: e.Payload.Power})
 	}
 }
 
+// known returns the relays, if the fleet is large.
+func (r *relays) known() []fleet.Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.large {
+		return nil
+	}
+	return r.roster.Relays(time.Now())
+}
+
+// heardOf takes the relays that a peer told of: the fleet is large, whatever this
+// node has seen of it.
+func (r *relays) heardOf(members []fleet.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if !r.large {
+		r.begin(now, nil)
+	}
+	r.roster.Hint(now, members...)
+}
+
 // follows reports whether a relay tells this node what the store says.
 func (r *relays) follows() bool {
 	r.mu.Lock()
@@ -264,7 +288,9 @@
 	}
 	list, acting, listAt := r.from.list(), r.acting, r.from.listAt
 	r.mu.Unlock()
-	r.n.takeEntries(listAt, list)
+	if len(a.News.Entries) > 0 || len(a.News.Beats) > 0 || acting {
+		r.n.takeEntries(listAt, list)
+	}
 	if !acting {
 		r.n.Lock()
 		defer r.n.Unlock()
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -29,6 +29,8 @@
 	rec     *event.Recorder
 	payload func(now time.Time) Payload
 	heard   func(begun time.Time, w fleet.PeerWord)
+	relays  func() []fleet.Member
+	told    func([]fleet.Member)
 
 	mu   sync.Mutex
 	view *fleet.View[Payload]
@@ -49,10 +51,18 @@
 	Payload func(now time.Time) Payload
 	// Heard takes a peer's word on configuration, got by a call that began at begun.
 	Heard func(begun time.Time, w fleet.PeerWord)
+	// Relays returns the relays of the fleet, where it is large, and HeardRelays
+	// takes those that a peer told of. Both may be nil.
+	Relays      func() []fleet.Member
+	HeardRelays func(relays []fleet.Member)
 }
 
 // NewGossip returns the gossip of a process that calls its peers through p.
 func NewGossip(cfg GossipConfig, p *Client, rec *event.Recorder) *Gossip {
+	if cfg.Relays == nil {
+		cfg.Relays = func() []fleet.Member { return nil }
+		cfg.HeardRelays = func([]fleet.Member) {}
+	}
 	epoch := time.Now().UnixNano()
 	return &Gossip{
 		id:      cfg.ID,
@@ -60,6 +70,8 @@
 		rec:     rec,
 		payload: cfg.Payload,
 		heard:   cfg.Heard,
+		relays:  cfg.Relays,
+		told:    cfg.HeardRelays,
 		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
 		last:    time.Now(),
@@ -147,6 +159,9 @@
 
 func (g *Gossip) take(in Exchange) {
 	g.rec.Clock().Observe(in.Stamp)
+	if len(in.Relays) > 0 {
+		g.told(in.Relays)
+	}
 	g.mu.Lock()
 	joined := g.view.Merge(time.Now(), in.Entries)
 	if g.quiet {
@@ -162,13 +177,18 @@
 	stamp := g.rec.Clock().Now()
 	now := time.Now()
 	payload := g.payload(now)
+	relays := g.relays()
 	relay := relayEntries
-	if g.large() {
+	switch {
+	case len(relays) > 0:
+		// What others say of themselves is the relays' to tell.
+		relay = 0
+	case g.large():
 		relay = largeRelay
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Exchange{From: g.id, Stamp: stamp, Word: payload.Word, Entries: g.view.Message(now, g.rng, payload, relay)}
+	return Exchange{From: g.id, Stamp: stamp, Word: payload.Word, Relays: relays, Entries: g.view.Message(now, g.rng, payload, relay)}
 }
 
 func (g *Gossip) expire() {
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -44,6 +44,8 @@
 	Stamp   event.Stamp
 	Word    fleet.PeerWord
 	Entries []Entry
+	// Relays are the relays of a large fleet, which tell a newcomer of it.
+	Relays []fleet.Member
 }
 
 // ConfigQuery asks a peer for the configuration it serves under.
