internal/door, internal/programs: doors open in one place, programs for tests are built in one

Cause: node, router and controller each opened and closed their doors by a chain of their own, and two packages of tests had the same TestMain. Change: door.Open opens all or none, peer.Open the peers' door; programs.Main builds what a package's tests start.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"errors"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -140,29 +139,27 @@
 
 // Run works until ctx ends, then gives its leases up.
 func (c *Controller) Run(ctx context.Context) error {
-	peers, err := net.Listen("tcp", c.set.Peers.String())
-	if err != nil {
-		return errs.Errorf("peers' door: %w", err)
-	}
-	operators, err := net.Listen("tcp", c.set.Operators.String())
+	server := &http.Server{Handler: c.operatorsHandler(), ReadHeaderTimeout: orderTimeout}
+	doors, err := door.Open(
+		func() (door.Door, error) { return peer.Open(c.set.Peers, c.set.PeerServer, c) },
+		func() (door.Door, error) { return door.HTTP(c.set.Operators, server, c.set.PeerServer, c.log) },
+	)
 	if err != nil {
-		peers.Close()
-		return errs.Errorf("operators' door: %w", err)
+		return err
 	}
-	if c.set.PeerServer != nil {
-		peers = tls.NewListener(peers, c.set.PeerServer)
-		operators = tls.NewListener(operators, c.set.PeerServer)
-	}
-	server := &http.Server{Handler: c.operatorsHandler(), ReadHeaderTimeout: orderTimeout}
 	c.events.Record(event.Event{Code: event.ProcessStarted})
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = peer.Serve(peers, c) })
-	wg.Go(func() { _ = server.Serve(operators) })
+	for _, d := range doors {
+		wg.Go(func() {
+			if err := d.Serve(); err != nil {
+				c.log.Error("a door closed by itself", "error", err)
+			}
+		})
+	}
 	wg.Go(func() { c.gossipLoop(ctx) })
 	c.workLoop(ctx)
 	c.freeAll()
-	peers.Close()
-	server.Close()
+	door.Close(doors)
 	wg.Wait()
 	c.peers.Close()
 	c.events.Record(event.Event{Code: event.ProcessStopped})
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -21,6 +21,27 @@
 	Close func()
 }
 
+// Open opens doors, all of them or none.
+func Open(openers ...func() (Door, error)) ([]Door, error) {
+	var doors []Door
+	for _, open := range openers {
+		d, err := open()
+		if err != nil {
+			Close(doors)
+			return nil, err
+		}
+		doors = append(doors, d)
+	}
+	return doors, nil
+}
+
+// Close closes doors.
+func Close(doors []Door) {
+	for _, d := range doors {
+		d.Close()
+	}
+}
+
 // Option changes a door.
 type Option func(net.Listener) net.Listener
 
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -20,29 +20,19 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pathhead/pathhead/internal/load"
+	"github.com/pathhead/pathhead/internal/programs"
 	"github.com/pathhead/pathhead/internal/standin"
 	"github.com/pathhead/pathhead/router"
 )
 
-// binaries is where the programs are; TestMain builds them if the test command did not.
-var binaries = os.Getenv("PATHHEAD_BIN")
+// binaries is where the programs are.
+var binaries string
 
 func TestMain(m *testing.M) {
-	if binaries != "" {
-		os.Exit(m.Run())
-	}
-	dir, err := os.MkdirTemp("", "pathhead")
+	code, err := programs.Main(m, &binaries, "github.com/pathhead/pathhead/cmd/...")
 	if err != nil {
 		panic(err)
 	}
-	binaries = dir
-	build := exec.Command("go", "build", "-o", dir, "github.com/pathhead/pathhead/cmd/...")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
 	os.Exit(code)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -14,7 +13,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/zeebo/errs/v2"
 
 	"github.com/pathhead/pathhead/dispatch"
 	"github.com/pathhead/pathhead/event"
@@ -225,9 +223,7 @@
 		n.drain()
 	case err = <-failed:
 	}
-	for _, d := range doors {
-		d.Close()
-	}
+	door.Close(doors)
 	stop()
 	n.loops.Wait()
 	servers.Wait()
@@ -239,47 +235,26 @@
 
 // listen opens all doors or none.
 func (n *Node) listen() ([]door.Door, error) {
-	var doors []door.Door
-	fail := func(err error) ([]door.Door, error) {
-		for _, d := range doors {
-			d.Close()
-		}
-		return nil, err
-	}
-	callers, err := door.HTTP(n.settings().Callers, n.callersServer(), nil, n.log, door.WithConns(n.callers.wrap))
-	if err != nil {
-		return fail(err)
+	set := n.settings()
+	openers := []func() (door.Door, error){
+		func() (door.Door, error) {
+			return door.HTTP(set.Callers, n.callersServer(), nil, n.log, door.WithConns(n.callers.wrap))
+		},
+		func() (door.Door, error) { return n.ownDoor(set.Readiness, http.HandlerFunc(n.handleReady)) },
+		func() (door.Door, error) { return peer.Open(set.Peers, nil, n) },
 	}
-	doors = append(doors, callers)
-	ready := &http.Server{Handler: http.HandlerFunc(n.handleReady), ReadHeaderTimeout: ownHeaderTime}
-	readiness, err := n.httpDoor(n.settings().Readiness, ready)
-	if err != nil {
-		return fail(err)
-	}
-	doors = append(doors, readiness)
 	if n.metricsAddr.IsValid() {
-		own := &http.Server{Handler: n.operatorsHandler(), ReadHeaderTimeout: ownHeaderTime}
-		d, err := n.httpDoor(n.metricsAddr, own)
-		if err != nil {
-			return fail(err)
-		}
-		doors = append(doors, d)
-	}
-	l, err := net.Listen("tcp4", n.settings().Peers.String())
-	if err != nil {
-		return fail(errs.Errorf("peers' door: %w", err))
+		openers = append(openers, func() (door.Door, error) { return n.ownDoor(n.metricsAddr, n.operatorsHandler()) })
 	}
-	return append(doors, door.Door{
-		Serve: func() error { return peer.Serve(l, n) },
-		Close: func() { l.Close() },
-	}), nil
+	return door.Open(openers...)
 }
 
 // ownHeaderTime bounds the head of a request at the doors that are not for callers.
 const ownHeaderTime = 3 * time.Second
 
-func (n *Node) httpDoor(addr netip.AddrPort, s *http.Server) (door.Door, error) {
-	return door.HTTP(addr, s, nil, n.log)
+// ownDoor opens a door that is not for callers.
+func (n *Node) ownDoor(addr netip.AddrPort, h http.Handler) (door.Door, error) {
+	return door.HTTP(addr, &http.Server{Handler: h, ReadHeaderTimeout: ownHeaderTime}, nil, n.log)
 }
 
 // jitter spreads a period by a tenth to either side.
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -14,6 +14,7 @@
 
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -81,6 +82,21 @@
 	return nil
 }
 
+// Open opens the peers' door of a process; cfg is nil for plain TCP.
+func Open(addr netip.AddrPort, cfg *tls.Config, h Handler) (door.Door, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return door.Door{}, errs.Errorf("peers' door: %w", err)
+	}
+	if cfg != nil {
+		l = tls.NewListener(l, cfg)
+	}
+	return door.Door{
+		Serve: func() error { return Serve(l, h) },
+		Close: func() { l.Close() },
+	}, nil
+}
+
 // Serve answers peers on a listener until it is closed, then ends their connections.
 func Serve(l net.Listener, h Handler) error {
 	server := rpc.NewServer()
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -234,9 +233,7 @@
 		r.drain()
 	case err = <-failed:
 	}
-	for _, d := range doors {
-		d.Close()
-	}
+	door.Close(doors)
 	stop()
 	r.loops.Wait()
 	servers.Wait()
@@ -253,28 +250,11 @@
 const maxHeader = 32 << 10
 
 func (r *Router) listen() ([]door.Door, error) {
-	callers, err := r.httpDoor(r.set.Callers, r.callersHandler(), r.set.CallerTLS)
-	if err != nil {
-		return nil, err
-	}
-	operators, err := r.httpDoor(r.set.Operators, r.operatorsHandler(), r.set.PeerServer)
-	if err != nil {
-		callers.Close()
-		return nil, err
-	}
-	peers, err := net.Listen("tcp", r.set.Peers.String())
-	if err != nil {
-		callers.Close()
-		operators.Close()
-		return nil, errs.Errorf("peers' door: %w", err)
-	}
-	if r.set.PeerServer != nil {
-		peers = tls.NewListener(peers, r.set.PeerServer)
-	}
-	return []door.Door{callers, operators, {
-		Serve: func() error { return peer.Serve(peers, r) },
-		Close: func() { peers.Close() },
-	}}, nil
+	return door.Open(
+		func() (door.Door, error) { return r.httpDoor(r.set.Callers, r.callersHandler(), r.set.CallerTLS) },
+		func() (door.Door, error) { return r.httpDoor(r.set.Operators, r.operatorsHandler(), r.set.PeerServer) },
+		func() (door.Door, error) { return peer.Open(r.set.Peers, r.set.PeerServer, r) },
+	)
 }
 
 func (r *Router) httpDoor(addr netip.AddrPort, h http.Handler, cfg *tls.Config) (door.Door, error) {
