node, fleet: seeds are asked briefly, relays tell what was read

Those that reported to them forgot all members that they had told of, and asked the three seeds four times a second with whole reports; the seeds' links of 10 Mbit/s choked, their calls to the store starved and the change of 25.7 s came late to them.

Ruled out: a store that was slow (nodes with free links read in time), a lost watch (the followers had the revision, not the seeds); for DRAIN a late deletion (the entry was gone 3 s before in other nodes' readings).

Change: members that a failed relay told of last stay as hints, so that new relays come from them; a process that only looks for relays asks for nothing else; relays tell on what was read, not what they keep beside it; for a follower the store was away only if nobody's reading came for 2.4 s; readings older than those known are passed over. TestRosterKeepsMembersOfFailedRelays and TestListMergeRelayed failed first.

--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -196,3 +196,30 @@
 		w.check()
 	})
 }
+
+// A process whose relays all fail still knows those that they told of, so that it
+// chooses new relays from them and has no need to ask a seed.
+func TestRosterKeepsMembersOfFailedRelays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := testMembers(30)
+	relays := Relays(members, RelayCount(len(members)))
+	self := members[slices.IndexFunc(members, func(m Member) bool { return !slices.Contains(relays, m) })]
+	r := NewRoster[[]string](now, self, 3*time.Second)
+	for _, m := range relays {
+		r.Answered(now, Word[[]string]{From: m, Relay: true, Members: members}, true)
+	}
+	require.Len(t, r.Members(now), len(members))
+	now = now.Add(time.Second)
+	require.Equal(t, relays, r.Relays(now))
+	for _, m := range relays {
+		r.Failed(now, m.ID)
+	}
+	now = now.Add(workEvery)
+	require.Len(t, r.Members(now), len(members)-len(relays))
+	for _, m := range r.Relays(now) {
+		require.NotContains(t, relays, m)
+	}
+	brief := r.Brief(now)
+	require.Equal(t, r.Relays(now), brief.Relays)
+	require.Empty(t, brief.Members)
+}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -131,9 +131,13 @@
 	r.workedAt = time.Time{}
 }
 
-// Failed notes that a member did not answer a report.
+// Failed notes that a member did not answer a report. Those that it told of last are
+// taken to live on until somebody tells anew.
 func (r *Roster[S]) Failed(now time.Time, id string) {
 	r.avoided[id] = now.Add(avoidTime)
+	if h, ok := r.answers[id]; ok {
+		r.Hint(h.at, h.word.Members...)
+	}
 	delete(r.answers, id)
 	delete(r.hints, id)
 	r.workedAt = time.Time{}
@@ -248,6 +252,12 @@
 	return w.Relay && slices.ContainsFunc(r.relays, func(m Member) bool { return m.ID == w.From.ID })
 }
 
+// Brief returns a word that says no more than who relays, for a process that only
+// looks for them.
+func (r *Roster[S]) Brief(now time.Time) Word[S] {
+	return Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
+}
+
 // Answer returns the word that answers a report, and the states that its State
 // joins with this process's own. Relays hear from each other of themselves and their
 // reporters, any other process hears of everyone but itself.
--- a/node/list.go
+++ b/node/list.go
@@ -36,16 +36,25 @@
 // missing although the targets live: those that lapsed are back within two seconds.
 const relistTime = 2200 * time.Millisecond
 
-// merge takes a new reading. Of two entries with one address the newer counts.
-// Targets that are gone stay for a while after an outage of the store.
-func (l *targetList) merge(now time.Time, read []route.Entry) []route.Entry {
+// outageGap is the time between two readings from which the store counts as having
+// been away for a node that a relay tells: entries lapse after three signs of life
+// are missing. That its own readings failed says no more than that its path did.
+const outageGap = 2400 * time.Millisecond
+
+// merge takes a new reading that began at a time. Of two entries with one address the
+// newer counts. Targets that are gone stay for a while after an outage of the store.
+func (l *targetList) merge(now, at time.Time, read []route.Entry, relayed bool) []route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.failing {
-		l.failing = false
+	away := l.failing
+	if relayed {
+		away = !l.readAt.IsZero() && at.Sub(l.readAt) > outageGap
+	}
+	if away {
 		l.backAt = now
 	}
-	l.readAt = now
+	l.failing = false
+	l.readAt = at
 	fresh := make(map[netip.AddrPort]route.Entry, len(read))
 	for _, t := range append(read, l.fixed...) {
 		if other, ok := fresh[t.Seen.Addr]; !ok || other.Revision < t.Revision {
@@ -136,7 +145,7 @@
 			continue
 		}
 		retry.ok()
-		n.takeEntries(begun, read)
+		n.takeEntries(begun, read, false)
 		if !pause(ctx, n.jitter(n.listTime())) {
 			return
 		}
@@ -151,11 +160,12 @@
 	return part(n.settings().Bounds.Drain, listPart)
 }
 
-// takeEntries takes a reading of the list that began at a time, and gives the board
-// the targets and what those said that showed a sign of life since.
-func (n *Node) takeEntries(at time.Time, read []route.Entry) {
-	list := n.list.merge(time.Now(), read)
-	n.relays.told(at, list)
+// takeEntries takes a reading of the list that began at a time, by this node or by a
+// relay, and gives the board the targets and what those said that showed a sign of
+// life since. Others are told what was read, not what this node keeps beside it.
+func (n *Node) takeEntries(at time.Time, read []route.Entry, relayed bool) {
+	list := n.list.merge(time.Now(), at, read, relayed)
+	n.relays.told(at, read)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		all := make([]route.Seen, 0, len(list))
 		for _, t := range list {
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -33,19 +33,19 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []route.Entry{a, b})))
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a, b}, false)))
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []route.Entry{a})), "a missing entry is gone")
-	l.merge(now, []route.Entry{a, b})
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, false)), "a missing entry is gone")
+	l.merge(now, now, []route.Entry{a, b}, false)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, []route.Entry{a})), "the store was away")
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a}, false)), "the store was away")
 	now = now.Add(relistTime)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, []route.Entry{a})))
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, false)))
 	newer := listed("10.0.0.1:80", "a2", 9)
-	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, []route.Entry{newer, a})))
+	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, now, []route.Entry{newer, a}, false)))
 	l.setFixed([]route.Entry{listed("10.0.0.9:80", "store", 1)})
-	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, []route.Entry{newer})))
+	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, now, []route.Entry{newer}, false)))
 	require.True(t, l.has(netip.MustParseAddrPort("10.0.0.9:80")))
 }
 
@@ -86,3 +86,18 @@
 	require.Equal(t, part(600*time.Millisecond, queuePart), queueTime(&policy.Route{Aim: policy.Duration(600 * time.Millisecond)}))
 	require.Equal(t, part(defaultAim, queuePart), queueTime(&policy.Route{}))
 }
+
+// What a relay told is no outage unless the store was away for all: an entry that
+// is missing then is gone.
+func TestListMergeRelayed(t *testing.T) {
+	now := time.Unix(100, 0)
+	var l targetList
+	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
+	l.merge(now, now, []route.Entry{a, b}, true)
+	l.failed()
+	now = now.Add(time.Second)
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, true)), "only this node's path failed")
+	l.merge(now, now, []route.Entry{a, b}, true)
+	now = now.Add(outageGap + time.Second)
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a}, true)), "nobody read the list meanwhile")
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -191,7 +191,7 @@
 		calls.Go(func() { r.call(ctx, m, report) })
 	}
 	if seed, ok := r.stranger(); ok {
-		calls.Go(func() { r.ask(ctx, seed, report) })
+		calls.Go(func() { r.ask(ctx, seed) })
 	}
 	calls.Wait()
 	r.note()
@@ -255,17 +255,17 @@
 	}
 }
 
-// ask asks a process of which only the address is known whom it knows.
-func (r *relays) ask(ctx context.Context, addr netip.AddrPort, report peer.RelayReport) {
-	report.Asks = false
-	answer, err := r.n.peers.Relay(ctx, addr, report)
+// ask asks a process of which only the address is known who relays. Whole reports
+// and answers would be too much for a seed that many ask at once.
+func (r *relays) ask(ctx context.Context, addr netip.AddrPort) {
+	answer, err := r.n.peers.Relay(ctx, addr, peer.RelayReport{Stamp: r.n.events.Clock().Now(), Brief: true})
 	if err != nil {
 		r.n.log.Debug("a seed did not answer", "seed", addr, "error", err)
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.roster.Hint(time.Now(), append(answer.Word.Members, answer.Word.From)...)
+	r.roster.Hint(time.Now(), append(answer.Word.Relays, answer.Word.From)...)
 }
 
 // take takes a relay's answer to a report that was sent at begun.
@@ -287,9 +287,11 @@
 		return
 	}
 	list, acting, listAt := r.from.list(), r.acting, r.from.listAt
+	// After a change of relay its reading may be older than what is known here.
+	newer := listAt.After(r.listAt)
 	r.mu.Unlock()
-	if len(a.News.Entries) > 0 || len(a.News.Beats) > 0 || acting {
-		r.n.takeEntries(listAt, list)
+	if newer {
+		r.n.takeEntries(listAt, list, true)
 	}
 	if !acting {
 		r.n.Lock()
@@ -405,6 +407,9 @@
 // Relay implements [peer.RelayHandler].
 func (n *Node) Relay(in peer.RelayReport) peer.RelayAnswer {
 	n.events.Clock().Observe(in.Stamp)
+	if in.Brief {
+		return n.relays.brief()
+	}
 	// What a reporter says of newer configuration is unconfirmed, since its clock for it is not ours.
 	n.heard(time.Time{}, fleet.PeerWord{Revision: in.Config.Revision, ConfirmedAge: -1})
 	own, word := n.relayState()
@@ -428,6 +433,13 @@
 	return out
 }
 
+// brief answers who relays.
+func (r *relays) brief() peer.RelayAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return peer.RelayAnswer{Stamp: r.n.events.Clock().Now(), Word: r.roster.Brief(time.Now())}
+}
+
 // answer answers a report but for what is on the board.
 func (r *relays) answer(in peer.RelayReport, own route.PeerState) peer.RelayAnswer {
 	r.mu.Lock()
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -17,6 +17,8 @@
 	Word  fleet.Word[route.PeerState]
 	// Config is the reporter's word on the configuration.
 	Config fleet.PeerWord
+	// Brief says that this is no report: the sender only asks who relays.
+	Brief bool
 	// Asks says that the reporter wants news, after what Known has of them.
 	Asks  bool
 	Known RelayCursor
