--- /dev/null
+++ b/node/relay_answer.go
@@ -0,0 +1,107 @@
+package node
+
+import (
+	"maps"
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/peer"
+	"github.com/pathhead/pathhead/route"
+)
+
+// told notes the list as it is told to others.
+func (r *relays) told(at time.Time, list []route.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.large {
+		return
+	}
+	r.listAt = at
+	gone := make(map[netip.AddrPort]bool)
+	for _, addr := range r.entries.Keys() {
+		gone[addr] = true
+	}
+	for _, e := range list {
+		addr := e.Seen.Addr
+		delete(gone, addr)
+		r.beats.Set(addr, e.Revision)
+		e.Revision = 0
+		r.entries.Set(addr, e)
+	}
+	for addr := range maps.Keys(gone) {
+		r.entries.Drop(addr)
+		r.beats.Drop(addr)
+	}
+}
+
+// Relay implements [peer.RelayHandler].
+func (n *Node) Relay(in peer.RelayReport) peer.RelayAnswer {
+	n.events.Clock().Observe(in.Stamp)
+	if in.Brief {
+		return n.relays.brief()
+	}
+	// What a reporter says of newer configuration is unconfirmed, since its clock for it is not ours.
+	n.heard(time.Time{}, fleet.PeerWord{Revision: in.Config.Revision, ConfirmedAge: -1})
+	own, word := n.relayState()
+	out := n.relays.answer(in, own)
+	out.Config = word
+	n.Lock()
+	defer n.Unlock()
+	now := time.Now()
+	b := n.Board()
+	for model, named := range b.Namings() {
+		out.Named = append(out.Named, peer.Named{Model: model, Weights: named.Weights, Age: now.Sub(named.At)})
+	}
+	if out.News != nil {
+		after := int64(0)
+		if in.Known.Epoch == out.News.Cursor.Epoch {
+			after = in.Known.Parts
+		}
+		out.News.Parts = b.PartsSince(now, after)
+		out.News.Cursor.Parts = out.News.Parts.Next
+	}
+	return out
+}
+
+// brief answers who relays.
+func (r *relays) brief() peer.RelayAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return peer.RelayAnswer{Stamp: r.n.events.Clock().Now(), Word: r.roster.Brief(time.Now())}
+}
+
+// answer answers a report but for what is on the board.
+func (r *relays) answer(in peer.RelayReport, own route.PeerState) peer.RelayAnswer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	out := peer.RelayAnswer{Stamp: r.n.events.Clock().Now()}
+	r.roster.Reported(now, in.Word)
+	var states []route.PeerState
+	out.Word, states, out.Whole = r.roster.Answer(now, in.Word)
+	out.Word.State = route.Join(append(states, own))
+	if out.Whole {
+		out.Word.State.Hot = route.Hottest(out.Word.State.Hot)
+		out.Digest = fleet.Digest(out.Word.Members)
+		if out.Same = out.Digest == in.Digest; out.Same {
+			out.Word.Members = nil
+		}
+	}
+	if in.Asks && out.Word.Relay && !r.listAt.IsZero() {
+		out.News = r.news(now, in.Known)
+	}
+	return out
+}
+
+// news returns what changed of the list since a cursor; the caller holds the lock.
+func (r *relays) news(now time.Time, known peer.RelayCursor) *peer.RelayNews {
+	if known.Epoch != r.epoch {
+		known = peer.RelayCursor{}
+	}
+	out := &peer.RelayNews{ListAge: now.Sub(r.listAt)}
+	out.Entries, out.EntriesFull = r.entries.Since(known.Entries)
+	out.Beats, out.BeatsFull = r.beats.Since(known.Beats)
+	out.Cursor = peer.RelayCursor{Epoch: r.epoch, Entries: r.entries.Version(), Beats: r.beats.Version()}
+	return out
+}
--- /dev/null
+++ b/node/relay_report.go
@@ -0,0 +1,215 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/peer"
+	"github.com/pathhead/pathhead/route"
+)
+
+// followed is what a relay told.
+type followed struct {
+	id     string
+	cursor peer.RelayCursor
+	// members and digest are those that the relay told last.
+	members []fleet.Member
+	digest  uint64
+	entries map[netip.AddrPort]route.Entry
+	beats   map[netip.AddrPort]int64
+	// at is when the last answer was asked for, listAt and confirmedAt as of when it
+	// told of the list and of the declaration.
+	at, listAt, confirmedAt time.Time
+}
+
+// round reports to the relays that are this node's, and to one seed that it knows nothing of.
+func (r *relays) round(ctx context.Context) {
+	report, next := r.report()
+	var calls sync.WaitGroup
+	for _, m := range next {
+		calls.Go(func() { r.call(ctx, m, report) })
+	}
+	if seed, ok := r.stranger(); ok {
+		calls.Go(func() { r.ask(ctx, seed) })
+	}
+	calls.Wait()
+	r.note()
+	r.n.gossip.Expire()
+}
+
+// report returns what is to be told, and to whom.
+func (r *relays) report() (peer.RelayReport, []fleet.Member) {
+	own, word := r.n.relayState()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.n.stopping.Load() {
+		r.roster.SetPower(0)
+	}
+	out := peer.RelayReport{Stamp: r.n.events.Clock().Now(), Config: word}
+	var states []route.PeerState
+	out.Word, states = r.roster.Report(now)
+	out.Word.State = route.Join(append(states, own))
+	r.acting = out.Word.Relay
+	out.Asks = !r.acting || now.Sub(r.listAt) > part(r.n.settings().Bounds.Drain, followListPart)
+	return out, r.roster.Next(now)
+}
+
+// stranger returns a seed that no known node has the address of.
+func (r *relays) stranger() (netip.AddrPort, bool) {
+	known := map[netip.AddrPort]bool{r.n.settings().Peers: true}
+	for _, addr := range r.everyone() {
+		known[addr] = true
+	}
+	seeds := slices.DeleteFunc(slices.Clone(r.n.settings().Seeds), func(a netip.AddrPort) bool { return known[a] })
+	if len(seeds) == 0 {
+		return netip.AddrPort{}, false
+	}
+	r.n.Lock()
+	defer r.n.Unlock()
+	return seeds[r.n.rng.IntN(len(seeds))], true
+}
+
+// call reports to one relay and takes its answer.
+func (r *relays) call(ctx context.Context, to fleet.Member, report peer.RelayReport) {
+	r.mu.Lock()
+	if r.from.id == to.ID {
+		report.Known, report.Digest = r.from.cursor, r.from.digest
+	}
+	r.mu.Unlock()
+	begun := time.Now()
+	answer, err := r.n.peers.Relay(ctx, to.Addr, report)
+	if err != nil {
+		r.n.log.Debug("a relay did not answer", "relay", to.ID, "error", err)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.roster.Failed(time.Now(), to.ID)
+		return
+	}
+	r.n.events.Clock().Observe(answer.Stamp)
+	r.take(begun, to, answer)
+	r.n.takeWord(ctx, begun, to.Addr, answer.Config)
+	for _, named := range answer.Named {
+		r.n.named(begun.Add(-named.Age), Naming{Model: named.Model, Weights: named.Weights})
+	}
+}
+
+// ask asks a process of which only the address is known who relays. Whole reports
+// and answers would be too much for a seed that many ask at once.
+func (r *relays) ask(ctx context.Context, addr netip.AddrPort) {
+	answer, err := r.n.peers.Relay(ctx, addr, peer.RelayReport{Stamp: r.n.events.Clock().Now(), Brief: true})
+	if err != nil {
+		r.n.log.Debug("a seed did not answer", "seed", addr, "error", err)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.roster.Hint(time.Now(), append(answer.Word.Relays, answer.Word.From)...)
+}
+
+// take takes a relay's answer to a report that was sent at begun.
+func (r *relays) take(begun time.Time, from fleet.Member, a peer.RelayAnswer) {
+	r.mu.Lock()
+	now := time.Now()
+	if a.Same {
+		a.Word.Members = r.from.members
+	}
+	if !a.Word.Relay {
+		// It was taken for a relay by mistake; whom it knows may mend that.
+		r.roster.Hint(now, append(a.Word.Members, a.Word.From)...)
+		r.mu.Unlock()
+		return
+	}
+	r.roster.Answered(now, a.Word, a.Whole)
+	if a.News == nil || !r.takeNews(begun, from.ID, a) {
+		r.mu.Unlock()
+		return
+	}
+	list, acting, listAt := r.from.list(), r.acting, r.from.listAt
+	// After a change of relay its reading may be older than what is known here.
+	newer := listAt.After(r.listAt)
+	r.mu.Unlock()
+	if newer {
+		r.n.takeEntries(listAt, list, true)
+	}
+	if !acting {
+		r.n.Lock()
+		defer r.n.Unlock()
+		r.n.Board().TakeParts(time.Now(), a.News.Parts)
+	}
+}
+
+// takeNews notes what a relay told and reports whether it is news; the caller holds the lock.
+func (r *relays) takeNews(begun time.Time, id string, a peer.RelayAnswer) bool {
+	f := &r.from
+	listAt := begun.Add(-a.News.ListAge)
+	if r.acting && !listAt.After(r.listAt) {
+		return false
+	}
+	if f.id != id || f.cursor.Epoch != a.News.Cursor.Epoch {
+		*f = followed{id: id, entries: make(map[netip.AddrPort]route.Entry), beats: make(map[netip.AddrPort]int64)}
+	}
+	apply(f.entries, a.News.Entries, a.News.EntriesFull)
+	apply(f.beats, a.News.Beats, a.News.BeatsFull)
+	f.cursor, f.digest = a.News.Cursor, a.Digest
+	if a.Whole {
+		f.members = a.Word.Members
+	}
+	f.at, f.listAt, f.confirmedAt = begun, listAt, time.Time{}
+	if a.Config.ConfirmedAge >= 0 {
+		f.confirmedAt = begun.Add(-a.Config.ConfirmedAge)
+	}
+	return true
+}
+
+// apply puts changes into a map.
+func apply[K comparable, V any](m map[K]V, changes []route.Change[K, V], full bool) {
+	if full {
+		clear(m)
+	}
+	for _, c := range changes {
+		if c.Gone {
+			delete(m, c.Key)
+			continue
+		}
+		m[c.Key] = c.Value
+	}
+}
+
+// list returns the list of targets as the relay told it.
+func (f *followed) list() []route.Entry {
+	out := make([]route.Entry, 0, len(f.entries))
+	for addr, e := range f.entries {
+		e.Revision = f.beats[addr]
+		out = append(out, e)
+	}
+	return out
+}
+
+// relayState returns what the node says of itself to relays: its state, and its word
+// on the configuration. Holds go from the holder of the lease to everyone at once,
+// and what engines hold is told by their events.
+func (n *Node) relayState() (route.PeerState, fleet.PeerWord) {
+	n.Lock()
+	defer n.Unlock()
+	now := time.Now()
+	state := n.Board().State(now)
+	state.Fills, state.Kept = nil, nil
+	_, state.Loaded = n.duty.told()
+	return state, n.adoption.Word(now)
+}
+
+// takeWord takes a relay's word on the configuration and fetches a newer one.
+func (n *Node) takeWord(ctx context.Context, begun time.Time, addr netip.AddrPort, w fleet.PeerWord) {
+	n.heard(begun, w)
+	n.Lock()
+	behind := w.Revision > n.adoption.Revision()
+	n.Unlock()
+	if behind {
+		n.fetchFrom(ctx, addr)
+	}
+}
