internal/cli: a hang-up during a planned stop does not end the process

Reading the settings anew ends with the context of the stop, and with it went the handling of SIGHUP, so that the signal's own action, the end of the process, was back.

Ruled out: the reset of connections (the node's own end cut them), the power-off (13 s later), a drain that was too short (no process-stopped was logged).

Change: SIGHUP stays taken until the process ends. TestWatchFileHangUp failed first: the signal ended the test's process.

--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -13,12 +13,12 @@
 const settingsEvery = 2 * time.Second
 
 // WatchFile calls changed after each SIGHUP, and when the file was written
-// without one, until ctx ends.
+// without one, until ctx ends. From then on a SIGHUP is left without effect: it
+// must not end a process that finishes its work.
 func WatchFile(ctx context.Context, path string, changed func()) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hup)
 		tick := time.NewTicker(settingsEvery)
 		defer tick.Stop()
 		last := fileStamp(path)
