route, node: no work for an incarnation that only an answer named

A target crashed, and its address went to a replica of another service. The answer 421 of that replica named its incarnation; the node took the name, kept the pool of the list's old entry, and sent the next requests with the new name as the one expected, so that the replica took them.

Ruled out: the list (its entry for the address was the old one until it lapsed); gossip (it tells no pools).

Change: with WithReusedAddresses, which the node sets, a target at which an unknown incarnation answers gets no work until a report names that incarnation. TestStrangerAtAddress failed first.

--- a/node/node.go
+++ b/node/node.go
@@ -137,6 +137,7 @@
 		route.WithZone(s.Zone),
 		route.WithMinRetryAfter(minRetryAfter),
 		route.WithOwnRoom(ownRoom),
+		route.WithReusedAddresses(),
 		route.WithNumberedWeights(route.Staleness{
 			Grace: staleGrace, Price: stalePrice, Limit: part(s.Bounds.Weights, weightsPart),
 		}),
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -332,7 +332,10 @@
 		Code: code, Request: o.Request, Attempt: o.Attempt, Target: a.target.name(),
 		Detail: o.Kind.String() + ": " + o.Detail,
 	})
-	b.identify(now, a.target, o.Incarnation)
+	if o.Incarnation != "" && o.Incarnation != a.target.incarnation {
+		b.identify(now, a.target, o.Incarnation)
+		a.target.stranger = b.reused
+	}
 	if o.Kind == OutcomeRefused && o.Incarnation == a.Incarnation && a.Salt != "" {
 		b.misjudged(now, a)
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -60,6 +60,8 @@
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
 	// means an even part of what all routers may.
 	ownRoom time.Duration
+	// reused says that an address may become another pool's.
+	reused bool
 	// minRetryAfter is the least time a caller is told to stay away.
 	minRetryAfter time.Duration
 	// version grows when a target's state changes in a way that decides who serves.
@@ -108,6 +110,12 @@
 	return func(b *Board) { b.ownRoom = d }
 }
 
+// WithReusedAddresses says that an address may become another pool's: one at which an
+// unknown incarnation answers gets no work until that incarnation is reported.
+func WithReusedAddresses() Option {
+	return func(b *Board) { b.reused = true }
+}
+
 // WithMinRetryAfter sets the least time a caller is told to stay away.
 func WithMinRetryAfter(d time.Duration) Option {
 	return func(b *Board) { b.minRetryAfter = d }
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -248,6 +248,24 @@
 	require.Equal(t, "10", a.Weights, "the next request expects what the target has")
 }
 
+// An address at which another incarnation answers may be another pool's by now. It
+// gets no work until the incarnation is reported.
+func TestStrangerAtAddress(t *testing.T) {
+	p := newPartsBoard(t, 1, WithReusedAddresses())
+	a := p.ask(p.request("a", Part{"x", 10}))
+	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "new"})
+	require.Nil(t, p.ask(p.request("a", Part{"y", 10})), "nobody said whose the address is now")
+	for _, act := range p.b.Report(p.now, testAddr(0), Report{
+		Incarnation: "new", Weights: map[string]string{"m": "1"}, PrefillRate: 50000, Slots: 64,
+	}) {
+		if s, ok := act.(Send); ok {
+			require.Equal(t, "new", s.Attempt.Incarnation)
+			return
+		}
+	}
+	require.Fail(t, "what waited was not sent")
+}
+
 // A silent target is left at once and comes back with its next sign of life.
 func TestSilentTarget(t *testing.T) {
 	p := newPartsBoard(t, 2)
--- a/route/target.go
+++ b/route/target.go
@@ -69,7 +69,10 @@
 	incarnation string
 	report      Report
 	reported    time.Time
-	leaving     bool
+	// stranger says that an answer named the incarnation, which has not reported
+	// itself yet: the address may be another pool's by now.
+	stranger bool
+	leaving  bool
 	// listLeaving is the list's present word, markedAt when it began to say so.
 	listLeaving bool
 	markedAt    time.Time
@@ -111,7 +114,8 @@
 
 // usable reports whether the target may get new work.
 func (t *target) usable() bool {
-	return t.listed && !t.leaving && !t.listLeaving && !t.held && !t.failing && !t.reported.IsZero()
+	return t.listed && !t.leaving && !t.listLeaving && !t.held && !t.failing &&
+		!t.reported.IsZero() && !t.stranger
 }
 
 // serves returns the weights of a model that the target has loaded.
@@ -280,11 +284,12 @@
 			b.noteWeights(t, r.Weights, "its own entry")
 		}
 	}
-	if t.reported.IsZero() || !sameAdapters(t.report.Adapters, r.Adapters) {
+	if t.reported.IsZero() || t.stranger || !sameAdapters(t.report.Adapters, r.Adapters) {
 		b.version++
 	}
 	t.report = r
 	t.reported = now
+	t.stranger = false
 	b.recovered(t)
 	if r.Leaving {
 		b.markLeaving(t, "its own word")
