--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -218,7 +218,7 @@
 	if len(r.answers) == 0 && now.Sub(r.begun) < settleTime {
 		return false
 	}
-	return slices.ContainsFunc(r.relays, func(m Member) bool { return m.ID == r.self.ID })
+	return r.chosen(r.self.ID)
 }
 
 // Next returns whom to report to now: a relay reports to all other relays, any
@@ -235,7 +235,7 @@
 // Report returns the word for the next reports, whose State is left to the
 // caller: it joins this process's own state and those returned.
 func (r *Roster[S]) Report(now time.Time) (Word[S], []S) {
-	w := Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
+	w := r.Brief(now)
 	var states []S
 	for _, h := range r.reporters {
 		w.Members = append(w.Members, h.word.From)
@@ -249,7 +249,12 @@
 // members to be right is answered as any other process, which mends that.
 func (r *Roster[S]) isRelay(now time.Time, w Word[S]) bool {
 	r.work(now)
-	return w.Relay && slices.ContainsFunc(r.relays, func(m Member) bool { return m.ID == w.From.ID })
+	return w.Relay && r.chosen(w.From.ID)
+}
+
+// chosen reports whether a member is among the relays as they were worked out.
+func (r *Roster[S]) chosen(id string) bool {
+	return slices.ContainsFunc(r.relays, func(m Member) bool { return m.ID == id })
 }
 
 // Brief returns a word that says no more than who relays, for a process that only
@@ -266,7 +271,7 @@
 		w, states = r.Report(now)
 		return w, states, false
 	}
-	w = Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
+	w = r.Brief(now)
 	for _, m := range r.told {
 		if m.ID != r.self.ID && m.ID != to.From.ID {
 			w.Members = append(w.Members, m)
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -65,12 +65,11 @@
 	return l.wrap(c), nil
 }
 
-// HTTP opens a door for a server; cfg is nil for plain TCP. What the server has to
-// say of callers' connections goes to the log at debug level.
-func HTTP(addr netip.AddrPort, s *http.Server, cfg *tls.Config, log *slog.Logger, opts ...Option) (Door, error) {
+// Listen listens on an address; cfg is nil for plain TCP.
+func Listen(addr netip.AddrPort, cfg *tls.Config, opts ...Option) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
-		return Door{}, errs.Errorf("door %s: %w", addr, err)
+		return nil, errs.Errorf("door %s: %w", addr, err)
 	}
 	for _, opt := range opts {
 		l = opt(l)
@@ -78,6 +77,16 @@
 	if cfg != nil {
 		l = tls.NewListener(l, cfg)
 	}
+	return l, nil
+}
+
+// HTTP opens a door for a server; cfg is nil for plain TCP. What the server has to
+// say of callers' connections goes to the log at debug level.
+func HTTP(addr netip.AddrPort, s *http.Server, cfg *tls.Config, log *slog.Logger, opts ...Option) (Door, error) {
+	l, err := Listen(addr, cfg, opts...)
+	if err != nil {
+		return Door{}, err
+	}
 	s.ErrorLog = slog.NewLogLogger(log.Handler(), slog.LevelDebug)
 	serve := func() error {
 		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -95,10 +104,16 @@
 	if err != nil {
 		panic("door: an answer does not encode: " + err.Error())
 	}
+	// An error says that the caller is gone, and nobody is left to tell.
+	_ = WriteBody(w, status, "application/json", data)
+}
+
+// WriteBody answers with a whole body and its length, so that a cut one is seen.
+func WriteBody(w http.ResponseWriter, status int, contentType string, data []byte) error {
 	h := w.Header()
-	h.Set("Content-Type", "application/json")
+	h.Set("Content-Type", contentType)
 	h.Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
-	// An error says that the caller is gone, and nobody is left to tell.
-	_, _ = w.Write(data)
+	_, err := w.Write(data)
+	return err
 }
--- a/node/caches.go
+++ b/node/caches.go
@@ -45,7 +45,7 @@
 	wanted := make(map[netip.AddrPort]bool)
 	reads := n.readsCaches()
 	for _, t := range list {
-		p, ok := snap.Pool(t.Seen.Labels[labelPool])
+		p, ok := snap.Pool(t.Seen.Labels[LabelPool])
 		if !ok || p.Kind == policy.KindService || p.CacheReaders == 0 {
 			continue
 		}
--- a/node/callers.go
+++ b/node/callers.go
@@ -273,10 +273,3 @@
 	_, current := n.confirmed()
 	return current && n.list.known()
 }
-
-// known reports whether the list was read.
-func (l *targetList) known() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.targets) > 0
-}
--- a/node/list.go
+++ b/node/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -69,12 +70,7 @@
 		}
 	}
 	l.targets = fresh
-	out := make([]route.Entry, 0, len(fresh))
-	for _, t := range fresh {
-		out = append(out, t)
-	}
-	slices.SortFunc(out, func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
-	return out
+	return slices.SortedFunc(maps.Values(fresh), func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
 }
 
 // failed notes that the list could not be read.
@@ -88,15 +84,11 @@
 func (l *targetList) get() []route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make([]route.Entry, 0, len(l.targets))
-	for _, t := range l.targets {
-		out = append(out, t)
-	}
-	return out
+	return slices.Collect(maps.Values(l.targets))
 }
 
-// labelPool is the label with the name of a target's service.
-const labelPool = "service"
+// LabelPool is the label with the name of a target's service.
+const LabelPool = "service"
 
 func (l *targetList) maxConns(target netip.AddrPort) int {
 	l.mu.Lock()
@@ -111,6 +103,13 @@
 	l.conns = conns
 }
 
+// known reports whether the list was read.
+func (l *targetList) known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.targets) > 0
+}
+
 // has reports whether a target is on the list.
 func (l *targetList) has(target netip.AddrPort) bool {
 	l.mu.Lock()
@@ -206,7 +205,7 @@
 	nodes, _ := n.relays.size()
 	conns := make(map[netip.AddrPort]int, len(list))
 	for _, t := range list {
-		if p, ok := snap.Pool(t.Seen.Labels[labelPool]); ok && p.MaxConns > 0 {
+		if p, ok := snap.Pool(t.Seen.Labels[LabelPool]); ok && p.MaxConns > 0 {
 			conns[t.Seen.Addr] = max(1, p.MaxConns/nodes)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -150,7 +150,7 @@
 		HeardRelays: func(relays []fleet.Member) { n.relays.heardOf(relays) },
 	}, n.peers, n.events)
 	n.duty = newDuty(n)
-	n.relays = newRelays(n, n.smallFleet)
+	n.relays = newRelays(n)
 	n.gauges()
 	return n, nil
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -39,10 +39,7 @@
 // and the engines' events and tell the others, and join what all say of
 // themselves. A node to which no relay tells anything reads the store itself.
 type relays struct {
-	n     *Node
-	epoch int64
-	// small is the size of fleet up to which all nodes talk to each other.
-	small int
+	n *Node
 
 	// mu guards what follows; it is taken inside the node's lock, never around it.
 	mu     sync.Mutex
@@ -61,12 +58,12 @@
 	noted relayPart
 }
 
-func newRelays(n *Node, small int) *relays {
+func newRelays(n *Node) *relays {
 	s := n.settings()
 	now := time.Now()
 	self := fleet.Member{ID: s.Name, Addr: s.Peers, Zone: s.Zone, Epoch: now.UnixNano(), Power: s.Power}
 	return &relays{
-		n: n, epoch: self.Epoch, small: small,
+		n:      n,
 		roster: fleet.NewRoster[route.PeerState](now, self, rosterTimeout),
 		entries: route.NewFeed[netip.AddrPort](func(a, b route.Entry) bool {
 			return reflect.DeepEqual(a, b)
@@ -84,13 +81,13 @@
 	now := time.Now()
 	if !r.large {
 		nodes = 1 + len(live)
-		if nodes <= r.small {
+		if nodes <= r.n.smallFleet {
 			return nodes, false
 		}
 		r.begin(now, live)
 	}
 	nodes = len(r.roster.Members(now))
-	if now.Sub(r.largeAt) > rosterTimeout && float64(max(nodes, 1+len(live))) < smallAgain*float64(r.small) {
+	if now.Sub(r.largeAt) > rosterTimeout && float64(max(nodes, 1+len(live))) < smallAgain*float64(r.n.smallFleet) {
 		r.large = false
 		r.n.gossip.SetQuiet(false)
 	}
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"maps"
 	"net/netip"
 	"time"
 
@@ -29,7 +28,7 @@
 		e.Revision = 0
 		r.entries.Set(addr, e)
 	}
-	for addr := range maps.Keys(gone) {
+	for addr := range gone {
 		r.entries.Drop(addr)
 		r.beats.Drop(addr)
 	}
@@ -96,12 +95,13 @@
 
 // news returns what changed of the list since a cursor; the caller holds the lock.
 func (r *relays) news(now time.Time, known peer.RelayCursor) *peer.RelayNews {
-	if known.Epoch != r.epoch {
+	epoch := r.roster.Self().Epoch
+	if known.Epoch != epoch {
 		known = peer.RelayCursor{}
 	}
 	out := &peer.RelayNews{ListAge: now.Sub(r.listAt)}
 	out.Entries, out.EntriesFull = r.entries.Since(known.Entries)
 	out.Beats, out.BeatsFull = r.beats.Since(known.Beats)
-	out.Cursor = peer.RelayCursor{Epoch: r.epoch, Entries: r.entries.Version(), Beats: r.beats.Version()}
+	out.Cursor = peer.RelayCursor{Epoch: epoch, Entries: r.entries.Version(), Beats: r.beats.Version()}
 	return out
 }
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -84,12 +84,9 @@
 
 // Open opens the peers' door of a process; cfg is nil for plain TCP.
 func Open(addr netip.AddrPort, cfg *tls.Config, h Handler) (door.Door, error) {
-	l, err := net.Listen("tcp", addr.String())
+	l, err := door.Listen(addr, cfg)
 	if err != nil {
-		return door.Door{}, errs.Errorf("peers' door: %w", err)
-	}
-	if cfg != nil {
-		l = tls.NewListener(l, cfg)
+		return door.Door{}, err
 	}
 	return door.Door{
 		Serve: func() error { return Serve(l, h) },
--- a/route/homes.go
+++ b/route/homes.go
@@ -53,12 +53,9 @@
 		// Each of the requests has one of n engines as its home.
 		r.homes.last = mix(r.homes.last + uint64(b.rng.IntN(n)))
 	}
-	m := b.firstParts.use(Block(r.homes.first))
-	if m.over == 0 {
-		*m = newMeter(homeWindow)
-	}
+	m := meterOf(b.firstParts, Block(r.homes.first), homeWindow)
 	m.add(now, 1)
-	rate := m.value / homeWindow.Seconds() * float64(b.routers)
+	rate := m.level(now) * float64(b.routers)
 	r.homes.size = homeLeast + rate/homeRate
 }
 
--- a/route/hot.go
+++ b/route/hot.go
@@ -42,10 +42,7 @@
 
 // count counts a request and returns the rate of its last shared part over all routers.
 func (h *hotParts) count(now time.Time, part Block) float64 {
-	m := h.own.use(part)
-	if m.over == 0 {
-		*m = newMeter(hotWindow)
-	}
+	m := meterOf(h.own, part, hotWindow)
 	m.add(now, 1)
 	return m.level(now) + h.others[part]
 }
--- a/route/kept.go
+++ b/route/kept.go
@@ -115,6 +115,16 @@
 	return store.addr
 }
 
+// keptOf returns what is known of a prefix with so many tokens.
+func (b *Board) keptOf(key Block, tokens int) *keptPrefix {
+	k := b.kept.use(key)
+	if k.tokens == 0 {
+		k.uses = newMeter(keptWindow)
+		k.tokens = tokens
+	}
+	return k
+}
+
 // offerExport counts a prefix that a target has just computed and asks for its
 // export once it is hot. The prefix ends with the last message but one.
 func (b *Board) offerExport(now time.Time, r *request, a *attempt) []Action {
@@ -124,11 +134,7 @@
 		return nil
 	}
 	end := c.bounds[len(c.bounds)-2]
-	k := b.kept.use(c.blocks[end])
-	if k.tokens == 0 {
-		k.uses = newMeter(keptWindow)
-		k.tokens = c.tokens[end]
-	}
+	k := b.keptOf(c.blocks[end], c.tokens[end])
 	k.uses.add(now, 1)
 	switch {
 	case k.stored || k.tokens < keptLeast || k.uses.rate(now) < keptRate:
@@ -165,12 +171,7 @@
 func (b *Board) mergeKept(states map[string]PeerState) {
 	for _, s := range states {
 		for _, told := range s.Kept {
-			k := b.kept.use(told.Key)
-			if k.tokens == 0 {
-				k.uses = newMeter(keptWindow)
-				k.tokens = told.Tokens
-			}
-			k.stored = true
+			b.keptOf(told.Key, told.Tokens).stored = true
 		}
 	}
 }
--- a/route/meter.go
+++ b/route/meter.go
@@ -45,6 +45,15 @@
 	return m.value / m.over.Seconds()
 }
 
+// meterOf returns the meter of a key, which measures over the time constant given.
+func meterOf(g *generations[Block, meter], key Block, over time.Duration) *meter {
+	m := g.use(key)
+	if m.over == 0 {
+		*m = newMeter(over)
+	}
+	return m
+}
+
 // bucket is a token bucket whose rate may change at any time.
 type bucket struct {
 	level float64
--- a/route/parts.go
+++ b/route/parts.go
@@ -66,13 +66,11 @@
 		if shared || c.Tokens == 0 {
 			b.shared.held(t, key, c.Tokens)
 		}
-		if len(b.partHolders[key]) == 0 {
-			delete(b.shared.counted, key)
-		}
 	}
 }
 
-// setPart notes how many tokens of a part a target holds.
+// setPart notes how many tokens of a part a target holds. A shared part that nobody
+// holds any more is not counted as one until it is named again.
 func (b *Board) setPart(t *target, key partKey, tokens int, shared bool) {
 	if shared {
 		b.countOnly(key, -1)
@@ -81,9 +79,12 @@
 	if tokens > 0 {
 		t.parts.tokens[key] = tokens
 		b.partHolders.add(key, t)
-	} else {
-		delete(t.parts.tokens, key)
-		b.partHolders.remove(key, t)
+		return
+	}
+	delete(t.parts.tokens, key)
+	b.partHolders.remove(key, t)
+	if len(b.partHolders[key]) == 0 {
+		delete(b.shared.counted, key)
 	}
 }
 
--- a/route/place.go
+++ b/route/place.go
@@ -234,15 +234,15 @@
 	return fleet * (arriving + float64(p.queue.n))
 }
 
-// labelZone is the label with a target's failure domain, and zoneCost what one in
+// LabelZone is the label with a target's failure domain, and zoneCost what one in
 // another costs: a round trip between domains takes 2 to 3 ms on the users' sites.
 const (
-	labelZone = "zone"
+	LabelZone = "zone"
 	zoneCost  = 3 * time.Millisecond
 )
 
 func (b *Board) distance(t *target) time.Duration {
-	if b.zone == "" || t.labels[labelZone] == b.zone {
+	if b.zone == "" || t.labels[LabelZone] == b.zone {
 		return 0
 	}
 	return zoneCost
--- a/route/request.go
+++ b/route/request.go
@@ -299,9 +299,11 @@
 		return c
 	}
 	salt := r.Salt(weights).String()
-	c := newChain(salt, r.Text, r.Bounds)
+	var c *chain
 	if len(r.Parts) > 0 {
 		c = newPartsChain(salt, r.Parts)
+	} else {
+		c = newChain(salt, r.Text, r.Bounds)
 	}
 	if r.chains == nil {
 		r.chains = make(map[string]*chain, 1)
--- a/route/shared.go
+++ b/route/shared.go
@@ -99,10 +99,7 @@
 	}
 	p.shared = true
 	for _, key := range p.keys {
-		if !b.shared.has(key) {
-			b.shared.counted[key] = true
-			b.countOnly(key, 1)
-		}
+		b.markShared(key)
 		for _, t := range b.partHolders[key] {
 			b.shared.held(t, key, t.parts.tokens[key])
 		}
@@ -110,6 +107,14 @@
 	return true
 }
 
+// markShared counts a key as that of a shared part, if it is not yet.
+func (b *Board) markShared(key partKey) {
+	if !b.shared.has(key) {
+		b.shared.counted[key] = true
+		b.countOnly(key, 1)
+	}
+}
+
 // countShared notes the shared parts of a prompt.
 func (b *Board) countShared(now time.Time, r *request) {
 	for _, part := range r.Parts[:max(0, len(r.Parts)-1)] {
@@ -216,13 +221,7 @@
 
 // takePart notes what another router said that a target holds of a shared part.
 func (b *Board) takePart(t *target, key partKey, tokens int) {
-	if !b.shared.has(key) {
-		b.shared.counted[key] = true
-		b.countOnly(key, 1)
-	}
+	b.markShared(key)
 	b.setPart(t, key, tokens, true)
 	b.shared.held(t, key, tokens)
-	if len(b.partHolders[key]) == 0 {
-		delete(b.shared.counted, key)
-	}
 }
--- a/route/shared_test.go
+++ b/route/shared_test.go
@@ -148,3 +148,14 @@
 	require.Empty(t, p.b.State(p.now).Silent, "to whom all are silent, that one's path is at fault")
 	require.Empty(t, p.b.State(p.now.Add(2*silentTold)).Silent)
 }
+
+// A key of a shared part is forgotten once no target holds it, however that came:
+// new weights give every part a new key.
+func TestSharedKeysForgotten(t *testing.T) {
+	p := newPartsBoard(t, 1)
+	a := p.ask(p.request("a", append(shared, own)...))
+	p.holds(testAddr(0), a.Salt, shared...)
+	require.Len(t, p.b.shared.counted, len(shared))
+	p.b.PartChanges(p.now, testAddr(0), true, nil)
+	require.Empty(t, p.b.shared.counted)
+}
--- a/route/weights.go
+++ b/route/weights.go
@@ -150,8 +150,13 @@
 		b.suspect(now, t)
 		return
 	}
-	t.report.Weights = map[string]string{model: newest}
-	b.noteWeights(t, t.report.Weights, "its refusal")
+	b.setWeights(now, t, model, newest, "its refusal")
+}
+
+// setWeights takes the word of a source that a target has new weights.
+func (b *Board) setWeights(now time.Time, t *target, model, weights, source string) {
+	t.report.Weights = map[string]string{model: weights}
+	b.noteWeights(t, t.report.Weights, source)
 	b.renewSlot(now, t)
 	b.version++
 }
@@ -169,10 +174,7 @@
 	if !ok || t.incarnation != w.Target.Incarnation || !OlderWeights(t.report.Weights[w.Model], w.Weights) {
 		return nil
 	}
-	t.report.Weights = map[string]string{w.Model: w.Weights}
-	b.noteWeights(t, t.report.Weights, "the holder of the lease")
-	b.renewSlot(now, t)
-	b.version++
+	b.setWeights(now, t, w.Model, w.Weights, "the holder of the lease")
 	return b.dispatch(now)
 }
 
--- a/wire/answer.go
+++ b/wire/answer.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs/v2"
 
 	"github.com/pathhead/pathhead/dispatch"
+	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -152,7 +153,7 @@
 		return err
 	}
 	a.w.Header().Set("X-Request-Id", a.request)
-	return writeBody(a.w, http.StatusOK, "application/json", data)
+	return door.WriteBody(a.w, http.StatusOK, "application/json", data)
 }
 
 var errNoJSON = errs.Tag("the answer is no JSON")
@@ -162,7 +163,7 @@
 	if !json.Valid(body) {
 		return errNoJSON.Errorf("%d bytes", len(body))
 	}
-	return writeBody(a.w, http.StatusOK, "application/json", body)
+	return door.WriteBody(a.w, http.StatusOK, "application/json", body)
 }
 
 func usageOf(u *route.Usage) Usage {
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -126,7 +126,7 @@
 		w.Header().Set("Idempotent-Replayed", "true")
 	}
 	w.Header().Set(headerVerdict, route.Ran.String())
-	_ = writeBody(w, a.Status, a.ContentType, a.Body)
+	_ = door.WriteBody(w, a.Status, a.ContentType, a.Body)
 }
 
 // Models implements [dispatch.Protocol].
--- a/wire/refusal.go
+++ b/wire/refusal.go
@@ -80,13 +80,3 @@
 		Message: message, Type: "invalid_request_error", Code: code, Verdict: route.NotRun.String(),
 	}})
 }
-
-// writeBody writes a whole body with its length, so that a cut one is seen.
-func writeBody(w http.ResponseWriter, status int, contentType string, data []byte) error {
-	h := w.Header()
-	h.Set("Content-Type", contentType)
-	h.Set("Content-Length", strconv.Itoa(len(data)))
-	w.WriteHeader(status)
-	_, err := w.Write(data)
-	return err
-}
