route: an engine of which no prefill was seen reads as fast as others of its pool

Cause: each node learns each engine's rate of prefill by itself, from answers that fetched nothing; most fetch something. Engines not learned yet were taken to read 8,000 tokens a second where these read 40,800, so that they looked slow to some nodes and their prices of reading were five times too high, for seconds after each start of a node or an engine.

Change: behind an engine's own rate comes the one learned of its pool, and only then the default. TestRateOfPool failed first.

--- a/route/board.go
+++ b/route/board.go
@@ -78,6 +78,8 @@
 	drained meter
 	// offered measures the requests that arrive.
 	offered meter
+	// learned is the rate of prefill seen at its members, in tokens per second; zero before the first.
+	learned float64
 	retries retryBudget
 }
 
--- /dev/null
+++ b/route/rate_test.go
@@ -0,0 +1,22 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRateOfPool checks that an engine of which no prefill was seen is taken to
+// read as fast as others of its pool did, and that its own rate goes before that.
+func TestRateOfPool(t *testing.T) {
+	f := newPartsBoard(t, 2)
+	first, second := f.b.targets[testAddr(0)], f.b.targets[testAddr(1)]
+	first.report.PrefillRate, second.report.PrefillRate = 0, 0
+	require.EqualValues(t, defaultPrefillRate, second.rate())
+	first.learnRate(4000, 100*time.Millisecond, false)
+	require.InDelta(t, 40_000, second.rate(), 1)
+	second.learnRate(4000, 200*time.Millisecond, false)
+	require.InDelta(t, 20_000, second.rate(), 1)
+	require.InDelta(t, 40_000, first.rate(), 1)
+}
--- a/route/target.go
+++ b/route/target.go
@@ -147,6 +147,8 @@
 	return defaultSlots
 }
 
+// rate is the engine's rate of prefill in tokens per second: what it reports, else
+// what was learned of it, else what was learned of others of its pool.
 func (t *target) rate() float64 {
 	switch {
 	case t.report.PrefillRate > 0:
@@ -154,6 +156,11 @@
 	case t.learned > 0:
 		return t.learned
 	}
+	for _, p := range t.pools {
+		if p.learned > 0 {
+			return p.learned
+		}
+	}
 	return defaultPrefillRate
 }
 
@@ -170,11 +177,18 @@
 		return
 	}
 	rate := float64(uncached) / took.Seconds()
-	if t.learned == 0 {
-		t.learned = rate
-		return
+	t.learned = follow(t.learned, rate)
+	for _, p := range t.pools {
+		p.learned = follow(p.learned, rate)
+	}
+}
+
+// follow moves a learned rate towards one that was seen; the first is taken as it is.
+func follow(learned, seen float64) float64 {
+	if learned == 0 {
+		return seen
 	}
-	t.learned += learnPart * (rate - t.learned)
+	return learned + learnPart*(seen-learned)
 }
 
 // missWindow is the time over which failures count against a target, and
