route, peer, node: requests that take a target long are told to peers at once

Cause: of the load at an engine seven eighths come from other nodes, and loads are told with the next exchange, some 110 ms later in the mean.

Change: a request with 512 tokens to read or more is told to all nodes of a small fleet as it is sent: the sender's whole load at that engine, in place of what it said before.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -87,6 +87,16 @@
 	return joined
 }
 
+// Amend changes what a process said of itself, if it is the one of that epoch.
+func (v *View[P]) Amend(id string, epoch int64, change func(*P)) {
+	if k, ok := v.peers[id]; ok && k.entry.Epoch == epoch {
+		change(&k.entry.Payload)
+	}
+}
+
+// Epoch is this process's own.
+func (v *View[P]) Epoch() int64 { return v.self.Epoch }
+
 // forgetAfter is how many timeouts a lost peer is remembered, so that a late
 // relay of an old entry does not bring it back.
 const forgetAfter = 20
--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,8 @@
 	metricsAddr netip.AddrPort
 	metricsPath string
 	placement   route.Placer
+	// placed are the requests that peers are still to be told of.
+	placed chan route.Placed
 }
 
 // Option changes a [Node] at its construction.
@@ -121,6 +123,7 @@
 		limits:    defaultLimits,
 
 		smallFleet: DefaultSmallFleet,
+		placed:     make(chan route.Placed, placedHeld),
 	}
 	n.set.Store(&s)
 	n.adoption.Strict()
@@ -138,6 +141,7 @@
 		route.WithMinRetryAfter(minRetryAfter),
 		route.WithOwnRoom(ownRoom),
 		route.WithReusedAddresses(),
+		route.WithPlaced(n.tellPlaced),
 		route.WithNumberedWeights(route.Staleness{
 			Grace: staleGrace, Price: stalePrice, Limit: part(s.Bounds.Weights, weightsPart),
 		}),
@@ -197,6 +201,10 @@
 	stalePrice = 250 * time.Millisecond
 )
 
+// placedHeld is how many requests may wait for peers to be told of them: some
+// seconds' worth for one node; what does not fit is told with the next exchange.
+const placedHeld = 64
+
 // tickEvery is the board's resolution of time.
 const tickEvery = 20 * time.Millisecond
 
@@ -210,7 +218,7 @@
 	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: "callers at " + n.settings().Callers.String()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickEvery) })
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -11,6 +11,7 @@
 
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
 )
 
 // The bounds of gossip: which part of its live peers a round exchanges with, at
@@ -222,6 +223,32 @@
 	}
 }
 
+// TellPlaced tells all live peers at once of a request that takes a target long. One
+// that does not hear of it hears of the load with the next exchange.
+func (g *Gossip) TellPlaced(ctx context.Context, p route.Placed) {
+	w := PlacedWord{From: g.id, Epoch: g.view.Epoch(), Placed: p}
+	var wg sync.WaitGroup
+	for _, e := range g.Live() {
+		wg.Go(func() { g.tellPlaced(ctx, e, w) })
+	}
+	wg.Wait()
+}
+
+func (g *Gossip) tellPlaced(ctx context.Context, to Entry, w PlacedWord) {
+	// An error is seen in the next round too, which tells the same.
+	_ = g.peers.Placed(ctx, to.Addr, w)
+}
+
+// Placed takes a peer's word on a request.
+func (g *Gossip) Placed(w PlacedWord) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view.Amend(w.From, w.Epoch, func(p *Payload) {
+		loads := slices.DeleteFunc(slices.Clone(p.State.Loads), func(l route.Load) bool { return l.Target == w.Placed.Load.Target })
+		p.State.Loads = append(loads, w.Placed.Load)
+	})
+}
+
 func (g *Gossip) expire() {
 	g.mu.Lock()
 	now := time.Now()
--- a/peer/gossip_test.go
+++ b/peer/gossip_test.go
@@ -12,12 +12,15 @@
 
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
 )
 
 // gossiper is a process that only gossips; it notes the answers that it gave.
 type gossiper struct {
 	*Gossip
 	addr netip.AddrPort
+	// state is what the process says of its requests.
+	state route.PeerState
 
 	mu      sync.Mutex
 	answers []Exchange
@@ -62,7 +65,7 @@
 		g := &gossiper{addr: seeds[i]}
 		g.Gossip = NewGossip(GossipConfig{
 			ID: name, Addr: seeds[i], Seeds: seeds, Timeout: time.Minute, Seed: uint64(i),
-			Payload: func(time.Time) Payload { return Payload{Kind: KindRouter} },
+			Payload: func(time.Time) Payload { return Payload{Kind: KindRouter, State: g.state} },
 			Heard:   func(time.Time, fleet.PeerWord) {},
 		}, client, event.New(name))
 		done := make(chan error, 1)
@@ -109,3 +112,18 @@
 	}
 	require.Equal(t, []string{"b", "c"}, heard)
 }
+
+// TestGossipTellsPlaced checks that a word on a request changes what a peer knows of
+// the sender's load at that target alone, and that one of an earlier process does not.
+func TestGossipTellsPlaced(t *testing.T) {
+	g := startGossipers(t, "a", "b")
+	a, b := g[0], g[1]
+	x, y := route.Mark{Incarnation: "x"}, route.Mark{Incarnation: "y"}
+	a.state = route.PeerState{Loads: []route.Load{{Target: x, InFlight: 1}, {Target: y, InFlight: 2}}}
+	a.exchangeWith(t.Context(), b)
+	a.TellPlaced(t.Context(), route.Placed{Load: route.Load{Target: x, InFlight: 2, Prefill: 9000}})
+	loads := func() []route.Load { return b.Live()[0].Payload.State.Loads }
+	require.ElementsMatch(t, []route.Load{{Target: x, InFlight: 2, Prefill: 9000}, {Target: y, InFlight: 2}}, loads())
+	b.Placed(PlacedWord{From: "a", Epoch: 1, Placed: route.Placed{Load: route.Load{Target: x, InFlight: 7}}})
+	require.ElementsMatch(t, []route.Load{{Target: x, InFlight: 2, Prefill: 9000}, {Target: y, InFlight: 2}}, loads())
+}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -62,6 +62,30 @@
 	Config() (d fleet.Document, ok bool)
 }
 
+// PlacedWord is a process's word on a request that takes a target long.
+type PlacedWord struct {
+	From   string
+	Epoch  int64
+	Placed route.Placed
+}
+
+// PlacedHandler takes such words; a [Handler] may be one.
+type PlacedHandler interface{ Placed(w PlacedWord) }
+
+// Placed takes a word on a request.
+func (s peerService) Placed(in *PlacedWord, _ *bool) error {
+	if h, ok := s.handler.(PlacedHandler); ok {
+		h.Placed(*in)
+	}
+	return nil
+}
+
+// Placed tells the process at addr of a request.
+func (p *Client) Placed(ctx context.Context, addr netip.AddrPort, w PlacedWord) error {
+	var out bool
+	return p.call(ctx, addr, "Placed", &w, &out)
+}
+
 // peerName is the service's name in net/rpc.
 const peerName = "Peer"
 
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -171,6 +171,7 @@
 	c.target.attempts[a.ID] = a
 	c.target.prefill += a.uncached
 	c.target.tokens += r.size()
+	b.tellPlaced(c, a)
 	b.note(event.Event{
 		Code: event.RequestPlaced, Request: r.ID, Attempt: a.ID, Org: r.Org,
 		Target: c.target.name(), Revision: b.snap.Revision, Detail: a.Reason,
--- a/route/board.go
+++ b/route/board.go
@@ -55,6 +55,8 @@
 	staleness *Staleness
 	// named are the namings of each model's weights, the newest last.
 	named map[string][]naming
+	// placed hears at once of requests that take a target long.
+	placed func(Placed)
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
@@ -118,6 +120,12 @@
 	return func(b *Board) { b.reused = true }
 }
 
+// WithPlaced sets the function that hears at once of each request that takes its
+// target long; it must not block.
+func WithPlaced(f func(Placed)) Option {
+	return func(b *Board) { b.placed = f }
+}
+
 // WithMinRetryAfter sets the least time a caller is told to stay away.
 func WithMinRetryAfter(d time.Duration) Option {
 	return func(b *Board) { b.minRetryAfter = d }
@@ -148,6 +156,7 @@
 		named:       make(map[string][]naming),
 
 		minRetryAfter: defaultMinRetryAfter,
+		placed:        func(Placed) {},
 	}
 	for _, opt := range opts {
 		opt(b)
