route: a request waits while what it shares is being read for another

Cause: engines keep the parts of a prompt only once all of it is read (cache events come some 100 ms after the first token, for all parts at once; a fetched part is told as it comes).

Change: the readings under way are known, own ones until the first token, peers' by the time that they tell. A request whose best candidate counts on one is held; it goes elsewhere where only reading again lets it begin in time, and is not held for a reading over twice as long as was predicted. A copy's predicted time includes the rest of its source's reading. The tests of placed_test.go failed first.

--- a/node/forward.go
+++ b/node/forward.go
@@ -94,6 +94,7 @@
 		Revision:       v.snap.Revision,
 		Pool:           n.poolOf(rt),
 		Deadline:       v.begun.Add(timeout),
+		Aim:            aimOf(rt),
 		QueueTime:      queueTime(rt),
 		Priority:       rt.Priority,
 		Repeatable:     !rt.Once,
@@ -122,15 +123,17 @@
 	defaultAim     = 500 * time.Millisecond
 )
 
-// queueTime is how long a request may wait for a target.
-func queueTime(rt *policy.Route) time.Duration {
-	aim := time.Duration(rt.Aim)
-	if aim == 0 {
-		aim = defaultAim
+// aimOf is the time within which an answer on the route is to begin.
+func aimOf(rt *policy.Route) time.Duration {
+	if rt.Aim == 0 {
+		return defaultAim
 	}
-	return part(aim, queuePart)
+	return time.Duration(rt.Aim)
 }
 
+// queueTime is how long a request may wait for a target.
+func queueTime(rt *policy.Route) time.Duration { return part(aimOf(rt), queuePart) }
+
 // poolOf chooses among a route's pools by their weights.
 func (n *Node) poolOf(rt *policy.Route) string {
 	total := 0
--- a/node/peers.go
+++ b/node/peers.go
@@ -116,7 +116,7 @@
 func (n *Node) Placed(w peer.PlacedWord) {
 	n.gossip.Placed(w)
 	n.Lock()
-	n.Board().Filling(time.Now(), w.Placed.Fills)
+	n.Board().Filling(time.Now(), w.Placed)
 	n.Unlock()
 	n.tellBoard()
 }
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -126,6 +126,10 @@
 			if c == nil {
 				continue
 			}
+			if c, extra = b.settle(now, p, r, c, extra); c == nil {
+				r.queuedTo = now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
+				continue
+			}
 			if extra <= tieWidth {
 				return b.send(now, p, r, c), true
 			}
@@ -166,12 +170,12 @@
 		a.Save = b.considerSave(now, c, r)
 		b.countShared(now, r)
 		b.expectFill(now, c)
+		b.beginFill(now, c, a)
 	}
 	r.attempt = a
 	c.target.attempts[a.ID] = a
 	c.target.prefill += a.uncached
 	c.target.tokens += r.size()
-	b.tellPlaced(c, a)
 	b.note(event.Event{
 		Code: event.RequestPlaced, Request: r.ID, Attempt: a.ID, Org: r.Org,
 		Target: c.target.name(), Revision: b.snap.Revision, Detail: a.Reason,
@@ -198,6 +202,7 @@
 	a.progress = now
 	a.target.answeredAt = now
 	a.target.learnRate(a.uncached, now.Sub(a.sent), a.fetched)
+	b.endFill(a)
 	a.target.prefill -= a.uncached
 	b.recovered(a.target)
 	if a.Salt != "" {
@@ -280,6 +285,7 @@
 func (b *Board) release(now time.Time, r *request, a *attempt) {
 	t := a.target
 	delete(t.attempts, a.ID)
+	b.endFill(a)
 	t.tokens -= r.size()
 	if !a.first {
 		t.prefill -= a.uncached
--- a/route/board.go
+++ b/route/board.go
@@ -57,6 +57,8 @@
 	named map[string][]naming
 	// placed hears at once of requests that take a target long.
 	placed func(Placed)
+	// filling are the blocks that targets read now.
+	filling map[fillKey]fill
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
@@ -157,6 +159,7 @@
 
 		minRetryAfter: defaultMinRetryAfter,
 		placed:        func(Placed) {},
+		filling:       make(map[fillKey]fill),
 	}
 	for _, opt := range opts {
 		opt(b)
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -50,14 +50,14 @@
 			if o.chain != c.chain || o.trusted < max(c.trusted, c.fetched)+fetchLeast {
 				continue
 			}
-			c.fetchFrom, c.fetched = o.target.addr, o.trusted
+			c.fetchFrom, c.fetched, c.unread = o.target.addr, o.trusted, o.unread
 		}
 		if store != nil {
 			b.considerStore(now, c, store, p)
 		}
 		if c.fetched > 0 && c.fetchFrom != storeAddr(store) {
 			fetched := float64(c.fetched - c.trusted)
-			c.transfer = fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate))
+			c.transfer = c.unread.left(now) + fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate))
 		}
 		c.extra += b.displaces(now, c, p, r)
 	}
@@ -114,7 +114,7 @@
 	if held < max(c.trusted, c.fetched)+fetchLeast || !b.storeHasRoom(now, p) {
 		return
 	}
-	c.fetchFrom, c.fetched = store.addr, held
+	c.fetchFrom, c.fetched, c.unread = store.addr, held, fill{}
 	moved := float64(held - c.trusted)
 	c.transfer = fetchSetup + seconds(moved/b.storeRate(p))
 }
--- a/route/limit.go
+++ b/route/limit.go
@@ -254,6 +254,7 @@
 	b.hot.merge(states)
 	b.mergeShared(states)
 	b.mergeSilent(now, states)
+	b.dropFills(now)
 	b.shareLimits(now)
 	return b.dispatch(now)
 }
--- a/route/place.go
+++ b/route/place.go
@@ -24,7 +24,11 @@
 	// trusted is the cached part of the prompt that is believed, in tokens;
 	// held is the deepest block ever known there.
 	trusted int
-	held    held
+	// ready is the part of trusted that the target has read, in tokens, and unread the
+	// reading that the rest, or what is to be fetched, waits for; it is zero for none.
+	ready  int
+	unread fill
+	held   held
 	// rank orders equal candidates the same way on every router.
 	rank uint64
 	wait time.Duration
@@ -365,7 +369,14 @@
 			c.rank = r.homes.rank(n, c.target)
 		}
 		if c.target.parts.known(now) {
-			c.trusted = max(c.trusted, c.target.parts.leading(c.chain))
+			held := c.target.parts.leading(c.chain)
+			c.trusted, c.ready = max(c.trusted, held), max(c.ready, held)
+		}
+		if r.anew {
+			c.trusted = c.ready
+		}
+		if c.ready == c.trusted {
+			c.unread = fill{}
 		}
 	}
 }
@@ -393,22 +404,31 @@
 			if !ok || t.round != b.round {
 				continue
 			}
-			if cs[t.candidate].note(now, c.tokens[i], time.Duration(ms-h.at)*time.Millisecond) {
+			f, reading := b.reading(now, h.slot, c.blocks[i])
+			if cs[t.candidate].note(now, c.tokens[i], time.Duration(ms-h.at)*time.Millisecond, f, reading) {
 				open--
 			}
 		}
 	}
 }
 
-// note takes a block known at the candidate and reports whether it is the first trusted one.
-func (c *candidate) note(now time.Time, tokens int, age time.Duration) bool {
+// note takes a block known at the candidate, whose reading may be under way, and
+// reports whether it is the first trusted one that is read.
+func (c *candidate) note(now time.Time, tokens int, age time.Duration, f fill, reading bool) bool {
 	if c.held.tokens == 0 {
 		c.held = held{tokens: tokens, age: age}
 	}
-	if c.trusted > 0 || !c.target.trusts(now, age) {
+	if c.ready > 0 || !c.target.trusts(now, age) {
+		return false
+	}
+	if c.trusted == 0 {
+		c.trusted = tokens
+		c.unread = f
+	}
+	if reading {
 		return false
 	}
-	c.trusted = tokens
+	c.ready = tokens
 	return true
 }
 
--- a/route/placed_test.go
+++ b/route/placed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -20,3 +21,92 @@
 	require.Equal(t, f.b.targets[testAddr(0)].prefill, told[0].Load.Prefill)
 	require.Len(t, told[0].Fills, len(shared), "a part of its own is of no use to others")
 }
+
+// newFillBoard returns a board whose engines' events are read and say that they hold nothing.
+func newFillBoard(t *testing.T, engines int) *partsBoard {
+	f := newPartsBoard(t, engines)
+	f.b.pools["e"].compiled.CacheReaders = 1
+	for i := range engines {
+		f.holds(testAddr(i), "any")
+	}
+	return f
+}
+
+// aimed is a request that is to be answered in time.
+func (p *partsBoard) aimed(aim time.Duration, parts ...Part) Request {
+	r := p.request("a", parts...)
+	r.Aim = aim
+	return r
+}
+
+func (p *partsBoard) sent(actions []Action) []string {
+	var out []string
+	for _, a := range actions {
+		if s, ok := a.(Send); ok {
+			out = append(out, s.Attempt.Request)
+		}
+	}
+	return out
+}
+
+// TestAwaitsReading checks that a request waits while what it shares is read for
+// another one, and goes as soon as that is done.
+func TestAwaitsReading(t *testing.T) {
+	f := newFillBoard(t, 3)
+	first := f.ask(f.aimed(time.Second, append(shared, own)...))
+	second := f.aimed(time.Second, append(shared, Part{"own2", 500})...)
+	require.Nil(t, f.ask(second))
+	other := f.ask(f.aimed(time.Second, Part{"cc", 3000}, Part{"own3", 500}))
+	require.NotNil(t, other, "one that shares nothing with it does not wait")
+	f.now = f.now.Add(40 * time.Millisecond)
+	require.Empty(t, f.sent(f.b.Tick(f.now)))
+	f.now = f.now.Add(60 * time.Millisecond)
+	require.Equal(t, []string{second.ID}, f.sent(f.b.FirstToken(f.now, first.Request, first.ID)))
+}
+
+// TestAwaitsInTime checks that a request does not wait for what is read for
+// another one if only reading it again lets it be in time.
+func TestAwaitsInTime(t *testing.T) {
+	f := newFillBoard(t, 3)
+	f.ask(f.aimed(time.Second, append(shared, Part{"long", 10_000})...))
+	require.NotNil(t, f.ask(f.aimed(200*time.Millisecond, append(shared, own)...)))
+}
+
+// TestAwaitsOverdue checks that a request does not wait for a reading that takes
+// over twice as long as was predicted, nor for one that has failed.
+func TestAwaitsOverdue(t *testing.T) {
+	cases := map[string]func(f *partsBoard, first *Attempt) []Action{
+		"overdue": func(f *partsBoard, _ *Attempt) []Action {
+			f.now = f.now.Add(400 * time.Millisecond)
+			return f.b.Tick(f.now)
+		},
+		"failed": func(f *partsBoard, first *Attempt) []Action {
+			return f.b.Ended(f.now, Outcome{Request: first.Request, Attempt: first.ID, Kind: OutcomeBroken})
+		},
+	}
+	for name, then := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFillBoard(t, 3)
+			first := f.ask(f.aimed(time.Second, append(shared, own)...))
+			second := f.aimed(time.Second, append(shared, Part{"own2", 500})...)
+			require.Nil(t, f.ask(second))
+			require.Contains(t, f.sent(then(f, first)), second.ID)
+		})
+	}
+}
+
+// TestAwaitsPeers checks that a request waits for what a peer's request has read,
+// until that is taken to be done.
+func TestAwaitsPeers(t *testing.T) {
+	f, peer := newFillBoard(t, 3), newFillBoard(t, 3)
+	var told []Placed
+	WithPlaced(func(p Placed) { told = append(told, p) })(peer.b)
+	peer.ask(peer.aimed(time.Second, append(shared, own)...))
+	f.b.Filling(f.now, told[0])
+	second := f.aimed(time.Second, append(shared, Part{"own2", 500})...)
+	require.Nil(t, f.ask(second))
+	f.now = f.now.Add(told[0].Takes + time.Millisecond)
+	require.Equal(t, []string{second.ID}, f.sent(f.b.Tick(f.now)))
+	f.b.Peers(f.now, nil, 1)
+	require.Empty(t, f.b.filling, "what is over is forgotten")
+}
--- a/route/request.go
+++ b/route/request.go
@@ -18,6 +18,8 @@
 	Revision int64
 	Pool     string
 	Deadline time.Time
+	// Aim is the time from its arrival within which the answer is to begin; zero means that none is stated.
+	Aim time.Duration
 	// QueueTime bounds the wait for a target.
 	QueueTime time.Duration
 	Priority  int
@@ -241,6 +243,8 @@
 	attempt   *attempt
 	chains    map[string]*chain
 	homes     homes
+	// anew is set while the request is placed without what is still being read.
+	anew bool
 	// draw is a number from 0 to 1 by which requests take different ways.
 	draw float64
 }
@@ -337,7 +341,9 @@
 	heldTokens int
 	heldAge    time.Duration
 	first      bool
-	fetched    bool
-	progress   time.Time
-	cancelled  bool
+	// fills are the readings that the attempt began.
+	fills     []fillKey
+	fetched   bool
+	progress  time.Time
+	cancelled bool
 }
