transport, route, node: connections that go silent for good cost one request each target

Of a target's kept connections each in turn took a request that then waited for its time-out, since the pool gives out what it kept last; and a silent connection took the target out until its next sign of life, some two seconds, on which also new connections were not tried.

Change: after an exchange on which nothing came in time, the target's idle connections that were last used before it began are closed; a caller that leaves says nothing of them. A target whose connection went silent is tried with a new one at once, and is back when it takes it, unless peers have found it silent since. TestSilentKept failed first (10 s, against a proxy that holds connections open and passes nothing on); TestSilentReached and TestReaches came with the new functions.

--- a/node/forward.go
+++ b/node/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -214,7 +215,7 @@
 	}
 	resp, err := f.n.conns.Send(ctx, f.call(a, now))
 	if err != nil {
-		return f.broken(out, err)
+		return f.broken(a.Target, out, err)
 	}
 	defer resp.Body.Close()
 	meaning, incarnation := f.n.protocol.Read(resp.Status, resp.Header)
@@ -271,16 +272,34 @@
 }
 
 // broken says what a failed attempt means.
-func (f *forwarding) broken(out route.Outcome, err error) route.Outcome {
+func (f *forwarding) broken(target netip.AddrPort, out route.Outcome, err error) route.Outcome {
 	if out.Kind = route.OutcomeBroken; errors.Is(err, transport.ErrUnsent) {
 		out.Kind = route.OutcomeUnsent
 	}
-	out.Silent = errors.Is(err, transport.ErrSilent)
+	if out.Silent = errors.Is(err, transport.ErrSilent); out.Silent && out.Kind != route.OutcomeUnsent {
+		go f.n.reach(target)
+	}
 	out.Delivered = f.begun
 	out.Detail = err.Error()
 	return out
 }
 
+// reachTime bounds the opening of a connection that tells whether a target lives:
+// one that does takes it within some milliseconds.
+const reachTime = 300 * time.Millisecond
+
+// reach opens a connection to a target on which one has gone silent. Connections may
+// go silent for good while new ones work; a target that takes one is not gone.
+func (n *Node) reach(target netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTime)
+	defer cancel()
+	if err := n.conns.Reaches(ctx, target); err != nil {
+		n.log.Debug("a silent target takes no new connection", "target", target, "error", err)
+		return
+	}
+	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
+}
+
 // maxWhole bounds an answer that is held whole, in bytes.
 const maxWhole = 4 << 20
 
@@ -289,7 +308,7 @@
 func (f *forwarding) whole(a route.Attempt, resp *transport.Response, out route.Outcome) route.Outcome {
 	data, err := transport.ReadAll(resp.Body, maxWhole)
 	if err != nil {
-		return f.broken(out, err)
+		return f.broken(a.Target, out, err)
 	}
 	got := &whole{status: resp.Status, header: resp.Header, body: data}
 	out.TargetError = resp.Status >= http.StatusInternalServerError
--- a/node/stream.go
+++ b/node/stream.go
@@ -58,7 +58,7 @@
 			out.Kind, out.Delivered = route.OutcomeDone, f.begun
 			return out
 		case err != nil:
-			return f.broken(out, err)
+			return f.broken(a.Target, out, err)
 		}
 	}
 }
--- /dev/null
+++ b/route/silent_test.go
@@ -0,0 +1,36 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSilentReached checks that a target which took a new connection after an old one
+// went silent serves again at once, and that peers are not told that it is silent.
+func TestSilentReached(t *testing.T) {
+	f := newPartsBoard(t, 1)
+	a := f.ask(f.request("a", own))
+	f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
+	require.False(t, f.b.targets[testAddr(0)].usable())
+	require.NotEmpty(t, f.b.State(f.now).Silent)
+	waiting := f.request("a", own)
+	require.Nil(t, f.ask(waiting))
+	f.now = f.now.Add(5 * time.Millisecond)
+	require.Equal(t, []string{waiting.ID}, f.sent(f.b.Reached(f.now, testAddr(0))))
+	require.Empty(t, f.b.State(f.now).Silent)
+}
+
+// TestSilentReachedLate checks that a new connection does not bring a target back that
+// peers found silent later.
+func TestSilentReachedLate(t *testing.T) {
+	f := newPartsBoard(t, 1)
+	a := f.ask(f.request("a", own))
+	f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
+	f.now = f.now.Add(time.Millisecond)
+	m := Mark{testAddr(0), "0"}
+	f.b.Peers(f.now, map[string]PeerState{"p": {Silent: []SilentWord{{m, silentRouters}}}}, 2)
+	f.b.Reached(f.now, testAddr(0))
+	require.False(t, f.b.targets[testAddr(0)].usable())
+}
--- a/route/target.go
+++ b/route/target.go
@@ -215,6 +215,19 @@
 	b.takeOut(now, t, "it gave no sign of life")
 }
 
+// Reached takes the news that a target's machine took a new connection: what was
+// silent was an old one.
+func (b *Board) Reached(now time.Time, addr netip.AddrPort) []Action {
+	t, ok := b.targets[addr]
+	if !ok || t.silentAt.IsZero() || t.suspectedAt.After(t.silentAt) {
+		return nil
+	}
+	t.silentAt = time.Time{}
+	t.answeredAt = now
+	b.recovered(t)
+	return b.dispatch(now)
+}
+
 // takeOut takes a target out that seems to be dark; its next sign of life brings it back.
 func (b *Board) takeOut(now time.Time, t *target, why string) {
 	t.suspectedAt = now
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -93,7 +93,9 @@
 	r      *bufio.Reader
 	// until is when an idle connection is given up.
 	until time.Time
-	used  bool
+	// keptAt is when it was put back last.
+	keptAt time.Time
+	used   bool
 }
 
 // get returns a kept connection that is still good, or a new one.
@@ -220,10 +222,40 @@
 		return
 	}
 	c.used = true
-	c.until = time.Now().Add(d)
+	c.keptAt = time.Now()
+	c.until = c.keptAt.Add(d)
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
 
+// Reaches opens a connection to a target and keeps it for the next request. It
+// returns an error if the target's machine does not answer or takes none.
+func (p *Pool) Reaches(ctx context.Context, target netip.AddrPort) error {
+	c, err := p.dial(ctx, target)
+	if err != nil {
+		return err
+	}
+	c.keep(defaultIdleTime)
+	return nil
+}
+
+// distrust closes the idle connections to a target on which nothing came since a
+// time. One that was in use since then has gone silent, and the others may have.
+func (p *Pool) distrust(target netip.AddrPort, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[target][:0]
+	for _, c := range p.idle[target] {
+		if c.keptAt.After(since) {
+			kept = append(kept, c)
+			continue
+		}
+		p.forget(c)
+	}
+	if p.idle[target] = kept; len(kept) == 0 {
+		delete(p.idle, target)
+	}
+}
+
 // Sweep closes idle connections whose time is over and those to targets that are not wanted any more.
 func (p *Pool) Sweep(wanted func(netip.AddrPort) bool) {
 	p.mu.Lock()
--- a/transport/send.go
+++ b/transport/send.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{conn: c, ctx: ctx, fresh: req.Fresh}
+	x := &exchange{conn: c, ctx: ctx, fresh: req.Fresh, begun: time.Now()}
 	x.stop = context.AfterFunc(ctx, func() {
 		// A connection whose deadline cannot be set is closed already.
 		_ = c.SetDeadline(time.Unix(1, 0))
@@ -76,6 +76,8 @@
 	conn *conn
 	ctx  context.Context
 	stop func() bool
+	// begun is when the exchange began.
+	begun time.Time
 	// written is 1 once the whole request was written.
 	written atomic.Bool
 	wrote   chan struct{}
@@ -161,12 +163,17 @@
 
 var errForeign = errs.Tag("answers to other requests")
 
-// explain says what an error on the connection means.
+// explain says what an error on the connection means. Where nothing came in time,
+// as opposed to a caller that left, the target's idle connections may be silent too.
 func (x *exchange) explain(target netip.AddrPort, err error) error {
-	switch {
-	case x.ctx.Err() != nil:
-		return errs.Errorf("target %s: %w", target, context.Cause(x.ctx))
+	switch cause := context.Cause(x.ctx); {
+	case cause != nil:
+		if !errors.Is(cause, context.Canceled) {
+			x.conn.pool.distrust(target, x.begun)
+		}
+		return errs.Errorf("target %s: %w", target, cause)
 	case isTimeout(err):
+		x.conn.pool.distrust(target, x.begun)
 		return ErrSilent.Errorf("target %s: %w", target, err)
 	}
 	return errs.Errorf("target %s: %w", target, err)
--- /dev/null
+++ b/transport/silent_test.go
@@ -0,0 +1,178 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// muteProxy stands before a target. Once it is muted, the connections that are
+// open stay open and pass nothing on any more, while new ones work.
+type muteProxy struct {
+	addr   netip.AddrPort
+	opened atomic.Int64
+
+	mu    sync.Mutex
+	muted chan struct{}
+}
+
+// mute silences the connections that are open.
+func (m *muteProxy) mute() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.muted)
+	m.muted = make(chan struct{})
+}
+
+func startMuteProxy(t *testing.T, target netip.AddrPort) *muteProxy {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := &muteProxy{addr: l.Addr().(*net.TCPAddr).AddrPort(), muted: make(chan struct{})}
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			m.opened.Add(1)
+			m.mu.Lock()
+			muted := m.muted
+			m.mu.Unlock()
+			running.Go(func() { m.pass(c, target, muted) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		m.mute()
+		running.Wait()
+	})
+	return m
+}
+
+// pass connects a connection with the target until it is muted; then it is only held open.
+func (m *muteProxy) pass(c net.Conn, target netip.AddrPort, muted chan struct{}) {
+	defer c.Close()
+	up, err := net.Dial("tcp4", target.String())
+	if err != nil {
+		return
+	}
+	defer up.Close()
+	var copies sync.WaitGroup
+	for _, pair := range [][2]net.Conn{{c, up}, {up, c}} {
+		copies.Go(func() { _, _ = io.Copy(pair[0], pair[1]) })
+	}
+	<-muted
+	past := time.Unix(1, 0)
+	for _, end := range []net.Conn{c, up} {
+		_ = end.SetDeadline(past)
+	}
+	copies.Wait()
+	_ = c.SetDeadline(time.Time{})
+	_, _ = io.Copy(io.Discard, c)
+}
+
+// serveAll answers every connection, one request after the other.
+func serveAll(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	var running sync.WaitGroup
+	running.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			running.Go(func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for read(r) != "" {
+					_, _ = io.WriteString(c, answer("a", "ok"))
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		running.Wait()
+	})
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+var errImpatient = errors.New("nothing came in time")
+
+// sendWithin sends a request that is given up after a time without an answer.
+func sendWithin(t *testing.T, p *Pool, target netip.AddrPort, d time.Duration) error {
+	ctx, cancel := context.WithCancelCause(t.Context())
+	timer := time.AfterFunc(d, func() { cancel(errImpatient) })
+	defer timer.Stop()
+	defer cancel(nil)
+	resp, err := p.Send(ctx, request(target, "a", "body"))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, err = ReadAll(resp.Body, 1<<10)
+	return err
+}
+
+// TestSilentKept checks that of several kept connections that have all gone silent
+// only one costs a request: what was kept before that one was used is not used again.
+func TestSilentKept(t *testing.T) {
+	proxy := startMuteProxy(t, serveAll(t))
+	p := NewPool()
+	defer p.Close()
+	const kept = 4
+	var resps []*Response
+	for range kept {
+		resp, err := p.Send(t.Context(), request(proxy.addr, "a", "body"))
+		require.NoError(t, err)
+		resps = append(resps, resp)
+	}
+	for _, resp := range resps {
+		_, err := ReadAll(resp.Body, 1<<10)
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, kept, proxy.opened.Load())
+	proxy.mute()
+	require.ErrorIs(t, sendWithin(t, p, proxy.addr, 50*time.Millisecond), errImpatient)
+	require.NoError(t, sendWithin(t, p, proxy.addr, 10*time.Second))
+	require.EqualValues(t, kept+1, proxy.opened.Load())
+}
+
+// TestSilentGivenUp checks that a caller who leaves says nothing of the target's connections.
+func TestSilentGivenUp(t *testing.T) {
+	proxy := startMuteProxy(t, serveAll(t))
+	p := NewPool()
+	defer p.Close()
+	require.NoError(t, sendWithin(t, p, proxy.addr, 10*time.Second))
+	held, err := p.get(t.Context(), proxy.addr)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = p.Send(ctx, request(proxy.addr, "a", "body"))
+	require.Error(t, err)
+	held.keep(time.Minute)
+	require.NoError(t, sendWithin(t, p, proxy.addr, 10*time.Second))
+	require.EqualValues(t, 1, proxy.opened.Load())
+}
+
+// TestReaches checks that a target is found to be reached by a connection that is
+// kept for the next request.
+func TestReaches(t *testing.T) {
+	target := serveAll(t)
+	p := NewPool()
+	defer p.Close()
+	require.NoError(t, p.Reaches(t.Context(), target))
+	require.Len(t, p.idle[target], 1)
+	require.Error(t, p.Reaches(t.Context(), netip.MustParseAddrPort("127.0.0.1:1")))
+}
