--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -15,11 +15,12 @@
 
 type flags struct {
 	cli.Common
-	Settings    string `help:"The platform's settings file." required:"" env:"PATHHEAD_CONFIG" placeholder:"FILE"`
-	Placement   string `help:"Placement policy: predict, or a baseline for measurements: random, round-robin, least-load, prefix-hash." default:"predict" env:"PATHHEAD_PLACEMENT"`
-	MetricsPort uint16 `help:"Port of the counters on the VM's address; 0 for none." default:"0" env:"PATHHEAD_METRICS_PORT"`
-	SmallFleet  int    `help:"Size of fleet up to which all nodes talk to each other and read the store; in a larger one a few relay for the others." default:"16" env:"PATHHEAD_SMALL_FLEET"`
-	MetricsPath string `help:"Path of the counters." default:"/metrics" env:"PATHHEAD_METRICS_PATH"`
+	Settings    string   `help:"The platform's settings file." required:"" env:"PATHHEAD_CONFIG" placeholder:"FILE"`
+	Placement   string   `help:"Placement policy: predict, or a baseline for measurements: random, round-robin, least-load, prefix-hash." default:"predict" env:"PATHHEAD_PLACEMENT"`
+	MetricsPort uint16   `help:"Port of the counters on the VM's address; 0 for none." default:"0" env:"PATHHEAD_METRICS_PORT"`
+	SmallFleet  int      `help:"Size of fleet up to which all nodes talk to each other and read the store; in a larger one a few relay for the others." default:"16" env:"PATHHEAD_SMALL_FLEET"`
+	Without     []string `help:"Mechanisms to switch off for an experiment." env:"PATHHEAD_WITHOUT" placeholder:"NAME"`
+	MetricsPath string   `help:"Path of the counters." default:"/metrics" env:"PATHHEAD_METRICS_PATH"`
 }
 
 func main() {
@@ -33,6 +34,10 @@
 	if !ok {
 		cli.Fail(cli.ExitUsage, fmt.Errorf("placement %q is not known", f.Placement))
 	}
+	off, err := route.ParseMechanisms(f.Without)
+	if err != nil {
+		cli.Fail(cli.ExitUsage, err)
+	}
 	counters := metrics.NewSet()
 	called := func(name string) {
 		counters.GetOrCreateCounter(fmt.Sprintf("pathhead_platform_calls_total{call=%q}", name)).Inc()
@@ -40,7 +45,7 @@
 	dropped := counters.NewCounter("pathhead_log_lines_dropped_total")
 	log, out := f.StdoutLogger(set.Name, func(n int) { dropped.Add(n) })
 	defer out.Close()
-	opts := []node.Option{node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer)}
+	opts := []node.Option{node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer), node.WithoutMechanisms(off)}
 	if f.MetricsPort > 0 {
 		opts = append(opts, node.WithMetrics(netip.AddrPortFrom(set.Callers.Addr(), f.MetricsPort), f.MetricsPath))
 	}
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -66,6 +66,18 @@
 	return out
 }
 
+// Home returns the member that a number belongs to, by rendezvous hashing; all who
+// know the same members choose the same. It returns false if there is none.
+func Home(members []Member, number uint64) (home Member, ok bool) {
+	best := uint64(0)
+	for _, m := range members {
+		if rank := xxh3.HashStringSeed(m.ID, number); m.Power > 0 && (!ok || rank > best) {
+			best, home, ok = rank, m, true
+		}
+	}
+	return home, ok
+}
+
 // Digest names a list of members, which is in the order of their ids.
 func Digest(members []Member) uint64 {
 	h := xxh3.New()
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -223,3 +223,32 @@
 	require.Equal(t, r.Relays(now), brief.Relays)
 	require.Empty(t, brief.Members)
 }
+
+// TestHome checks that numbers are spread over the members, that a lost member
+// changes the homes of its own numbers alone, and that one that stops has none.
+func TestHome(t *testing.T) {
+	var members []Member
+	for i := range 10 {
+		members = append(members, Member{ID: fmt.Sprint("m", i), Power: 1})
+	}
+	homes := make(map[string]int)
+	for n := range uint64(2000) {
+		before, ok := Home(members, n)
+		require.True(t, ok)
+		homes[before.ID]++
+		after, _ := Home(members[1:], n)
+		if before.ID != "m0" {
+			require.Equal(t, before, after)
+		}
+	}
+	for id, n := range homes {
+		require.InDelta(t, 200, n, 60, id)
+	}
+	members[3].Power = 0
+	for n := range uint64(200) {
+		home, _ := Home(members, n)
+		require.NotEqual(t, "m3", home.ID)
+	}
+	_, ok := Home(nil, 1)
+	require.False(t, ok)
+}
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -245,6 +245,15 @@
 	return w, states
 }
 
+// Reporters returns the processes that report here.
+func (r *Roster[S]) Reporters() []Member {
+	out := make([]Member, 0, len(r.reporters))
+	for _, h := range r.reporters {
+		out = append(out, h.word.From)
+	}
+	return out
+}
+
 // isRelay reports whether a word is a relay's. One that says so and knows too few
 // members to be right is answered as any other process, which mends that.
 func (r *Roster[S]) isRelay(now time.Time, w Word[S]) bool {
--- a/node/duty.go
+++ b/node/duty.go
@@ -65,11 +65,19 @@
 		wake: make(chan struct{}, 1),
 		// The next holder waits for longer than the bound between two holders' orders.
 		lease:  fleet.NewLease(leaseName, n.settings().Name+"@"+n.settings().Peers.Addr().String(), leaseTime, n.settings().Bounds.Lease+orderMargin),
-		roll:   fleet.NewRoll(fleet.DefaultRollSettings()),
+		roll:   fleet.NewRoll(n.rollSettings()),
 		states: make(map[route.Mark]TargetState),
 	}
 }
 
+func (n *Node) rollSettings() fleet.RollSettings {
+	s := fleet.DefaultRollSettings()
+	if n.off.Has(route.Pairs) {
+		s.AtOnce, s.AtOncePart = 1, 0
+	}
+	return s
+}
+
 // poke makes the loop look at once.
 func (d *duty) poke() {
 	select {
@@ -145,7 +153,10 @@
 			named[model] = b.NewestWeights(model)
 			rt := fleet.RollTarget{
 				Addr: t.Seen.Addr, Incarnation: t.Report.Incarnation, Model: model, Weights: weights,
-				Orders: fleet.OrdersUnknown, Load: b.InFlight(t.Seen.Addr),
+				Orders: fleet.OrdersUnknown,
+			}
+			if !d.n.off.Has(route.LeastLoaded) {
+				rt.Load = b.InFlight(t.Seen.Addr)
 			}
 			if asked {
 				rt.Orders = state.Orders
--- a/node/forward.go
+++ b/node/forward.go
@@ -48,6 +48,7 @@
 // forward carries an admitted request to its end.
 func (n *Node) forward(v *visit) {
 	f := &forwarding{n: n, v: v, req: n.request(v), head: callerHeader(v.r.Header)}
+	n.askHolders(v.r.Context(), f.req)
 	c := dispatch.NamedCall(v.ask.ID)
 	refusal := n.Serve(v.r.Context(), f.req, c, f.send)
 	n.counters.finished(time.Since(v.begun), refusal)
@@ -96,10 +97,9 @@
 		Pool:           n.poolOf(rt),
 		Deadline:       v.begun.Add(timeout),
 		Aim:            aimOf(rt),
-		QueueTime:      queueTime(rt),
 		Priority:       rt.Priority,
 		Repeatable:     !rt.Once,
-		Resumable:      rt.Resumable,
+		Resumable:      rt.Resumable && !n.off.Has(route.Resuming),
 		ResumeAnywhere: true,
 		MaxTries:       rt.Attempts,
 		MaxTokens:      v.ask.MaxTokens,
@@ -112,6 +112,9 @@
 			req.Priority = *v.org.Priority
 		}
 	}
+	if n.off.Has(route.Urgency) {
+		req.Priority = 0
+	}
 	if m, _, ok := v.snap.Model(v.ask.Model); ok && m.Pool == req.Pool {
 		req.Model = m
 	}
@@ -132,9 +135,6 @@
 	return time.Duration(rt.Aim)
 }
 
-// queueTime is how long a request may wait for a target.
-func queueTime(rt *policy.Route) time.Duration { return part(aimOf(rt), queuePart) }
-
 // poolOf chooses among a route's pools by their weights.
 func (n *Node) poolOf(rt *policy.Route) string {
 	total := 0
--- /dev/null
+++ b/node/holders.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/peer"
+	"github.com/pathhead/pathhead/route"
+)
+
+// What targets are asked to read is known to others before the targets' own events
+// tell it. In a small fleet each node tells all others of a request that takes its
+// target long. In a large one, a node asks the home of a prompt's last shared part,
+// which all choose alike, before it places the prompt, and tells it after.
+
+// holdersTime bounds the question to a home, which is one round trip of some
+// milliseconds: without an answer the prompt is placed by what is known here.
+const holdersTime = 25 * time.Millisecond
+
+// tellPlaced has peers told of a request, unless too many others wait for that.
+func (n *Node) tellPlaced(p route.Placed) {
+	select {
+	case n.placed <- p:
+	default:
+	}
+}
+
+// placedLoop tells peers what targets were asked to read.
+func (n *Node) placedLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-n.placed:
+			n.loops.Go(func() { n.sendPlaced(ctx, p) })
+		}
+	}
+}
+
+func (n *Node) sendPlaced(ctx context.Context, p route.Placed) {
+	if _, large := n.relays.size(); !large {
+		if !n.off.Has(route.PlacedWords) {
+			n.gossip.TellPlaced(ctx, p)
+		}
+		return
+	}
+	if !n.off.Has(route.RecentWords) {
+		n.relays.tellRecent(ctx, route.Recent{Target: p.Load.Target.Number(), Prefill: p.Prefill})
+	}
+	home, ok := n.relays.home(p.Home)
+	if ok && len(p.Fills) > 0 && !n.off.Has(route.HolderHomes) {
+		// Loads are the relays' to tell.
+		p.Load = route.Load{}
+		n.gossip.TellPlacedTo(ctx, home.Addr, p)
+	}
+}
+
+// Placed implements [peer.PlacedHandler].
+func (n *Node) Placed(w peer.PlacedWord) {
+	n.Lock()
+	n.Board().Filled(time.Now(), w.Placed.Fills)
+	n.Unlock()
+	if w.Placed.Load.InFlight == 0 {
+		return
+	}
+	n.gossip.Placed(w)
+	n.tellBoard()
+}
+
+// home returns the node that is told who holds the parts that a number stands for,
+// and whether that is another node of a large fleet.
+func (r *relays) home(part uint64) (fleet.Member, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.large {
+		return fleet.Member{}, false
+	}
+	m, ok := fleet.Home(r.roster.Members(time.Now()), part)
+	return m, ok && m.ID != r.roster.Self().ID
+}
+
+// askHolders asks the home of a request's shared parts who holds them.
+func (n *Node) askHolders(ctx context.Context, req route.Request) {
+	if _, large := n.relays.size(); !large || n.off.Has(route.HolderHomes) {
+		return
+	}
+	n.Lock()
+	part, blocks, ok := n.Board().HoldersAsked(req)
+	n.Unlock()
+	if !ok {
+		return
+	}
+	home, ok := n.relays.home(part)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdersTime)
+	defer cancel()
+	answer, err := n.peers.Holders(ctx, home.Addr, peer.HoldersQuery{Blocks: blocks})
+	if err != nil {
+		n.counters.unasked.Inc()
+		n.log.Debug("the home of a prompt's parts did not answer", "home", home.ID, "error", err)
+		return
+	}
+	n.Lock()
+	defer n.Unlock()
+	n.Board().Filled(time.Now(), answer.Fills)
+}
+
+// Holders implements [peer.HoldersHandler].
+func (n *Node) Holders(q peer.HoldersQuery) peer.HoldersAnswer {
+	n.Lock()
+	defer n.Unlock()
+	return peer.HoldersAnswer{Fills: n.Board().Holders(time.Now(), q.Blocks)}
+}
+
+var (
+	_ peer.PlacedHandler  = (*Node)(nil)
+	_ peer.HoldersHandler = (*Node)(nil)
+)
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -82,9 +82,9 @@
 	}
 }
 
-func TestQueueTime(t *testing.T) {
-	require.Equal(t, part(600*time.Millisecond, queuePart), queueTime(&policy.Route{Aim: policy.Duration(600 * time.Millisecond)}))
-	require.Equal(t, part(defaultAim, queuePart), queueTime(&policy.Route{}))
+func TestAimOf(t *testing.T) {
+	require.Equal(t, 600*time.Millisecond, aimOf(&policy.Route{Aim: policy.Duration(600 * time.Millisecond)}))
+	require.Equal(t, defaultAim, aimOf(&policy.Route{}))
 }
 
 // What a relay told is no outage unless the store was away for all: an entry that
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,8 +16,10 @@
 	faults *metrics.Counter
 	opened *metrics.Counter
 	orders *metrics.Counter
-	first  *metrics.Histogram
-	total  *metrics.Histogram
+	// unasked counts the prompts placed without the answer of their parts' home.
+	unasked *metrics.Counter
+	first   *metrics.Histogram
+	total   *metrics.Histogram
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -26,8 +28,10 @@
 		faults: set.NewCounter("pathhead_bad_requests_total"),
 		opened: set.NewCounter("pathhead_target_connections_total"),
 		orders: set.NewCounter("pathhead_orders_total"),
-		first:  set.NewHistogram("pathhead_first_part_seconds"),
-		total:  set.NewHistogram("pathhead_answer_seconds"),
+
+		unasked: set.NewCounter("pathhead_holders_unanswered_total"),
+		first:   set.NewHistogram("pathhead_first_part_seconds"),
+		total:   set.NewHistogram("pathhead_answer_seconds"),
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -56,6 +56,8 @@
 	metricsAddr netip.AddrPort
 	metricsPath string
 	placement   route.Placer
+	// off are the mechanisms that an experiment switched off.
+	off route.Mechanisms
 	// placed are the requests that peers are still to be told of.
 	placed chan route.Placed
 }
@@ -83,6 +85,11 @@
 	return func(n *Node) { n.placement = p }
 }
 
+// WithoutMechanisms switches mechanisms off for an experiment.
+func WithoutMechanisms(off route.Mechanisms) Option {
+	return func(n *Node) { n.off = off }
+}
+
 // DefaultSmallFleet is the size of fleet up to which all nodes talk to each other
 // and read the store: gossip with a few peers at a time tells of 16 within a second.
 const DefaultSmallFleet = 16
@@ -141,6 +148,7 @@
 		route.WithMinRetryAfter(minRetryAfter),
 		route.WithOwnRoom(ownRoom),
 		route.WithReusedAddresses(),
+		route.WithoutMechanisms(n.off),
 		route.WithPlaced(n.tellPlaced),
 		route.WithNumberedWeights(route.Staleness{
 			Grace: staleGrace, Price: stalePrice, Limit: part(s.Bounds.Weights, weightsPart),
@@ -150,6 +158,7 @@
 	n.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed,
 		Payload: n.payload, Heard: n.heard,
+		Alone:       n.off.Has(route.OthersEntries),
 		Relays:      func() []fleet.Member { return n.relays.known() },
 		HeardRelays: func(relays []fleet.Member) { n.relays.heardOf(relays) },
 	}, n.peers, n.events)
@@ -215,10 +224,10 @@
 	if err != nil {
 		return err
 	}
-	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: "callers at " + n.settings().Callers.String()})
+	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: n.started()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop, n.recentLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickEvery) })
@@ -242,6 +251,15 @@
 	return err
 }
 
+// started is what the log says at the start.
+func (n *Node) started() string {
+	text := "callers at " + n.settings().Callers.String()
+	if n.off != 0 {
+		text += ", without " + n.off.String()
+	}
+	return text
+}
+
 // listen opens all doors or none.
 func (n *Node) listen() ([]door.Door, error) {
 	set := n.settings()
--- a/node/peers.go
+++ b/node/peers.go
@@ -112,43 +112,10 @@
 	})
 }
 
-// Placed implements [peer.PlacedHandler].
-func (n *Node) Placed(w peer.PlacedWord) {
-	n.gossip.Placed(w)
-	n.Lock()
-	n.Board().Filling(time.Now(), w.Placed)
-	n.Unlock()
-	n.tellBoard()
-}
-
-// tellPlaced has peers told of a request, unless too many others wait for that.
-func (n *Node) tellPlaced(p route.Placed) {
-	select {
-	case n.placed <- p:
-	default:
-	}
-}
-
-// placedLoop tells all nodes of a small fleet what targets were asked to read.
-func (n *Node) placedLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case p := <-n.placed:
-			if _, large := n.relays.size(); !large {
-				n.loops.Go(func() { n.gossip.TellPlaced(ctx, p) })
-			}
-		}
-	}
-}
-
 // allOthers names the joined state of all other nodes among those of single ones.
 const allOthers = "all others"
 
 var (
 	_ peer.Handler      = (*Node)(nil)
 	_ peer.RelayHandler = (*Node)(nil)
-
-	_ peer.PlacedHandler = (*Node)(nil)
 )
--- /dev/null
+++ b/node/recent_test.go
@@ -0,0 +1,56 @@
+package node
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/peer"
+	"github.com/pathhead/pathhead/route"
+)
+
+func testRelays(id string) *relays {
+	self := fleet.Member{ID: id, Addr: netip.MustParseAddrPort("10.0.0.1:1"), Power: 1}
+	return &relays{
+		roster: fleet.NewRoster[route.PeerState](time.Now(), self, time.Minute),
+		outbox: newOutbox(), echoes: make(map[route.Recent]int),
+	}
+}
+
+// TestRecentEchoes checks that a node does not count its own requests again when
+// relays tell it of them, and counts those of others that look the same.
+func TestRecentEchoes(t *testing.T) {
+	r := testRelays("a")
+	own, other := route.Recent{Target: 1, Prefill: 900}, route.Recent{Target: 2, Prefill: 900}
+	r.echoes[own] = 1
+	require.Equal(t, []route.Recent{other}, r.heardRecent(peer.RecentWord{Recent: []route.Recent{own, other}}))
+	require.Equal(t, []route.Recent{own}, r.heardRecent(peer.RecentWord{Recent: []route.Recent{own}}))
+	require.Empty(t, r.echoes)
+}
+
+// TestRecentBatches checks that a relay tells other relays only what its reporters
+// told, and its reporters everything, each batch once.
+func TestRecentBatches(t *testing.T) {
+	r := testRelays("a")
+	r.acting = true
+	reporter := fleet.Member{ID: "r", Addr: netip.MustParseAddrPort("10.0.0.2:1")}
+	relay := fleet.Member{ID: "b", Addr: netip.MustParseAddrPort("10.0.0.3:1"), Power: 2}
+	now := time.Now()
+	r.roster.Reported(now, fleet.Word[route.PeerState]{From: reporter})
+	r.roster.Answered(now, fleet.Word[route.PeerState]{From: relay, Relay: true}, false)
+	mine, theirs := route.Recent{Target: 1, Prefill: 900}, route.Recent{Target: 2, Prefill: 800}
+	r.heardRecent(peer.RecentWord{Recent: []route.Recent{mine}})
+	r.heardRecent(peer.RecentWord{Recent: []route.Recent{theirs}, Relayed: true})
+	got := r.batches()
+	require.Equal(t, []route.Recent{mine}, got[relay.Addr].Recent)
+	require.ElementsMatch(t, []route.Recent{mine, theirs}, got[reporter.Addr].Recent)
+	for _, w := range got {
+		require.True(t, w.Relayed)
+	}
+	own, relayed := r.outbox.take()
+	require.Empty(t, own)
+	require.Empty(t, relayed)
+}
--- a/node/relay.go
+++ b/node/relay.go
@@ -53,7 +53,10 @@
 	beats   *route.Feed[netip.AddrPort, int64]
 	listAt  time.Time
 	// from is what this node was told, by the relay that it names.
-	from followed
+	from   followed
+	outbox outbox
+	// echoes counts the requests of this node's own that relays will tell it of too.
+	echoes map[route.Recent]int
 	// noted is this node's part as it was logged last.
 	noted relayPart
 }
@@ -68,7 +71,9 @@
 		entries: route.NewFeed[netip.AddrPort](func(a, b route.Entry) bool {
 			return reflect.DeepEqual(a, b)
 		}),
-		beats: route.NewFeed[netip.AddrPort](func(a, b int64) bool { return a == b }),
+		outbox: newOutbox(),
+		echoes: make(map[route.Recent]int),
+		beats:  route.NewFeed[netip.AddrPort](func(a, b int64) bool { return a == b }),
 	}
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -110,9 +110,6 @@
 	weightsPart = 0.9
 	// memoryPart is the part of the memory limit at which the collector works harder.
 	memoryPart = 0.6
-	// queuePart is the part of a route's aim that a request waits for a target;
-	// callers who are refused within a quarter of it lose least.
-	queuePart = 0.22
 )
 
 func part(d time.Duration, p float64) time.Duration { return time.Duration(float64(d) * p) }
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -39,6 +39,7 @@
 	payload func(now time.Time) Payload
 	heard   func(begun time.Time, w fleet.PeerWord)
 	relays  func() []fleet.Member
+	alone   bool
 	told    func([]fleet.Member)
 
 	mu   sync.Mutex
@@ -60,6 +61,8 @@
 	Payload func(now time.Time) Payload
 	// Heard takes a peer's word on configuration, got by a call that began at begun.
 	Heard func(begun time.Time, w fleet.PeerWord)
+	// Alone says that messages have no entries of others.
+	Alone bool
 	// Relays returns the relays of the fleet, where it is large, and HeardRelays
 	// takes those that a peer told of. Both may be nil.
 	Relays      func() []fleet.Member
@@ -80,6 +83,7 @@
 		payload: cfg.Payload,
 		heard:   cfg.Heard,
 		relays:  cfg.Relays,
+		alone:   cfg.Alone,
 		told:    cfg.HeardRelays,
 		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
@@ -180,7 +184,7 @@
 	own := g.view.Digest(time.Now(), freshTime)
 	g.mu.Unlock()
 	switch {
-	case fresh == own:
+	case fresh == own, g.alone:
 		return 0
 	case len(g.relays()) > 0:
 		// What others say of themselves is the relays' to tell.
@@ -226,17 +230,17 @@
 // TellPlaced tells all live peers at once of a request that takes a target long. One
 // that does not hear of it hears of the load with the next exchange.
 func (g *Gossip) TellPlaced(ctx context.Context, p route.Placed) {
-	w := PlacedWord{From: g.id, Epoch: g.view.Epoch(), Placed: p}
 	var wg sync.WaitGroup
 	for _, e := range g.Live() {
-		wg.Go(func() { g.tellPlaced(ctx, e, w) })
+		wg.Go(func() { g.TellPlacedTo(ctx, e.Addr, p) })
 	}
 	wg.Wait()
 }
 
-func (g *Gossip) tellPlaced(ctx context.Context, to Entry, w PlacedWord) {
+// TellPlacedTo tells one process of a request that takes a target long.
+func (g *Gossip) TellPlacedTo(ctx context.Context, addr netip.AddrPort, p route.Placed) {
 	// An error is seen in the next round too, which tells the same.
-	_ = g.peers.Placed(ctx, to.Addr, w)
+	_ = g.peers.Placed(ctx, addr, PlacedWord{From: g.id, Epoch: g.view.Epoch(), Placed: p})
 }
 
 // Placed takes a peer's word on a request.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"net"
 	"testing"
 	"time"
@@ -52,3 +53,42 @@
 	_, err = p.Exchange(t.Context(), addr, Exchange{})
 	require.Error(t, err)
 }
+
+// slowPeer answers exchanges only once it is let go.
+type slowPeer struct {
+	fakePeer
+	release chan struct{}
+}
+
+func (s slowPeer) Exchange(in Exchange) Exchange {
+	<-s.release
+	return s.fakePeer.Exchange(in)
+}
+
+// TestPeersImpatient checks that a caller who does not wait for an answer leaves
+// the connection to others.
+func TestPeersImpatient(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	slow := slowPeer{release: make(chan struct{})}
+	done := make(chan error, 1)
+	go func() { done <- Serve(l, slow) }()
+	p := NewClient(time.Minute, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = p.Config(t.Context(), addr, "q")
+	require.NoError(t, err)
+	before, _ := p.Traffic()
+	_, err = p.Exchange(ctx, addr, Exchange{From: "q"})
+	require.ErrorIs(t, err, context.Canceled)
+	_, err = p.Config(t.Context(), addr, "q")
+	require.NoError(t, err)
+	require.Len(t, p.clients, 1)
+	after, _ := p.Traffic()
+	require.Greater(t, after, before)
+	close(slow.release)
+	p.Close()
+	require.NoError(t, l.Close())
+	require.NoError(t, <-done)
+}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -86,6 +86,32 @@
 	return p.call(ctx, addr, "Placed", &w, &out)
 }
 
+// HoldersQuery asks for the targets that lately were sent some blocks.
+type HoldersQuery struct{ Blocks []route.Block }
+
+// HoldersAnswer answers a [HoldersQuery].
+type HoldersAnswer struct{ Fills []route.Fill }
+
+// HoldersHandler answers such queries; a [Handler] may be one.
+type HoldersHandler interface {
+	Holders(q HoldersQuery) HoldersAnswer
+}
+
+// Holders answers a query for the holders of blocks.
+func (s peerService) Holders(in *HoldersQuery, out *HoldersAnswer) error {
+	if h, ok := s.handler.(HoldersHandler); ok {
+		*out = h.Holders(*in)
+	}
+	return nil
+}
+
+// Holders asks the process at addr for the holders of blocks.
+func (p *Client) Holders(ctx context.Context, addr netip.AddrPort, q HoldersQuery) (HoldersAnswer, error) {
+	var out HoldersAnswer
+	err := p.call(ctx, addr, "Holders", &q, &out)
+	return out, err
+}
+
 // peerName is the service's name in net/rpc.
 const peerName = "Peer"
 
@@ -218,9 +244,11 @@
 	return sent, read
 }
 
-// call makes one call; after a failure the connection is not used again, since
-// an answer may still be under way on it.
+// call makes one call; after a failure the connection is not used again, since it
+// may have gone silent. A caller that waits for less than the client's time says
+// nothing of the connection: its late answer is dropped.
 func (p *Client) call(ctx context.Context, addr netip.AddrPort, method string, in, out any) error {
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, p.timeout)
 	defer cancel()
 	client, err := p.client(ctx, addr)
@@ -235,7 +263,7 @@
 		err = ctx.Err()
 	}
 	var remote rpc.ServerError
-	if err != nil && !errors.As(err, &remote) {
+	if err != nil && !errors.As(err, &remote) && caller.Err() == nil {
 		p.drop(addr, client)
 	}
 	if err != nil {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -69,6 +69,30 @@
 	Parts       route.PartsNews
 }
 
+// RecentWord tells of requests that were placed just now. One that a relay passes on
+// is not passed on again to other relays.
+type RecentWord struct {
+	Recent  []route.Recent
+	Relayed bool
+}
+
+// RecentHandler takes such words; a [Handler] may be one.
+type RecentHandler interface{ Recent(w RecentWord) }
+
+// Recent takes a word on requests that were placed just now.
+func (s peerService) Recent(in *RecentWord, _ *bool) error {
+	if h, ok := s.handler.(RecentHandler); ok {
+		h.Recent(*in)
+	}
+	return nil
+}
+
+// Recent tells the process at addr of requests that were placed just now.
+func (p *Client) Recent(ctx context.Context, addr netip.AddrPort, w RecentWord) error {
+	var out bool
+	return p.call(ctx, addr, "Recent", &w, &out)
+}
+
 // RelayHandler answers the reports of a large fleet's processes; a [Handler] may be one.
 type RelayHandler interface {
 	Relay(in RelayReport) RelayAnswer
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -35,9 +35,12 @@
 		})
 		return []Action{Refuse{Request: r.ID, Refusal: *refusal}}
 	}
+	if b.off.Has(Urgency) {
+		r.Priority = 0
+	}
 	b.requests[r.ID] = r
 	b.note(event.Event{Code: event.RequestArrived, Request: r.ID, Org: r.Org, Revision: b.snap.Revision})
-	r.queuedTo = now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
+	r.queuedTo = now.Add(b.queueTime(r))
 	r.cost = b.cost(r)
 	b.pools[r.Pool].offered.add(now, 1)
 	b.countParts(now, r)
@@ -65,7 +68,7 @@
 		return &Refusal{Cause: CauseNoTarget, RetryAfter: b.minRetryAfter, Detail: "no such pool"}
 	}
 	wait := p.queue.wait(r.Org, b.weight(r.Org), p.drained.rate(now))
-	if limit := min(r.QueueTime, r.Deadline.Sub(now)); wait > limit && b.ownRoom == 0 {
+	if limit := b.queueTime(r); wait > limit {
 		return &Refusal{
 			Cause: CauseOverload, RetryAfter: max(wait-limit, b.minRetryAfter),
 			Detail: fmt.Sprintf("the queue is %s long", wait.Round(time.Millisecond)),
@@ -127,13 +130,13 @@
 				continue
 			}
 			if c, extra = b.settle(now, p, r, c, extra); c == nil {
-				r.queuedTo = now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
+				r.waitOn(now.Add(lookAgain))
 				continue
 			}
-			if extra <= tieWidth {
+			if extra <= tieWidth || b.off.Has(AwaitBest) {
 				return b.send(now, p, r, c), true
 			}
-			if short := min(spillFactor*extra, r.QueueTime/2) - now.Sub(r.arrived); short < least {
+			if short := b.spillTime(r, c, extra) - now.Sub(r.arrived); short < least {
 				spill, chosen, least = r, *c, short
 			}
 		}
@@ -144,6 +147,15 @@
 	return b.send(now, p, spill, &chosen), true
 }
 
+// spillTime is how long after its arrival a request goes to a target that costs more
+// than its best by extra, at the latest so that its answer can still begin in time.
+func (b *Board) spillTime(r *request, c *candidate, extra time.Duration) time.Duration {
+	if r.Aim == 0 {
+		return min(spillFactor*extra, r.QueueTime/2)
+	}
+	return min(extra, r.Aim-c.first(r))
+}
+
 // send makes an attempt of a waiting request at the chosen target.
 func (b *Board) send(now time.Time, p *pool, r *request, c *candidate) Send {
 	p.queue.remove(r)
@@ -170,7 +182,7 @@
 		a.Save = b.considerSave(now, c, r)
 		b.countShared(now, r)
 		b.expectFill(now, c)
-		b.beginFill(now, c, a)
+		b.beginFill(now, c, r, a)
 	}
 	r.attempt = a
 	c.target.attempts[a.ID] = a
@@ -201,7 +213,10 @@
 	a.first = true
 	a.progress = now
 	a.target.answeredAt = now
-	a.target.learnRate(a.uncached, now.Sub(a.sent), a.fetched)
+	if r.Model != nil {
+		b.pools[r.Pool].firsts.add(now.Sub(a.sent), a.target.leastFirst(r))
+	}
+	b.learnRate(a.target, a.uncached, now.Sub(a.sent), a.fetched)
 	b.endFill(a)
 	a.target.prefill -= a.uncached
 	b.recovered(a.target)
@@ -368,7 +383,7 @@
 		return b.refuse(now, r, CauseBroken, "part of the answer was delivered and it cannot be resumed; "+o.Detail)
 	case !now.Before(r.Deadline):
 		return b.refuse(now, r, CauseDeadline, "the request's time is over")
-	case r.sends(o) >= r.triesAllowed():
+	case r.sends(o) >= r.triesAllowed() || b.off.Has(Retrying):
 		return b.refuse(now, r, CauseRetries, "tried too often; "+o.Detail)
 	case !b.freeRetry(o) && !b.spendRetry(now, &b.pools[r.Pool].retries):
 		return b.refuse(now, r, CauseRetries, "the pool's retry budget is used up; "+o.Detail)
@@ -379,7 +394,8 @@
 	}
 	b.note(event.Event{Code: code, Request: r.ID, Attempt: a.ID, Org: r.Org})
 	r.notBefore = now.Add(b.backoff(r))
-	r.queuedTo = now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
+	r.queuedTo = r.arrived.Add(b.queueTime(r))
+	r.waitOn(now.Add(lookAgain))
 	b.enqueue(r)
 	return nil
 }
--- a/route/board.go
+++ b/route/board.go
@@ -59,6 +59,8 @@
 	placed func(Placed)
 	// filling are the blocks that targets read now.
 	filling map[fillKey]fill
+	// off are the mechanisms that an experiment switched off.
+	off Mechanisms
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
@@ -84,6 +86,8 @@
 	offered meter
 	// learned is the rate of prefill seen at its members, in tokens per second; zero before the first.
 	learned float64
+	// firsts measures how long answers take to begin.
+	firsts  firstTimes
 	retries retryBudget
 }
 
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -26,6 +26,9 @@
 // missed. So prompts with a long part of their own run where little is kept and
 // fetch what they share, and what many share stays where it is kept.
 func (b *Board) displaces(now time.Time, c *candidate, p *pool, r *request) time.Duration {
+	if b.off.Has(Displacing) {
+		return 0
+	}
 	if !c.target.parts.known(now) || p.compiled.CacheTokens == 0 {
 		return seconds(displacePart * float64(max(0, c.fetched-c.trusted)) / c.target.rate() / b.uses(r, p))
 	}
@@ -36,7 +39,7 @@
 
 // considerFetches lets candidates fetch what the best holder has beyond their own.
 func (b *Board) considerFetches(now time.Time, cs []candidate, p *pool, r *request) {
-	if !p.compiled.Fetches || len(cs) == 0 {
+	if !p.compiled.Fetches || len(cs) == 0 || b.off.Has(Fetching) {
 		return
 	}
 	store := b.directStore(now, r.Model)
--- a/route/homes.go
+++ b/route/homes.go
@@ -16,6 +16,8 @@
 type homes struct {
 	first uint64
 	last  uint64
+	// part is the last shared part itself, before it is spread.
+	part uint64
 	// size is how many engines the first part's set has; it is 0 for a prompt
 	// without shared parts, which has no homes.
 	size float64
@@ -46,9 +48,13 @@
 	}
 	seed := xxh3.HashString(r.Salt("").String())
 	r.homes.first = xxh3.HashStringSeed(r.Parts[0].ID, seed)
-	r.homes.last = xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, seed)
+	r.homes.part = r.partHome()
+	r.homes.last = r.homes.part
 	r.homes.rate = b.hot.count(now, Block(r.homes.last))
 	r.homes.engines = spread(r.homes.rate, b.ownPrefill(r))
+	if b.off.Has(Spreading) {
+		r.homes.engines = 1
+	}
 	if n := r.homes.engines; n > 1 {
 		// Each of the requests has one of n engines as its home.
 		r.homes.last = mix(r.homes.last + uint64(b.rng.IntN(n)))
@@ -59,6 +65,20 @@
 	r.homes.size = homeLeast + rate/homeRate
 }
 
+// partHome is a number of the request's last shared part that is the same under all weights.
+func (r *request) partHome() uint64 {
+	return xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, xxh3.HashString(r.Salt("").String()))
+}
+
+// sharedTokens is the length of the request's shared parts.
+func (r *request) sharedTokens() int {
+	n := 0
+	for _, p := range r.Parts[:len(r.Parts)-1] {
+		n += p.Tokens
+	}
+	return n
+}
+
 // ownPrefill is how long the request's own part takes an engine of its pool.
 func (b *Board) ownPrefill(r *request) time.Duration {
 	rate := float64(defaultPrefillRate)
--- a/route/kept.go
+++ b/route/kept.go
@@ -79,7 +79,7 @@
 // themselves, or nil if there is none that answers.
 func (b *Board) directStore(now time.Time, m *policy.Model) *target {
 	p, ok := b.pools[m.KeptPool]
-	if m.KeptPool == "" || !ok || !p.compiled.Fetches {
+	if m.KeptPool == "" || !ok || !p.compiled.Fetches || b.off.Has(KeptStore) {
 		return nil
 	}
 	for _, t := range p.members {
--- a/route/limit.go
+++ b/route/limit.go
@@ -143,7 +143,9 @@
 	Block  Block
 	// Age is how long ago it was when the message left.
 	Age time.Duration
-	at  time.Time
+	// Left is how much longer the target takes to read it, as predicted; zero once it is read.
+	Left time.Duration
+	at   time.Time
 }
 
 // The bounds on the lists of a [PeerState].
--- a/route/parts.go
+++ b/route/parts.go
@@ -51,7 +51,7 @@
 // with an empty cache, or after a gap, so that what was known before is dropped.
 func (b *Board) PartChanges(now time.Time, addr netip.AddrPort, anew bool, changes []PartChange) {
 	t, ok := b.targets[addr]
-	if !ok {
+	if !ok || b.off.Has(CacheEvents) {
 		return
 	}
 	if anew || t.parts.tokens == nil {
--- a/route/place.go
+++ b/route/place.go
@@ -194,7 +194,7 @@
 }
 
 func (b *Board) hasRoom(t *target, p *pool, r *request) bool {
-	if !t.hasMemory(p, r) {
+	if !b.off.Has(MemoryBound) && !t.hasMemory(p, r) {
 		return false
 	}
 	n := t.inFlight()
@@ -246,7 +246,7 @@
 )
 
 func (b *Board) distance(t *target) time.Duration {
-	if b.zone == "" || t.labels[LabelZone] == b.zone {
+	if b.zone == "" || b.off.Has(Distance) || t.labels[LabelZone] == b.zone {
 		return 0
 	}
 	return zoneCost
@@ -255,7 +255,7 @@
 func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool) []candidate {
 	for _, t := range p.members {
 		if t.usable() {
-			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: t.missCost(now) + b.distance(t)})
+			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: b.missCost(now, t) + b.distance(t)})
 		}
 	}
 	return cs
@@ -292,7 +292,7 @@
 		if !prefers {
 			price = 0
 		}
-		c.extra = price + c.target.missCost(now)
+		c.extra = price + b.missCost(now, c.target)
 		kept = append(kept, c)
 	}
 	return kept
@@ -523,7 +523,7 @@
 // queueWait predicts how long a new request waits at the target before its own
 // prefill. What peers told is taken to have gone on since.
 func (t *target) queueWait(now time.Time) time.Duration {
-	pending := float64(t.prefill) + max(0, float64(t.peerPrefill)-now.Sub(t.peersAt).Seconds()*t.rate())
+	pending := float64(t.prefill) + max(0, float64(t.peerPrefill)-now.Sub(t.peersAt).Seconds()*t.rate()) + t.recentPrefill(now)
 	wait := seconds(pending / t.rate())
 	if over := t.inFlight() - t.slots() + 1; over > 0 {
 		wait += time.Duration(float64(over) / float64(t.slots()) * float64(t.service))
--- a/route/placed.go
+++ b/route/placed.go
@@ -5,10 +5,12 @@
 // Placed tells of a request that takes its target long: what the router has in
 // flight there now, and the shared parts that are read.
 type Placed struct {
-	Load  Load
-	Fills []Fill
-	// Takes is how long it will take until the parts are read, as predicted.
-	Takes time.Duration
+	Load Load
+	// Prefill is what the request has to read, in tokens.
+	Prefill int
+	Fills   []Fill
+	// Home chooses the process of a large fleet that is told of the parts.
+	Home uint64
 }
 
 // placedLeast is the prefill from which a request is told of at once, in tokens.
@@ -39,18 +41,18 @@
 }
 
 // beginFill notes the shared parts that the target will read, and tells of them.
-func (b *Board) beginFill(now time.Time, c *candidate, a *attempt) {
+func (b *Board) beginFill(now time.Time, c *candidate, r *request, a *attempt) {
 	t := c.target
 	mark := Mark{t.addr, t.incarnation}
 	takes := c.wait + c.transfer + seconds(float64(a.uncached)/t.rate())
-	out := Placed{Takes: takes}
+	out := Placed{Home: r.homes.part}
 	have := max(c.ready, c.imported.Tokens, c.fetched)
 	for _, n := range c.chain.bounds[:max(0, len(c.chain.bounds)-1)] {
 		if c.chain.tokens[n] < have+fetchLeast {
 			continue
 		}
 		block := c.chain.blocks[n]
-		out.Fills = append(out.Fills, Fill{Target: mark, Block: block})
+		out.Fills = append(out.Fills, Fill{Target: mark, Block: block, Left: takes})
 		key := fillKey{t.slot, block}
 		if _, ok := b.filling[key]; !ok {
 			b.filling[key] = fill{begun: now, due: now.Add(takes), own: true}
@@ -58,6 +60,7 @@
 		}
 	}
 	if a.uncached >= placedLeast {
+		out.Prefill = a.uncached
 		out.Load = Load{mark, len(t.attempts) + 1, t.prefill + a.uncached, t.tokens}
 		b.placed(out)
 	}
@@ -71,21 +74,72 @@
 	a.fills = nil
 }
 
-// Filling takes a peer's word on shared parts that a target is reading.
-func (b *Board) Filling(now time.Time, p Placed) {
-	b.mergeFills(now, map[string]PeerState{"": {Fills: p.Fills}})
-	for _, f := range p.Fills {
+// Filled takes a peer's word on shared parts that targets hold or are reading.
+func (b *Board) Filled(now time.Time, fills []Fill) {
+	b.mergeFills(now, map[string]PeerState{"": {Fills: fills}})
+	for _, f := range fills {
 		t, ok := b.targets[f.Target.Target]
-		if !ok || t.incarnation != f.Target.Incarnation {
+		if !ok || t.incarnation != f.Target.Incarnation || f.Left <= 0 {
 			continue
 		}
 		key := fillKey{t.slot, f.Block}
 		if _, ok := b.filling[key]; !ok {
-			b.filling[key] = fill{begun: now, due: now.Add(p.Takes)}
+			b.filling[key] = fill{begun: now.Add(-f.Age), due: now.Add(f.Left)}
 		}
 	}
 }
 
+// Holders returns the targets that lately were sent blocks of which a peer asks.
+func (b *Board) Holders(now time.Time, blocks []Block) []Fill {
+	var out []Fill
+	for _, block := range blocks {
+		e := b.beliefs.blocks.get(block)
+		if e == nil {
+			continue
+		}
+		for _, h := range e.holders {
+			age := time.Duration(now.UnixMilli()-h.at) * time.Millisecond
+			t, ok := b.slots[h.slot]
+			if !ok || age > relayedLag {
+				continue
+			}
+			f, _ := b.reading(now, h.slot, block)
+			out = append(out, Fill{Target: Mark{t.addr, t.incarnation}, Block: block, Age: age, Left: f.left(now)})
+		}
+	}
+	return out
+}
+
+// mostAskedWeights bounds the weights of a model under which holders are asked for:
+// while engines are changed there are two, or three if namings follow each other.
+const mostAskedWeights = 3
+
+// HoldersAsked returns the blocks of a request's shared parts under the weights that
+// are served, and the number by which the process that is asked for their holders is
+// chosen; ok is false if the request shares too little for that.
+func (b *Board) HoldersAsked(req Request) (home uint64, blocks []Block, ok bool) {
+	p, found := b.pools[req.Pool]
+	if req.Model == nil || len(req.Parts) < 2 || !found {
+		return 0, nil, false
+	}
+	r := &request{Request: req}
+	if r.sharedTokens() < placedLeast {
+		return 0, nil, false
+	}
+	seen := make(map[string]bool)
+	for _, s := range b.servers(p, r) {
+		if seen[s.weights] || len(seen) == mostAskedWeights {
+			continue
+		}
+		seen[s.weights] = true
+		c := r.chain(s.weights)
+		for _, n := range c.bounds[:len(c.bounds)-1] {
+			blocks = append(blocks, c.blocks[n])
+		}
+	}
+	return r.partHome(), blocks, len(blocks) > 0
+}
+
 // dropFills forgets the readings of peers that are over.
 func (b *Board) dropFills(now time.Time) {
 	for key, f := range b.filling {
@@ -108,7 +162,7 @@
 // for a reading that takes over twice as long as was predicted.
 func (b *Board) settle(now time.Time, p *pool, r *request, c *candidate, extra time.Duration) (*candidate, time.Duration) {
 	f := c.unread
-	if f.due.IsZero() || now.After(f.due.Add(f.due.Sub(f.begun))) {
+	if f.due.IsZero() || b.off.Has(AwaitReading) || now.After(f.due.Add(f.due.Sub(f.begun))) {
 		return c, extra
 	}
 	if c.inTime(now, r) {
@@ -124,6 +178,10 @@
 
 // inTime reports whether the answer is predicted to begin in time.
 func (c *candidate) inTime(now time.Time, r *request) bool {
-	first := c.wait + c.transfer + seconds(float64(c.uncached(r))/c.target.rate())
-	return !now.Add(first).After(r.arrived.Add(r.Aim))
+	return !now.Add(c.first(r)).After(r.arrived.Add(r.Aim))
+}
+
+// first is the predicted time until the answer begins.
+func (c *candidate) first(r *request) time.Duration {
+	return c.wait + c.transfer + seconds(float64(c.uncached(r))/c.target.rate())
 }
--- a/route/placed_test.go
+++ b/route/placed_test.go
@@ -102,10 +102,10 @@
 	var told []Placed
 	WithPlaced(func(p Placed) { told = append(told, p) })(peer.b)
 	peer.ask(peer.aimed(time.Second, append(shared, own)...))
-	f.b.Filling(f.now, told[0])
+	f.b.Filled(f.now, told[0].Fills)
 	second := f.aimed(time.Second, append(shared, Part{"own2", 500})...)
 	require.Nil(t, f.ask(second))
-	f.now = f.now.Add(told[0].Takes + time.Millisecond)
+	f.now = f.now.Add(told[0].Fills[0].Left + time.Millisecond)
 	require.Equal(t, []string{second.ID}, f.sent(f.b.Tick(f.now)))
 	f.b.Peers(f.now, nil, 1)
 	require.Empty(t, f.b.filling, "what is over is forgotten")
--- a/route/rate_test.go
+++ b/route/rate_test.go
@@ -14,9 +14,9 @@
 	first, second := f.b.targets[testAddr(0)], f.b.targets[testAddr(1)]
 	first.report.PrefillRate, second.report.PrefillRate = 0, 0
 	require.EqualValues(t, defaultPrefillRate, second.rate())
-	first.learnRate(4000, 100*time.Millisecond, false)
+	f.b.learnRate(first, 4000, 100*time.Millisecond, false)
 	require.InDelta(t, 40_000, second.rate(), 1)
-	second.learnRate(4000, 200*time.Millisecond, false)
+	f.b.learnRate(second, 4000, 200*time.Millisecond, false)
 	require.InDelta(t, 20_000, second.rate(), 1)
 	require.InDelta(t, 40_000, first.rate(), 1)
 }
--- /dev/null
+++ b/route/recent.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Recent says that a request was just sent to a target and what it has to read there.
+type Recent struct {
+	// Target is the number of one incarnation of a target, by [Mark.Number].
+	Target  uint64
+	Prefill int
+}
+
+// Number is a short name of one incarnation of a target, the same on all routers.
+func (m Mark) Number() uint64 {
+	return xxh3.HashStringSeed(m.Incarnation, hashAddr(m.Target))
+}
+
+// recentTime is how long a request counts besides the loads that relays tell, which
+// are as old in the mean: a pause between two reports to a relay and one at it.
+const recentTime = 350 * time.Millisecond
+
+// recentSend is what a request of a peer has to read, and when it was told of.
+type recentSend struct {
+	at      time.Time
+	prefill int
+}
+
+// Recently takes the word that peers sent requests just now.
+func (b *Board) Recently(now time.Time, sends []Recent) {
+	byNumber := make(map[uint64]*target, len(b.targets))
+	for _, t := range b.targets {
+		byNumber[t.mark().Number()] = t
+	}
+	for _, s := range sends {
+		if t, ok := byNumber[s.Target]; ok {
+			t.recent = append(t.recent, recentSend{now, s.Prefill})
+		}
+	}
+}
+
+// recentPrefill is what is left of what peers sent just now, in tokens.
+func (t *target) recentPrefill(now time.Time) float64 {
+	left, at := 0.0, time.Time{}
+	kept := t.recent[:0]
+	for _, s := range t.recent {
+		if now.Sub(s.at) > recentTime {
+			continue
+		}
+		kept = append(kept, s)
+		left = max(0, left-s.at.Sub(at).Seconds()*t.rate()) + float64(s.prefill)
+		at = s.at
+	}
+	t.recent = kept
+	return max(0, left-now.Sub(at).Seconds()*t.rate())
+}
--- /dev/null
+++ b/route/recent_test.go
@@ -0,0 +1,65 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRecently checks that a request of a peer counts at its target from when it is
+// told of, less what the target has read since, and not for longer than until loads
+// that relays tell have it.
+func TestRecently(t *testing.T) {
+	f := newPartsBoard(t, 2)
+	busy, other := f.b.targets[testAddr(0)], f.b.targets[testAddr(1)]
+	f.b.Recently(f.now, []Recent{{busy.mark().Number(), 10_000}, {12345, 10_000}})
+	require.Equal(t, 200*time.Millisecond, busy.queueWait(f.now))
+	require.Zero(t, other.queueWait(f.now))
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.b.Recently(f.now, []Recent{{busy.mark().Number(), 5000}})
+	require.InDelta(t, 200*time.Millisecond, busy.queueWait(f.now), float64(time.Millisecond))
+	require.Zero(t, busy.queueWait(f.now.Add(recentTime+time.Millisecond)))
+}
+
+// TestHolders checks that a router which asks another who holds the shared parts of
+// a prompt places it as if it had sent the last one itself.
+func TestHolders(t *testing.T) {
+	home, f := newFillBoard(t, 4), newFillBoard(t, 4)
+	var told []Placed
+	WithPlaced(func(p Placed) { told = append(told, p) })(home.b)
+	first := home.ask(home.aimed(time.Second, append(shared, own)...))
+	second := f.aimed(time.Second, append(shared, Part{"own2", 500})...)
+	number, blocks, ok := f.b.HoldersAsked(second)
+	require.True(t, ok)
+	require.Equal(t, told[0].Home, number, "both find the same home")
+	fills := home.b.Holders(home.now, blocks)
+	require.Len(t, fills, len(shared))
+	f.b.Filled(f.now, fills)
+	require.Nil(t, f.ask(second), "it is still being read")
+	home.now = home.now.Add(150 * time.Millisecond)
+	home.b.FirstToken(home.now, first.Request, first.ID)
+	fills = home.b.Holders(home.now, blocks)
+	require.Zero(t, fills[0].Left)
+	other := newFillBoard(t, 4)
+	other.b.Filled(other.now, fills)
+	a := other.ask(other.aimed(time.Second, append(shared, Part{"own3", 500})...))
+	require.NotNil(t, a)
+	require.Equal(t, first.Target, a.Target)
+	require.Empty(t, home.b.Holders(home.now.Add(time.Minute), blocks), "it may be gone by then")
+}
+
+// TestHoldersAsked checks that nobody is asked about a prompt that shares little.
+func TestHoldersAsked(t *testing.T) {
+	f := newPartsBoard(t, 1)
+	cases := map[string][]Part{
+		"its own part alone": {own},
+		"a short part":       {{"short", placedLeast - 1}, own},
+	}
+	for name, parts := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, _, ok := f.b.HoldersAsked(f.request("a", parts...))
+			require.False(t, ok)
+		})
+	}
+}
--- a/route/shared.go
+++ b/route/shared.go
@@ -192,6 +192,9 @@
 
 // TakeParts takes the news of another router that reads the targets' events.
 func (b *Board) TakeParts(now time.Time, news PartsNews) {
+	if b.off.Has(CacheEvents) {
+		return
+	}
 	unread := make(map[netip.AddrPort]bool, len(news.Unread))
 	for _, addr := range news.Unread {
 		unread[addr] = true
--- a/route/silent.go
+++ b/route/silent.go
@@ -41,6 +41,9 @@
 // answered this router in the meantime: each router that found out for itself
 // would pay with a request.
 func (b *Board) mergeSilent(now time.Time, states map[string]PeerState) {
+	if b.off.Has(SilentWords) {
+		return
+	}
 	silent := make(map[Mark]int)
 	for _, s := range states {
 		for _, w := range s.Silent {
--- a/route/target.go
+++ b/route/target.go
@@ -102,6 +102,8 @@
 	candidate   int
 	peerPrefill int
 	peersAt     time.Time
+	// recent are requests that peers told of besides.
+	recent []recentSend
 }
 
 // name is the target as events and operators see it.
@@ -112,6 +114,9 @@
 	return t.addr.String()
 }
 
+// mark names the target's present incarnation.
+func (t *target) mark() Mark { return Mark{t.addr, t.incarnation} }
+
 // usable reports whether the target may get new work.
 func (t *target) usable() bool {
 	return t.listed && !t.leaving && !t.listLeaving && !t.held && !t.failing &&
@@ -172,12 +177,15 @@
 )
 
 // learnRate takes the time that an answer's prefill took; one with fetched parts says little.
-func (t *target) learnRate(uncached int, took time.Duration, fetched bool) {
+func (b *Board) learnRate(t *target, uncached int, took time.Duration, fetched bool) {
 	if uncached < learnTokens || took <= 0 || fetched {
 		return
 	}
 	rate := float64(uncached) / took.Seconds()
 	t.learned = follow(t.learned, rate)
+	if b.off.Has(PoolRate) {
+		return
+	}
 	for _, p := range t.pools {
 		p.learned = follow(p.learned, rate)
 	}
@@ -200,9 +208,9 @@
 
 // missCost is what the failures seen lately cost a placement here. One more send
 // than there were is counted, so that a single failure among few is no verdict.
-func (t *target) missCost(now time.Time) time.Duration {
+func (b *Board) missCost(now time.Time, t *target) time.Duration {
 	t.misses.decay(now)
-	if t.misses.value < 0.1 {
+	if t.misses.value < 0.1 || b.off.Has(FailurePrice) {
 		return 0
 	}
 	t.sends.decay(now)
--- /dev/null
+++ b/route/wait_test.go
@@ -0,0 +1,68 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// refusals returns the refusals among actions by request.
+func refusals(actions []Action) map[string]Refusal {
+	out := make(map[string]Refusal)
+	for _, a := range actions {
+		if r, ok := a.(Refuse); ok {
+			out[r.Request] = r.Refusal
+		}
+	}
+	return out
+}
+
+// fullBoard returns a board whose only engine has no memory left for more.
+func fullBoard(t *testing.T) *partsBoard {
+	f := newFillBoard(t, 1)
+	require.NotNil(t, f.ask(f.aimed(time.Second, Part{"big", partsMemory / 2})))
+	return f
+}
+
+// TestWaitsWhileInTime checks that a request waits for room as long as its answer can
+// begin in time by what answers took lately, and is refused at once after that.
+func TestWaitsWhileInTime(t *testing.T) {
+	f := fullBoard(t)
+	// Answers took four times as long as their own part of a prompt alone.
+	f.b.pools["e"].firsts.add(400*time.Millisecond, 100*time.Millisecond)
+	r := f.aimed(600*time.Millisecond, Part{"own", 5000})
+	require.Empty(t, refusals(f.b.Arrive(f.now, r)))
+	f.now = f.now.Add(190 * time.Millisecond)
+	require.Empty(t, refusals(f.b.Tick(f.now)))
+	f.now = f.now.Add(20 * time.Millisecond)
+	got := refusals(f.b.Tick(f.now))
+	require.Contains(t, got, r.ID)
+	require.Equal(t, NotRun, got[r.ID].Verdict)
+	require.Positive(t, got[r.ID].RetryAfter)
+}
+
+// TestRefusedAtOnce checks that a request is refused as it comes when the queue's
+// pace says that there will be no room for it in time, with when there will be.
+func TestRefusedAtOnce(t *testing.T) {
+	f := fullBoard(t)
+	require.Empty(t, refusals(f.b.Arrive(f.now, f.aimed(time.Second, Part{"own", 8000}))))
+	f.b.pools["e"].drained.add(f.now.Add(-time.Second), 1000)
+	late := f.aimed(time.Second, Part{"own2", 8000})
+	got := refusals(f.b.Arrive(f.now, late))
+	require.Contains(t, got, late.ID)
+	require.Greater(t, got[late.ID].RetryAfter, time.Second)
+}
+
+// TestFirstTimes checks that means follow what is added, and that no answer is taken
+// to begin sooner than it can.
+func TestFirstTimes(t *testing.T) {
+	var f firstTimes
+	require.EqualValues(t, 1, f.factor())
+	f.add(50*time.Millisecond, 100*time.Millisecond)
+	require.EqualValues(t, 1, f.factor())
+	for range 100 {
+		f.add(300*time.Millisecond, 100*time.Millisecond)
+	}
+	require.InDelta(t, 3, f.factor(), 0.01)
+}
--- a/route/weights.go
+++ b/route/weights.go
@@ -97,7 +97,7 @@
 	switch age := now.Sub(at); {
 	case age >= b.staleness.Limit:
 		return 0, false
-	case age >= b.staleness.Grace:
+	case age >= b.staleness.Grace && !b.off.Has(NewestWeights):
 		return b.staleness.Price, true
 	}
 	return 0, true
