--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -2,8 +2,10 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -15,17 +17,25 @@
 
 type flags struct {
 	cli.Common
-	Settings    string   `help:"The platform's settings file." required:"" env:"PATHHEAD_CONFIG" placeholder:"FILE"`
+	Settings    string   `help:"The platform's settings file." env:"PATHHEAD_CONFIG" placeholder:"FILE"`
 	Placement   string   `help:"Placement policy: predict, or a baseline for measurements: random, round-robin, least-load, prefix-hash." default:"predict" env:"PATHHEAD_PLACEMENT"`
 	MetricsPort uint16   `help:"Port of the counters on the VM's address; 0 for none." default:"0" env:"PATHHEAD_METRICS_PORT"`
 	SmallFleet  int      `help:"Size of fleet up to which all nodes talk to each other and read the store; in a larger one a few relay for the others." default:"16" env:"PATHHEAD_SMALL_FLEET"`
 	Without     []string `help:"Mechanisms to switch off for an experiment." env:"PATHHEAD_WITHOUT" placeholder:"NAME"`
+	Mechanisms  bool     `help:"Print the mechanisms that can be switched off, and end."`
 	MetricsPath string   `help:"Path of the counters." default:"/metrics" env:"PATHHEAD_METRICS_PATH"`
 }
 
 func main() {
 	var f flags
 	cli.Parse(&f, "Serves callers on a VM of the platform, and changes targets' weights by a lease.")
+	if f.Mechanisms {
+		fmt.Println(strings.Join(route.MechanismNames(), "\n"))
+		return
+	}
+	if f.Settings == "" {
+		cli.Fail(cli.ExitUsage, errors.New("--settings or PATHHEAD_CONFIG must name the platform's settings file"))
+	}
 	set, err := platform.ReadSettings(f.Settings)
 	if err != nil {
 		cli.Fail(cli.ExitUsage, err)
