--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -63,24 +64,24 @@
 	if err != nil {
 		cli.Fail(cli.ExitUsage, err)
 	}
-	if f.Check {
-		fmt.Println("the settings are valid")
-		return
-	}
-	ctx, stop := cli.Signalled()
-	defer stop()
-	cli.WatchFile(ctx, f.Settings, func() {
-		set, err := platform.ReadSettings(f.Settings)
-		if err == nil {
-			err = n.Reload(set)
-		}
-		if err != nil {
-			n.SettingsFault(err)
-		}
+	err = f.Run(func(ctx context.Context) error {
+		cli.WatchFile(ctx, f.Settings, func() { reload(n, f.Settings) })
+		return n.Run(ctx)
 	})
-	if err := n.Run(ctx); err != nil {
+	if err != nil {
 		log.Error("the node ended", "error", err.Error())
 		out.Close()
 		cli.Fail(cli.ExitFailed, err)
 	}
 }
+
+// reload has the node take changed settings, or note why it can't.
+func reload(n *node.Node, file string) {
+	set, err := platform.ReadSettings(file)
+	if err == nil {
+		err = n.Reload(set)
+	}
+	if err != nil {
+		n.SettingsFault(err)
+	}
+}
--- a/cmd/pathhead-router/main.go
+++ b/cmd/pathhead-router/main.go
@@ -2,7 +2,6 @@
 package main
 
 import (
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -50,13 +49,7 @@
 	if err != nil {
 		cli.Fail(cli.ExitUsage, err)
 	}
-	if f.Check {
-		fmt.Println("the settings are valid")
-		return
-	}
-	ctx, stop := cli.Signalled()
-	defer stop()
-	if err := r.Run(ctx); err != nil {
+	if err := f.Run(r.Run); err != nil {
 		cli.Fail(cli.ExitFailed, err)
 	}
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -220,6 +220,18 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
+// Run runs a program whose settings are valid until a signal stops it; where only
+// a check of them was asked for, it says so and ends.
+func (c Common) Run(run func(context.Context) error) error {
+	if c.Check {
+		fmt.Println("the settings are valid")
+		return nil
+	}
+	ctx, stop := Signalled()
+	defer stop()
+	return run(ctx)
+}
+
 // Fail prints an error and ends the program with a code.
 func Fail(code int, err error) {
 	fmt.Fprintln(os.Stderr, err)
--- a/node/ports.go
+++ b/node/ports.go
@@ -128,8 +128,6 @@
 	Weights map[string]string
 	Orders  int64
 	Busy    bool
-	Running int
-	Waiting int
 }
 
 // Order asks one incarnation of a target to load weights.
--- a/node/settings.go
+++ b/node/settings.go
@@ -23,9 +23,8 @@
 	Store netip.AddrPort
 	// Heartbeat is the time between two signs of life of a target.
 	Heartbeat time.Duration
-	// Memory is the process's limit in bytes, Files its limit of descriptors.
+	// Memory is the process's limit in bytes.
 	Memory int64
-	Files  int
 	// Power is the processor that the VM has, in cores.
 	Power  float64
 	Bounds Bounds
--- a/route/place.go
+++ b/route/place.go
@@ -1,10 +1,8 @@
 package route
 
 import (
-	"cmp"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -51,73 +49,6 @@
 	return r.promptTokens() - min(have, r.promptTokens())
 }
 
-// Placer chooses among the candidates of a request; it may order the slice.
-// Each candidate's wait and cost are already predicted.
-type Placer func(rng *rand.Rand, cs []candidate) *candidate
-
-// Predict takes the candidate with the least predicted time to first token plus
-// the price of wasted prefill; near equals are ordered by rendezvous hashing.
-func Predict(_ *rand.Rand, cs []candidate) *candidate {
-	best := &cs[0]
-	for i := range cs[1:] {
-		c := &cs[i+1]
-		switch d := c.cost - best.cost; {
-		case d < -tieWidth, d <= tieWidth && c.rank > best.rank:
-			best = c
-		}
-	}
-	return best
-}
-
-// tieWidth is the difference of cost that counts as none.
-const tieWidth = time.Millisecond
-
-// Random takes any candidate; it is a baseline for measurements.
-func Random(rng *rand.Rand, cs []candidate) *candidate { return &cs[rng.IntN(len(cs))] }
-
-// RoundRobin takes the candidates in turn; it is a baseline for measurements.
-func RoundRobin() Placer {
-	n := -1
-	return func(_ *rand.Rand, cs []candidate) *candidate {
-		slices.SortFunc(cs, func(a, b candidate) int { return a.target.addr.Compare(b.target.addr) })
-		n++
-		return &cs[n%len(cs)]
-	}
-}
-
-// LeastLoad takes the candidate with the fewest requests in flight; it is a baseline for measurements.
-func LeastLoad(rng *rand.Rand, cs []candidate) *candidate {
-	rng.Shuffle(len(cs), func(i, j int) { cs[i], cs[j] = cs[j], cs[i] })
-	return ref(cs, slices.MinFunc(cs, func(a, b candidate) int {
-		return cmp.Compare(a.target.inFlight(), b.target.inFlight())
-	}))
-}
-
-// PrefixHash takes the first candidate in rendezvous order; it is a baseline for measurements.
-func PrefixHash(_ *rand.Rand, cs []candidate) *candidate {
-	return ref(cs, slices.MaxFunc(cs, func(a, b candidate) int { return cmp.Compare(a.rank, b.rank) }))
-}
-
-func ref(cs []candidate, c candidate) *candidate {
-	for i := range cs {
-		if cs[i].target == c.target {
-			return &cs[i]
-		}
-	}
-	panic("route: candidate is not in its slice")
-}
-
-// Placers returns the placement policies by the names that settings use.
-func Placers() map[string]Placer {
-	return map[string]Placer{
-		"predict":     Predict,
-		"random":      Random,
-		"round-robin": RoundRobin(),
-		"least-load":  LeastLoad,
-		"prefix-hash": PrefixHash,
-	}
-}
-
 func sortTargets(ts []*target) {
 	slices.SortFunc(ts, func(a, b *target) int { return a.addr.Compare(b.addr) })
 }
@@ -298,65 +229,6 @@
 	return kept
 }
 
-// server is a target that serves a model, with its weights.
-type server struct {
-	target  *target
-	weights string
-}
-
-// serversKey names a model of a pool.
-type serversKey struct {
-	pool           string
-	model, adapter string
-}
-
-// serversList is who serves a model, as of a version of the targets' states.
-type serversList struct {
-	version   uint64
-	all       []server
-	preferred []server
-}
-
-// servers returns the engines that may serve a request, from a list that is made
-// anew only when some target's state changed. A request whose answer began keeps
-// to its weights. While fewer engines than the declared floor have the declared
-// weights, those with others serve too.
-func (b *Board) servers(p *pool, r *request) []server {
-	key := serversKey{p.compiled.Name, r.Model.Name, r.Adapter}
-	list, ok := b.serving[key]
-	if !ok || list.version != b.version {
-		list = b.listServers(p, r)
-		b.serving[key] = list
-	}
-	switch {
-	case b.staleness != nil && (r.weights == "" || r.ResumeAnywhere):
-		return list.all
-	case r.weights == "":
-		return list.preferred
-	}
-	return slices.DeleteFunc(slices.Clone(list.all), func(s server) bool { return s.weights != r.weights })
-}
-
-func (b *Board) listServers(p *pool, r *request) *serversList {
-	list := &serversList{version: b.version}
-	var declared []server
-	for _, t := range p.members {
-		weights, ok := t.serves(r.Model.Name, r.Adapter)
-		if !ok || !t.usable() {
-			continue
-		}
-		list.all = append(list.all, server{t, weights})
-		if weights == r.Model.Weights {
-			declared = append(declared, server{t, weights})
-		}
-	}
-	list.preferred = list.all
-	if len(declared) > 0 && len(declared) >= r.Model.Floor {
-		list.preferred = declared
-	}
-	return list
-}
-
 // believe fills in the ranks in a pool of n and what each candidate is known to hold.
 func (b *Board) believe(cs []candidate, now time.Time, r *request, n int) {
 	for i := range cs {
@@ -453,62 +325,6 @@
 	return x ^ x>>33
 }
 
-// narrow picks the servers of a large pool that are worth predicting for: the
-// first in rendezvous order, known holders and a random few.
-func (b *Board) narrow(cs []candidate, list []server, r *request) []candidate {
-	b.round++
-	c := r.chain(list[0].weights)
-	b.holdersOf(c)
-	b.markHolders(c)
-	anchor := uint64(b.beliefs.anchor(c))
-	var top [rendezvousTop]server
-	var ranks [rendezvousTop]uint64
-	for _, s := range list {
-		if s.target.round == b.round {
-			cs = append(cs, candidate{target: s.target, weights: s.weights, chain: r.chain(s.weights)})
-			continue
-		}
-		rank := mix(anchor ^ s.target.hash)
-		if r.homes.size > 0 {
-			rank = r.homes.rank(len(list), s.target)
-		}
-		for i := range top {
-			if rank > ranks[i] {
-				rank, ranks[i] = ranks[i], rank
-				s, top[i] = top[i], s
-			}
-		}
-	}
-	picks := top[:]
-	for range randomMore {
-		picks = append(picks, list[b.rng.IntN(len(list))])
-	}
-	for _, s := range picks {
-		if s.target != nil && s.target.round != b.round {
-			s.target.round = b.round
-			cs = append(cs, candidate{target: s.target, weights: s.weights, chain: r.chain(s.weights)})
-		}
-	}
-	return cs
-}
-
-// holdersOf marks, for this round, the holders of the deepest known blocks.
-func (b *Board) holdersOf(c *chain) {
-	levels := 0
-	for l := b.beliefs.deepest(c); l >= 0 && levels < holdersPerBlock; l-- {
-		e := b.beliefs.blocks.get(c.blocks[c.levels[l]])
-		if e == nil {
-			continue
-		}
-		levels++
-		for _, h := range e.holders {
-			if t, ok := b.slots[h.slot]; ok {
-				t.round = b.round
-			}
-		}
-	}
-}
-
 // predict fills in the cost of a candidate whose wait is known; price is what a
 // second of prefill costs in seconds of waiting.
 func (b *Board) predict(c *candidate, r *request, price float64) {
