route, node: bytes between failure domains are priced by their size, copies by their way

Change: a target in another domain costs 0.5 us a byte of request and expected answer beside what a service's round trip takes. A copy comes from the engine's own domain where one there holds as much; from another it is predicted to take twice as long. TestDistancePlaces, TestDistanceFetches.

--- a/node/forward.go
+++ b/node/forward.go
@@ -103,6 +103,7 @@
 		ResumeAnywhere: true,
 		MaxTries:       rt.Attempts,
 		MaxTokens:      v.ask.MaxTokens,
+		Bytes:          headBytes + len(v.body) + eventBytes*v.ask.MaxTokens,
 		Parts:          v.ask.Parts,
 	}
 	if v.org != nil {
@@ -127,6 +128,13 @@
 	defaultAim     = 500 * time.Millisecond
 )
 
+// The sizes by which a request's bytes are estimated: of the heads of a request and
+// its answer, and of one event, which has a token or a few.
+const (
+	headBytes  = 600
+	eventBytes = 60
+)
+
 // aimOf is the time within which an answer on the route is to begin.
 func aimOf(rt *policy.Route) time.Duration {
 	if rt.Aim == 0 {
--- /dev/null
+++ b/route/distance_test.go
@@ -0,0 +1,50 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// zoned puts the engines of a board into failure domains.
+func (p *partsBoard) zoned(zones ...string) {
+	for i, zone := range zones {
+		p.b.targets[testAddr(i)].labels = map[string]string{"s": "e", LabelZone: zone}
+	}
+}
+
+// TestDistancePlaces checks that of engines that hold the same the one in the
+// router's failure domain is taken, as long as it is no busier than the bytes cost.
+func TestDistancePlaces(t *testing.T) {
+	f := newFillBoard(t, 4)
+	WithZone("near")(f.b)
+	f.zoned("far", "far", "near", "far")
+	r := f.request("a", own)
+	r.Bytes = 10_000
+	require.Equal(t, testAddr(2), f.ask(r).Target)
+	next := f.request("a", Part{"next", 500})
+	next.Bytes = 10_000
+	require.NotEqual(t, testAddr(2), f.ask(next).Target, "10 ms of reading are more than 5 ms of bytes")
+}
+
+// TestDistanceFetches checks that a copy comes from the engine's own failure domain
+// where one there holds as much, and is predicted to take twice as long from another.
+func TestDistanceFetches(t *testing.T) {
+	f := newFillBoard(t, 3)
+	f.zoned("x", "y", "x")
+	c := newPartsChain("salt", append(shared, own))
+	holds := func(i int) candidate {
+		return candidate{target: f.b.targets[testAddr(i)], chain: c, trusted: 6000, ready: 6000}
+	}
+	p, r := f.b.pools["e"], &request{Request: f.request("a", append(shared, own)...)}
+	cold := candidate{target: f.b.targets[testAddr(0)], chain: c}
+	cs := []candidate{cold, holds(1)}
+	f.b.considerFetches(f.now, cs, p, r)
+	far := cs[0].transfer - fetchSetup
+	cs = []candidate{cold, holds(1), holds(2)}
+	f.b.considerFetches(f.now, cs, p, r)
+	require.Equal(t, testAddr(2), cs[0].fetchFrom)
+	require.Equal(t, far, 2*(cs[0].transfer-fetchSetup))
+	require.Equal(t, 6*time.Millisecond, cs[0].transfer-fetchSetup)
+}
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -49,23 +49,48 @@
 	for i := range cs {
 		c := &cs[i]
 		for j := range cs {
-			o := &cs[j]
-			if o.chain != c.chain || o.trusted < max(c.trusted, c.fetched)+fetchLeast {
-				continue
+			if o := &cs[j]; c.gains(o) {
+				c.fetchFrom, c.fetched, c.unread = o.target.addr, o.trusted, o.unread
+				c.far = !c.target.near(o.target)
 			}
-			c.fetchFrom, c.fetched, c.unread = o.target.addr, o.trusted, o.unread
 		}
 		if store != nil {
 			b.considerStore(now, c, store, p)
 		}
 		if c.fetched > 0 && c.fetchFrom != storeAddr(store) {
 			fetched := float64(c.fetched - c.trusted)
-			c.transfer = c.unread.left(now) + fetchSetup + seconds(fetched/max(1, p.compiled.LinkRate))
+			c.transfer = c.unread.left(now) + fetchSetup + seconds(c.linkTimes()*fetched/max(1, p.compiled.LinkRate))
 		}
 		c.extra += b.displaces(now, c, p, r)
 	}
 }
 
+// gains reports whether fetching from o brings more than what the candidate has or
+// would fetch so far, or as much from its own failure domain.
+func (c *candidate) gains(o *candidate) bool {
+	switch {
+	case o.chain != c.chain || o.trusted < c.trusted+fetchLeast:
+		return false
+	case o.trusted >= c.fetched+fetchLeast:
+		return true
+	}
+	return c.far && o.trusted == c.fetched && o.unread == c.unread && c.target.near(o.target)
+}
+
+// farLink is how many times longer a copy takes between failure domains.
+const farLink = 2
+
+// linkTimes is how many times longer the candidate's copy takes than the link's rate says.
+func (c *candidate) linkTimes() float64 {
+	if c.far {
+		return farLink
+	}
+	return 1
+}
+
+// near reports whether two targets stand in the same failure domain.
+func (t *target) near(o *target) bool { return t.labels[LabelZone] == o.labels[LabelZone] }
+
 // uses is how often a copy of a request's shared parts will be used at one engine
 // while it counts as wanted: what a copy displaces is paid for by all its uses.
 func (b *Board) uses(r *request, p *pool) float64 {
@@ -118,8 +143,9 @@
 		return
 	}
 	c.fetchFrom, c.fetched, c.unread = store.addr, held, fill{}
+	c.far = !c.target.near(store)
 	moved := float64(held - c.trusted)
-	c.transfer = fetchSetup + seconds(moved/b.storeRate(p))
+	c.transfer = fetchSetup + seconds(c.linkTimes()*moved/b.storeRate(p))
 }
 
 // storeRate is the rate of the link of the store that a pool's engines use, in tokens per second.
--- a/route/place.go
+++ b/route/place.go
@@ -37,6 +37,8 @@
 	// fetchFrom is a target that holds more of the prompt, and fetched how far, in tokens.
 	fetchFrom netip.AddrPort
 	fetched   int
+	// far says that it stands in another failure domain.
+	far bool
 	// assumed says that what the candidate holds was not told by events.
 	assumed bool
 	// extra is the cost of older weights, of failures and of distance.
@@ -137,7 +139,7 @@
 func (b *Board) candidates(now time.Time, p *pool, r *request) []candidate {
 	cs := b.scratch[:0]
 	if r.Model == nil {
-		cs = b.serviceCandidates(cs, now, p)
+		cs = b.serviceCandidates(cs, now, p, r)
 	} else {
 		cs = b.engineCandidates(cs, now, p, r)
 	}
@@ -176,17 +178,32 @@
 	zoneCost  = 3 * time.Millisecond
 )
 
-func (b *Board) distance(t *target) time.Duration {
+// bytePrice is what a byte to or from another failure domain costs: by the users'
+// prices 100 KB cost as much as reading 1,000 tokens again, for which an engine takes
+// some 25 ms, whose price is as much again.
+const bytePrice = 500 * time.Nanosecond
+
+// distance prices a target in another failure domain for a request of some bytes.
+func (b *Board) distance(t *target, bytes int) time.Duration {
 	if b.zone == "" || b.off.Has(Distance) || t.labels[LabelZone] == b.zone {
 		return 0
 	}
-	return zoneCost
+	return time.Duration(bytes) * bytePrice
+}
+
+// farService prices a target of a plain service, whose answers a round trip delays.
+func (b *Board) farService(t *target, r *request) time.Duration {
+	far := b.distance(t, r.Bytes)
+	if far == 0 {
+		return 0
+	}
+	return far + zoneCost
 }
 
-func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool) []candidate {
+func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
 	for _, t := range p.members {
 		if t.usable() {
-			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: b.missCost(now, t) + b.distance(t)})
+			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: b.missCost(now, t) + b.farService(t, r)})
 		}
 	}
 	return cs
@@ -223,7 +240,7 @@
 		if !prefers {
 			price = 0
 		}
-		c.extra = price + b.missCost(now, c.target)
+		c.extra = price + b.missCost(now, c.target) + b.distance(c.target, r.Bytes)
 		kept = append(kept, c)
 	}
 	return kept
--- a/route/request.go
+++ b/route/request.go
@@ -33,6 +33,8 @@
 	Text      []byte
 	Bounds    []int
 	MaxTokens int
+	// Bytes is the size of the request and of the answer that is expected.
+	Bytes int
 	// Parts is the prompt as a chain of named parts, in place of Text. The last
 	// belongs to the request itself or to its session.
 	Parts []Part
