--- a/cmd/pathheadctl/main.go
+++ b/cmd/pathheadctl/main.go
@@ -41,6 +41,7 @@
 	Status   statusCmd   `cmd:"" help:"Show the processes and targets."`
 	Explain  explainCmd  `cmd:"" help:"Show why a request went where it did."`
 	Timeline timelineCmd `cmd:"" help:"Show the events of all processes in causal order."`
+	Losses   lossesCmd   `cmd:"" help:"Count from logs the requests that were not answered in time, by cause."`
 	Hash     hashCmd     `cmd:"" help:"Print the hash of an API key read from standard input."`
 }
 
@@ -129,6 +130,13 @@
 	return t.Timeline(ctx, f, c.Extra, c.Logs)
 }
 
+type lossesCmd struct {
+	Logs []string `arg:"" help:"JSON logs of all nodes; - is standard input." placeholder:"FILE"`
+	By   string   `help:"What to count by besides the cause: cause, organisation, process, target or second." default:"cause"`
+}
+
+func (c *lossesCmd) Run(t *ctl.Tool) error { return t.Losses(c.Logs, c.By) }
+
 type hashCmd struct{}
 
 func (hashCmd) Run() error {
--- /dev/null
+++ b/ctl/losses.go
@@ -0,0 +1,124 @@
+package ctl
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/event"
+)
+
+// Loss is a request that was not answered in time, or not at all, and why.
+type Loss struct {
+	Request string    `json:"request"`
+	Cause   string    `json:"cause"`
+	Org     string    `json:"organisation"`
+	Process string    `json:"process"`
+	Target  string    `json:"target"`
+	At      time.Time `json:"at"`
+}
+
+// The causes of late answers. Those of refusals are named as callers see them.
+const (
+	lateRepeated = "late: sent again after a failure"
+	lateHere     = "late: waited at the node"
+	lateTarget   = "late: at the target"
+	lateUnclear  = "late"
+)
+
+// Losses finds the requests among events that were not answered in time, in the
+// order of their ends. Logs hold each such request whole.
+func Losses(events []event.Event) []Loss {
+	var out []Loss
+	attempts := make(map[string]int)
+	targets := make(map[string]string)
+	for _, e := range event.Merge(events) {
+		switch e.Code {
+		case event.RequestPlaced:
+			attempts[e.Request]++
+			targets[e.Request] = e.Target
+		case event.RequestRefused:
+			cause, _, _ := strings.Cut(e.Detail, ",")
+			out = append(out, lossOf(e, "refused: "+cause, targets))
+		case event.AnswerUnfinished:
+			cause, _, _ := strings.Cut(e.Detail, ",")
+			out = append(out, lossOf(e, "unfinished: "+cause, targets))
+		case event.RequestLate:
+			out = append(out, lossOf(e, lateCause(e.Detail, attempts[e.Request]), targets))
+		}
+	}
+	return out
+}
+
+func lossOf(e event.Event, cause string, targets map[string]string) Loss {
+	return Loss{
+		Request: e.Request, Cause: cause, Org: e.Org, Process: e.Process, Target: targets[e.Request], At: e.Stamp.Time,
+	}
+}
+
+// lateCause says where a late answer spent most of its time.
+func lateCause(detail string, attempts int) string {
+	l, err := event.ParseLateness(detail)
+	switch {
+	case err != nil:
+		return lateUnclear
+	case attempts > 1:
+		return lateRepeated
+	case l.Sent > l.First-l.Sent:
+		return lateHere
+	}
+	return lateTarget
+}
+
+// LossesBy names what losses can be grouped by.
+func LossesBy() []string { return slices.Sorted(maps.Keys(lossGroups)) }
+
+// byCause groups losses by their cause alone.
+const byCause = "cause"
+
+var lossGroups = map[string]func(Loss) string{
+	byCause:        func(Loss) string { return "" },
+	"organisation": func(l Loss) string { return l.Org },
+	"process":      func(l Loss) string { return l.Process },
+	"target":       func(l Loss) string { return l.Target },
+	"second":       func(l Loss) string { return l.At.Format("15:04:05") },
+}
+
+// Losses prints from logs how many requests were lost, by cause and by one of
+// [LossesBy] besides, the most first.
+func (t *Tool) Losses(logs []string, by string) error {
+	group, ok := lossGroups[by]
+	if !ok {
+		return errs.Errorf("losses cannot be grouped by %q; there are %s", by, strings.Join(LossesBy(), ", "))
+	}
+	events, err := logEvents(logs, event.Filter{})
+	if err != nil {
+		return err
+	}
+	losses := Losses(events)
+	if t.form == OutputJSON {
+		t.json(losses)
+		return nil
+	}
+	type key struct{ cause, group string }
+	counts := make(map[key]int)
+	for _, l := range losses {
+		counts[key{l.Cause, group(l)}]++
+	}
+	keys := slices.SortedFunc(maps.Keys(counts), func(a, b key) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a.cause, b.cause), cmp.Compare(a.group, b.group))
+	})
+	head := "REQUESTS\tCAUSE"
+	if by != byCause {
+		head += "\t" + strings.ToUpper(by)
+	}
+	return t.table(head, func(row func(string, ...any)) {
+		for _, k := range keys {
+			row("%d\t%s\t%s", counts[k], k.cause, k.group)
+		}
+	})
+}
--- a/node/forward.go
+++ b/node/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -77,8 +76,7 @@
 	}
 	f.n.events.Record(event.Event{
 		Code: event.RequestLate, Request: f.v.ask.ID, Org: f.req.Org,
-		Detail: fmt.Sprintf("first part after %s, the aim is %s; sent after %s, whole after %s",
-			f.firstAfter.Round(time.Millisecond), aim, f.sentAfter.Round(time.Millisecond), time.Since(f.v.begun).Round(time.Millisecond)),
+		Detail: event.Lateness{First: f.firstAfter, Aim: aim, Sent: f.sentAfter, Whole: time.Since(f.v.begun)}.String(),
 	})
 }
 
