route: an answer that has begun waits for a target as long as its caller does

Since the wait for room ends when the answer can no longer begin in time, a stream that had begun was broken off 50 ms after its target was lost if no other had room. TestBegunWaitsOn failed first.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -394,8 +394,7 @@
 	}
 	b.note(event.Event{Code: code, Request: r.ID, Attempt: a.ID, Org: r.Org})
 	r.notBefore = now.Add(b.backoff(r))
-	r.queuedTo = r.arrived.Add(b.queueTime(r))
-	r.waitOn(now.Add(lookAgain))
+	r.queuedTo = b.queuedAgain(now, r)
 	b.enqueue(r)
 	return nil
 }
--- a/route/wait.go
+++ b/route/wait.go
@@ -66,6 +66,23 @@
 	return r.promptTokens()
 }
 
+// queuedAgain is until when a request waits for room that is to be sent again. One
+// whose answer has begun waits as long as its caller does: to break it off would cost
+// what was delivered too.
+func (b *Board) queuedAgain(now time.Time, r *request) time.Time {
+	if r.Aim == 0 {
+		return now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
+	}
+	if r.delivered {
+		return r.Deadline
+	}
+	again := now.Add(lookAgain)
+	if inTime := r.arrived.Add(b.queueTime(r)); inTime.After(again) {
+		return inTime
+	}
+	return again
+}
+
 // waitOn lets the request wait until a time at least.
 func (r *request) waitOn(until time.Time) {
 	if until.After(r.queuedTo) {
--- a/route/wait_test.go
+++ b/route/wait_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"testing"
 	"time"
 
@@ -66,3 +67,25 @@
 	}
 	require.InDelta(t, 3, f.factor(), 0.01)
 }
+
+// TestBegunWaitsOn checks that an answer which has begun and broke is not given up
+// while no target takes it, as a request is that can no longer be in time.
+func TestBegunWaitsOn(t *testing.T) {
+	f := newFillBoard(t, 1)
+	begun := f.aimed(300*time.Millisecond, own)
+	begun.Resumable, begun.Repeatable, begun.MaxTries = true, true, 3
+	a := f.ask(begun)
+	f.b.FirstToken(f.now, a.Request, a.ID)
+	f.b.Progress(f.now, a.Request, a.ID)
+	f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Delivered: true, Silent: true})
+	other := f.aimed(300*time.Millisecond, own)
+	require.Nil(t, f.ask(other))
+	got := make(map[string]Refusal)
+	for range 20 {
+		f.now = f.now.Add(50 * time.Millisecond)
+		maps.Copy(got, refusals(f.b.Tick(f.now)))
+	}
+	require.Contains(t, got, other.ID)
+	require.NotContains(t, got, begun.ID)
+	require.Equal(t, []string{begun.ID}, f.sent(f.b.Reached(f.now, testAddr(0))))
+}
