--- a/route/place.go
+++ b/route/place.go
@@ -115,9 +115,10 @@
 }
 
 // memoryPart is the part of an engine's cache that running requests may take. With
-// more, what they share is displaced and read again, so that they run longer and
-// take yet more: the engine stays in that state after the surge that led to it.
-const memoryPart = 0.5
+// all of it, what they share is displaced and read again, so that they run longer and
+// take yet more; with half, requests wait for room that their engine has. Measured in
+// docs/design/measures.md.
+const memoryPart = 0.7
 
 // hasMemory reports whether the engine can hold one more request beside what it keeps.
 func (t *target) hasMemory(p *pool, r *request) bool {
