node, route: one trial connection a silent target at a time; no aim is always in time

Requests of routes without an aim were held for readings by way of a second placement that could not succeed.

--- a/node/forward.go
+++ b/node/forward.go
@@ -283,29 +283,13 @@
 		out.Kind = route.OutcomeUnsent
 	}
 	if out.Silent = errors.Is(err, transport.ErrSilent); out.Silent && out.Kind != route.OutcomeUnsent {
-		go f.n.reach(target)
+		f.n.reach(target)
 	}
 	out.Delivered = f.begun
 	out.Detail = err.Error()
 	return out
 }
 
-// reachTime bounds the opening of a connection that tells whether a target lives:
-// one that does takes it within some milliseconds.
-const reachTime = 300 * time.Millisecond
-
-// reach opens a connection to a target on which one has gone silent. Connections may
-// go silent for good while new ones work; a target that takes one is not gone.
-func (n *Node) reach(target netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(context.Background(), reachTime)
-	defer cancel()
-	if err := n.conns.Reaches(ctx, target); err != nil {
-		n.log.Debug("a silent target takes no new connection", "target", target, "error", err)
-		return
-	}
-	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
-}
-
 // maxWhole bounds an answer that is held whole, in bytes.
 const maxWhole = 4 << 20
 
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,7 @@
 	peers    *peer.Client
 	gossip   *peer.Gossip
 	callers  callerConns
+	reaching reaching
 	stopping atomic.Bool
 	loops    sync.WaitGroup
 
--- /dev/null
+++ b/node/reach_test.go
@@ -0,0 +1,20 @@
+package node
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestReaching checks that many requests whose connections to a target go silent
+// together open one new connection to it, and one to each other target.
+func TestReaching(t *testing.T) {
+	var r reaching
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	require.True(t, r.begin(a))
+	require.False(t, r.begin(a))
+	require.True(t, r.begin(b))
+	r.end(a)
+	require.True(t, r.begin(a))
+}
--- a/route/placed.go
+++ b/route/placed.go
@@ -176,9 +176,10 @@
 	return nil, 0
 }
 
-// inTime reports whether the answer is predicted to begin in time.
+// inTime reports whether the answer is predicted to begin in time, which it always
+// does where no aim is stated.
 func (c *candidate) inTime(now time.Time, r *request) bool {
-	return !now.Add(c.first(r)).After(r.arrived.Add(r.Aim))
+	return r.Aim == 0 || !now.Add(c.first(r)).After(r.arrived.Add(r.Aim))
 }
 
 // first is the predicted time until the answer begins.
