route: what waits for a reading is no queue, and the pace counts from the first wait

Since requests are held for what is being read, the queue is not empty in calm times; its cost was divided by a pace that had been measured while others were sent and had decayed since, which predicted waits of seconds. On the node the same refused requests falsely since the prediction is used there.

Ruled out: load (the engines were idle; both refusals came at arrival).

Change: requests held for a reading do not count as waiting for room. The pace is measured anew from when the queue was last empty; without any it says nothing.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -44,7 +44,7 @@
 	r.cost = b.cost(r)
 	b.pools[r.Pool].offered.add(now, 1)
 	b.countParts(now, r)
-	b.enqueue(r)
+	b.enqueue(now, r)
 	out := b.dispatch(now)
 	if r.attempt == nil {
 		b.note(event.Event{Code: event.RequestQueued, Request: r.ID, Org: r.Org})
@@ -82,8 +82,14 @@
 	return float64(max(minCost, r.promptTokens()+decodePrice*r.MaxTokens))
 }
 
-func (b *Board) enqueue(r *request) {
-	b.pools[r.Pool].queue.push(r, b.weight(r.Org))
+func (b *Board) enqueue(now time.Time, r *request) {
+	p := b.pools[r.Pool]
+	if p.queue.n == 0 {
+		// What was sent before says nothing of how soon there will be room now.
+		p.drained = newMeter(drainWindow)
+		p.drained.at, p.drained.begun = now, now
+	}
+	p.queue.push(r, b.weight(r.Org))
 }
 
 // dispatch sends waiting requests while targets have room.
@@ -125,11 +131,13 @@
 			if seen++; seen > maxScan {
 				break
 			}
+			r.held = false
 			c, extra := b.choose(now, p, r)
 			if c == nil {
 				continue
 			}
 			if c, extra = b.settle(now, p, r, c, extra); c == nil {
+				r.held = true
 				r.waitOn(now.Add(lookAgain))
 				continue
 			}
@@ -395,7 +403,7 @@
 	b.note(event.Event{Code: code, Request: r.ID, Attempt: a.ID, Org: r.Org})
 	r.notBefore = now.Add(b.backoff(r))
 	r.queuedTo = b.queuedAgain(now, r)
-	b.enqueue(r)
+	b.enqueue(now, r)
 	return nil
 }
 
--- a/route/queue.go
+++ b/route/queue.go
@@ -121,7 +121,18 @@
 	if !ok || rate <= 0 || o.items.Len() == 0 {
 		return 0
 	}
-	return time.Duration(o.cost / (rate * q.share(org, weight)) * float64(time.Second))
+	return time.Duration(o.waiting() / (rate * q.share(org, weight)) * float64(time.Second))
+}
+
+// waiting is the cost of the requests that wait for room.
+func (o *orgQueue) waiting() float64 {
+	cost := o.cost
+	for _, r := range o.items {
+		if r.held {
+			cost -= r.cost
+		}
+	}
+	return cost
 }
 
 // requestHeap orders an organisation's requests by priority, then arrival.
--- a/route/request.go
+++ b/route/request.go
@@ -245,6 +245,8 @@
 	attempt   *attempt
 	chains    map[string]*chain
 	homes     homes
+	// held says that the request waits for what is being read, and not for room.
+	held bool
 	// anew is set while the request is placed without what is still being read.
 	anew bool
 	// draw is a number from 0 to 1 by which requests take different ways.
