--- a/ctl/losses.go
+++ b/ctl/losses.go
@@ -42,11 +42,9 @@
 			attempts[e.Request]++
 			targets[e.Request] = e.Target
 		case event.RequestRefused:
-			cause, _, _ := strings.Cut(e.Detail, ",")
-			out = append(out, lossOf(e, "refused: "+cause, targets))
+			out = append(out, lossOf(e, "refused: "+refusalCause(e.Detail), targets))
 		case event.AnswerUnfinished:
-			cause, _, _ := strings.Cut(e.Detail, ",")
-			out = append(out, lossOf(e, "unfinished: "+cause, targets))
+			out = append(out, lossOf(e, "unfinished: "+refusalCause(e.Detail), targets))
 		case event.RequestLate:
 			out = append(out, lossOf(e, lateCause(e.Detail, attempts[e.Request]), targets))
 		}
@@ -60,6 +58,12 @@
 	}
 }
 
+// refusalCause is the cause that a refusal's detail begins with.
+func refusalCause(detail string) string {
+	cause, _, _ := strings.Cut(detail, ",")
+	return cause
+}
+
 // lateCause says where a late answer spent most of its time.
 func lateCause(detail string, attempts int) string {
 	l, err := event.ParseLateness(detail)
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -35,9 +35,6 @@
 		})
 		return []Action{Refuse{Request: r.ID, Refusal: *refusal}}
 	}
-	if b.off.Has(Urgency) {
-		r.Priority = 0
-	}
 	b.requests[r.ID] = r
 	b.note(event.Event{Code: event.RequestArrived, Request: r.ID, Org: r.Org, Revision: b.snap.Revision})
 	r.queuedTo = now.Add(b.queueTime(r))
--- a/route/belief.go
+++ b/route/belief.go
@@ -233,6 +233,11 @@
 	}
 }
 
+// believeFill notes what a peer told that a target's cache got.
+func (b *Board) believeFill(now time.Time, t *target, f Fill) {
+	b.beliefs.blocks.use(f.Block).put(t.slot, now.Add(-f.Age).UnixMilli())
+}
+
 // CacheChange is one cache event of an engine.
 type CacheChange struct {
 	Seq     int64
--- a/route/homes.go
+++ b/route/homes.go
@@ -51,7 +51,7 @@
 	r.homes.part = r.partHome()
 	r.homes.last = r.homes.part
 	r.homes.rate = b.hot.count(now, Block(r.homes.last))
-	r.homes.engines = spread(r.homes.rate, b.ownPrefill(r))
+	r.homes.engines = spread(r.homes.rate, b.pools[r.Pool].leastFirst(r))
 	if b.off.Has(Spreading) {
 		r.homes.engines = 1
 	}
@@ -79,15 +79,6 @@
 	return n
 }
 
-// ownPrefill is how long the request's own part takes an engine of its pool.
-func (b *Board) ownPrefill(r *request) time.Duration {
-	rate := float64(defaultPrefillRate)
-	if p := b.pools[r.Pool]; p != nil && len(p.members) > 0 {
-		rate = p.members[0].rate()
-	}
-	return seconds(float64(r.Parts[len(r.Parts)-1].Tokens) / rate)
-}
-
 // rank orders an engine of a pool of n for the prompt.
 func (h homes) rank(n int, t *target) uint64 {
 	rank := mix(h.last ^ t.hash)
--- a/route/limit.go
+++ b/route/limit.go
@@ -213,7 +213,7 @@
 	s.Leaving = s.Leaving[:min(len(s.Leaving), maxMarks)]
 	for _, t := range b.targets {
 		if len(t.attempts) > 0 && len(s.Loads) < maxLoads {
-			s.Loads = append(s.Loads, Load{Mark{t.addr, t.incarnation}, len(t.attempts), t.prefill, t.tokens})
+			s.Loads = append(s.Loads, Load{t.mark(), len(t.attempts), t.prefill, t.tokens})
 		}
 	}
 	for name, o := range b.orgs {
@@ -295,8 +295,7 @@
 	}
 	for _, s := range b.peers {
 		for _, l := range s.Loads {
-			t, ok := b.targets[l.Target.Target]
-			if ok && t.incarnation == l.Target.Incarnation {
+			if t, ok := b.marked(l.Target); ok {
 				t.peerInFlight += l.InFlight
 				t.peerPrefill += l.Prefill
 				t.peerTokens += l.Tokens
@@ -308,9 +307,8 @@
 func (b *Board) mergeFills(now time.Time, states map[string]PeerState) {
 	for _, s := range states {
 		for _, f := range s.Fills {
-			t, ok := b.targets[f.Target.Target]
-			if ok && t.incarnation == f.Target.Incarnation {
-				b.beliefs.blocks.use(f.Block).put(t.slot, now.Add(-f.Age).UnixMilli())
+			if t, ok := b.marked(f.Target); ok {
+				b.believeFill(now, t, f)
 			}
 		}
 	}
--- a/route/place.go
+++ b/route/place.go
@@ -343,12 +343,16 @@
 	return x ^ x>>33
 }
 
+// prefill is how long the candidate computes for the prompt.
+func (c *candidate) prefill(r *request) time.Duration {
+	return seconds(float64(c.uncached(r)) / c.target.rate())
+}
+
 // predict fills in the cost of a candidate whose wait is known; price is what a
 // second of prefill costs in seconds of waiting.
 func (b *Board) predict(c *candidate, r *request, price float64) {
 	t := c.target
-	prefill := seconds(float64(c.uncached(r)) / t.rate())
-	c.cost = c.extra + c.wait + c.transfer + prefill + seconds(prefill.Seconds()*price)
+	c.cost = c.extra + c.first(r) + seconds(c.prefill(r).Seconds()*price)
 	if r.tried[t.addr] {
 		c.cost += pricePerRetry
 	}
--- a/route/placed.go
+++ b/route/placed.go
@@ -43,8 +43,7 @@
 // beginFill notes the shared parts that the target will read, and tells of them.
 func (b *Board) beginFill(now time.Time, c *candidate, r *request, a *attempt) {
 	t := c.target
-	mark := Mark{t.addr, t.incarnation}
-	takes := c.wait + c.transfer + seconds(float64(a.uncached)/t.rate())
+	takes := c.first(r)
 	out := Placed{Home: r.homes.part}
 	have := max(c.ready, c.imported.Tokens, c.fetched)
 	for _, n := range c.chain.bounds[:max(0, len(c.chain.bounds)-1)] {
@@ -52,7 +51,7 @@
 			continue
 		}
 		block := c.chain.blocks[n]
-		out.Fills = append(out.Fills, Fill{Target: mark, Block: block, Left: takes})
+		out.Fills = append(out.Fills, Fill{Target: t.mark(), Block: block, Left: takes})
 		key := fillKey{t.slot, block}
 		if _, ok := b.filling[key]; !ok {
 			b.filling[key] = fill{begun: now, due: now.Add(takes), own: true}
@@ -61,7 +60,7 @@
 	}
 	if a.uncached >= placedLeast {
 		out.Prefill = a.uncached
-		out.Load = Load{mark, len(t.attempts) + 1, t.prefill + a.uncached, t.tokens}
+		out.Load = Load{t.mark(), len(t.attempts) + 1, t.prefill + a.uncached, t.tokens}
 		b.placed(out)
 	}
 }
@@ -76,10 +75,13 @@
 
 // Filled takes a peer's word on shared parts that targets hold or are reading.
 func (b *Board) Filled(now time.Time, fills []Fill) {
-	b.mergeFills(now, map[string]PeerState{"": {Fills: fills}})
 	for _, f := range fills {
-		t, ok := b.targets[f.Target.Target]
-		if !ok || t.incarnation != f.Target.Incarnation || f.Left <= 0 {
+		t, ok := b.marked(f.Target)
+		if !ok {
+			continue
+		}
+		b.believeFill(now, t, f)
+		if f.Left <= 0 {
 			continue
 		}
 		key := fillKey{t.slot, f.Block}
@@ -104,7 +106,7 @@
 				continue
 			}
 			f, _ := b.reading(now, h.slot, block)
-			out = append(out, Fill{Target: Mark{t.addr, t.incarnation}, Block: block, Age: age, Left: f.left(now)})
+			out = append(out, Fill{Target: t.mark(), Block: block, Age: age, Left: f.left(now)})
 		}
 	}
 	return out
@@ -184,5 +186,5 @@
 
 // first is the predicted time until the answer begins.
 func (c *candidate) first(r *request) time.Duration {
-	return c.wait + c.transfer + seconds(float64(c.uncached(r))/c.target.rate())
+	return c.wait + c.transfer + c.prefill(r)
 }
--- a/route/recent.go
+++ b/route/recent.go
@@ -14,8 +14,10 @@
 }
 
 // Number is a short name of one incarnation of a target, the same on all routers.
-func (m Mark) Number() uint64 {
-	return xxh3.HashStringSeed(m.Incarnation, hashAddr(m.Target))
+func (m Mark) Number() uint64 { return numberOf(hashAddr(m.Target), m.Incarnation) }
+
+func numberOf(addrHash uint64, incarnation string) uint64 {
+	return xxh3.HashStringSeed(incarnation, addrHash)
 }
 
 // recentTime is how long a request counts besides the loads that relays tell, which
@@ -32,7 +34,7 @@
 func (b *Board) Recently(now time.Time, sends []Recent) {
 	byNumber := make(map[uint64]*target, len(b.targets))
 	for _, t := range b.targets {
-		byNumber[t.mark().Number()] = t
+		byNumber[numberOf(t.hash, t.incarnation)] = t
 	}
 	for _, s := range sends {
 		if t, ok := byNumber[s.Target]; ok {
--- a/route/shared.go
+++ b/route/shared.go
@@ -173,7 +173,7 @@
 		}
 		told := byTarget[t.addr]
 		if told == nil {
-			told = &TargetParts{Target: Mark{t.addr, t.incarnation}}
+			told = &TargetParts{Target: t.mark()}
 			byTarget[t.addr] = told
 		}
 		told.Keys = append(told.Keys, uint64(c.Key.key))
@@ -212,8 +212,8 @@
 		t.parts.at, t.parts.relayed = now, true
 	}
 	for _, told := range news.Targets {
-		t, ok := b.targets[told.Target.Target]
-		if !ok || t.incarnation != told.Target.Incarnation || t.parts.tokens == nil || len(told.Keys) != len(told.Tokens) {
+		t, ok := b.marked(told.Target)
+		if !ok || t.parts.tokens == nil || len(told.Keys) != len(told.Tokens) {
 			continue
 		}
 		for i, key := range told.Keys {
--- a/route/silent.go
+++ b/route/silent.go
@@ -28,7 +28,7 @@
 			listed++
 		}
 		if !t.silentAt.IsZero() && now.Sub(t.silentAt) < silentTold {
-			out = append(out, SilentWord{Mark{t.addr, t.incarnation}, 1})
+			out = append(out, SilentWord{t.mark(), 1})
 		}
 	}
 	if float64(len(out)) > max(1, silentPart*float64(listed)) {
@@ -51,8 +51,8 @@
 		}
 	}
 	for m, routers := range silent {
-		t, ok := b.targets[m.Target]
-		if ok && t.incarnation == m.Incarnation && routers >= silentRouters && now.Sub(t.answeredAt) > answeredGood {
+		t, ok := b.marked(m)
+		if ok && routers >= silentRouters && now.Sub(t.answeredAt) > answeredGood {
 			b.takeOut(now, t, "peers had no sign of life of it")
 		}
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -117,6 +117,12 @@
 // mark names the target's present incarnation.
 func (t *target) mark() Mark { return Mark{t.addr, t.incarnation} }
 
+// marked returns the target that has the incarnation which a mark names now.
+func (b *Board) marked(m Mark) (t *target, ok bool) {
+	t, ok = b.targets[m.Target]
+	return t, ok && t.incarnation == m.Incarnation
+}
+
 // usable reports whether the target may get new work.
 func (t *target) usable() bool {
 	return t.listed && !t.leaving && !t.listLeaving && !t.held && !t.failing &&
@@ -377,7 +383,7 @@
 // markLeaving stops new work for the target's present incarnation; nothing undoes it.
 func (b *Board) markLeaving(t *target, source string) {
 	if t.incarnation != "" {
-		b.marks[Mark{t.addr, t.incarnation}] = true
+		b.marks[t.mark()] = true
 	}
 	if t.leaving {
 		return
@@ -393,7 +399,7 @@
 		return
 	}
 	b.marks[m] = true
-	if t, ok := b.targets[m.Target]; ok && t.incarnation == m.Incarnation {
+	if t, ok := b.marked(m); ok {
 		b.markLeaving(t, "a peer")
 	}
 }
@@ -402,7 +408,7 @@
 // holder of their pool's lease is emptying them before an order.
 func (b *Board) Hold(held map[Mark]bool) {
 	for _, t := range b.targets {
-		if now := held[Mark{t.addr, t.incarnation}]; now != t.held {
+		if now := held[t.mark()]; now != t.held {
 			b.version++
 			t.held = now
 		}
@@ -413,7 +419,7 @@
 func (b *Board) Marks() []Mark {
 	var out []Mark
 	for m := range b.marks {
-		if t, ok := b.targets[m.Target]; ok && t.incarnation == m.Incarnation {
+		if _, ok := b.marked(m); ok {
 			out = append(out, m)
 		}
 	}
--- a/route/wait.go
+++ b/route/wait.go
@@ -45,11 +45,18 @@
 	if len(p.members) == 0 {
 		return 0
 	}
-	t := p.members[0]
 	if r.Model == nil {
-		return t.service
+		return p.members[0].service
 	}
-	return time.Duration(float64(t.leastFirst(r)) * p.firsts.factor())
+	return time.Duration(float64(p.leastFirst(r)) * p.firsts.factor())
+}
+
+// leastFirst is how long an engine of the pool reads at least before it answers the request.
+func (p *pool) leastFirst(r *request) time.Duration {
+	if len(p.members) == 0 {
+		return seconds(float64(r.leastPrefill()) / defaultPrefillRate)
+	}
+	return p.members[0].leastFirst(r)
 }
 
 // leastFirst is how long the target reads at least before it answers the request.
--- a/route/weights.go
+++ b/route/weights.go
@@ -126,8 +126,8 @@
 
 // WeightsOf returns the weights that one incarnation of a target was last seen with.
 func (b *Board) WeightsOf(m Mark, model string) string {
-	t, ok := b.targets[m.Target]
-	if !ok || t.incarnation != m.Incarnation {
+	t, ok := b.marked(m)
+	if !ok {
 		return ""
 	}
 	return t.report.Weights[model]
@@ -170,8 +170,8 @@
 
 // Loaded takes the word that a target has newer weights than it was last seen with.
 func (b *Board) Loaded(now time.Time, w WeightsWord) []Action {
-	t, ok := b.targets[w.Target.Target]
-	if !ok || t.incarnation != w.Target.Incarnation || !OlderWeights(t.report.Weights[w.Model], w.Weights) {
+	t, ok := b.marked(w.Target)
+	if !ok || !OlderWeights(t.report.Weights[w.Model], w.Weights) {
 		return nil
 	}
 	b.setWeights(now, t, w.Model, w.Weights, "the holder of the lease")
--- a/transport/silent_test.go
+++ b/transport/silent_test.go
@@ -34,9 +34,23 @@
 }
 
 func startMuteProxy(t *testing.T, target netip.AddrPort) *muteProxy {
+	m := &muteProxy{muted: make(chan struct{})}
+	m.addr = accept(t, func(c net.Conn) {
+		m.opened.Add(1)
+		m.mu.Lock()
+		muted := m.muted
+		m.mu.Unlock()
+		m.pass(c, target, muted)
+	})
+	// It runs before the cleanup of accept, which waits for all connections.
+	t.Cleanup(m.mute)
+	return m
+}
+
+// accept has a function serve each connection to a new address until the test ends.
+func accept(t *testing.T, serve func(net.Conn)) netip.AddrPort {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	m := &muteProxy{addr: l.Addr().(*net.TCPAddr).AddrPort(), muted: make(chan struct{})}
 	var running sync.WaitGroup
 	running.Go(func() {
 		for {
@@ -44,19 +58,14 @@
 			if err != nil {
 				return
 			}
-			m.opened.Add(1)
-			m.mu.Lock()
-			muted := m.muted
-			m.mu.Unlock()
-			running.Go(func() { m.pass(c, target, muted) })
+			running.Go(func() { serve(c) })
 		}
 	})
 	t.Cleanup(func() {
 		l.Close()
-		m.mute()
 		running.Wait()
 	})
-	return m
+	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
 // pass connects a connection with the target until it is muted; then it is only held open.
@@ -83,29 +92,13 @@
 
 // serveAll answers every connection, one request after the other.
 func serveAll(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	var running sync.WaitGroup
-	running.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			running.Go(func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for read(r) != "" {
-					_, _ = io.WriteString(c, answer("a", "ok"))
-				}
-			})
+	return accept(t, func(c net.Conn) {
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for read(r) != "" {
+			_, _ = io.WriteString(c, answer("a", "ok"))
 		}
 	})
-	t.Cleanup(func() {
-		l.Close()
-		running.Wait()
-	})
-	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
 var errImpatient = errors.New("nothing came in time")
