route, node, event: logs and a gauge tell how old a naming of weights is taken to be

Of four hypotheses the logs could not tell the first two from the others: they did not say how old a node takes a naming to be, nor by whom it was told.

Change: weights-named (407) says the source and the believed age; target-outdated (311), once for each target and weights that are used no more; gauge pathhead_weights_oldest_seconds. No decision changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -45,6 +45,7 @@
 	EngineRan       Code = 308
 	EngineCancelled Code = 309
 	TargetWeights   Code = 310
+	TargetOutdated  Code = 311
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -125,6 +126,7 @@
 	{EngineRan, "engine-ran", slog.LevelInfo, "A stand-in engine ran a request to its end."},
 	{EngineCancelled, "engine-cancelled", slog.LevelInfo, "A stand-in engine stopped a request whose caller left."},
 	{TargetWeights, "target-weights", slog.LevelInfo, "A target was seen with other weights than before; the detail says by whom it was told."},
+	{TargetOutdated, "target-outdated", slog.LevelInfo, "A target's weights were replaced so long ago that nothing is sent to it on them; the detail says how long ago as far as this process knows. Logged once for each target and weights."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process serves under a new revision."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which confirms it."},
@@ -133,7 +135,7 @@
 	{StoreBack, "store-back", slog.LevelInfo, "The store answers again."},
 
 	{StoreHistoryGone, "store-history-gone", slog.LevelInfo, "The store's history does not reach back to the last change seen; the declaration is read whole."},
-	{WeightsNamed, "weights-named", slog.LevelInfo, "The operator named newer weights of a model."},
+	{WeightsNamed, "weights-named", slog.LevelInfo, "Newer weights of a model were named; the detail says who told, and how long ago they were named as far as this process knows."},
 
 	{PeerSeen, "peer-seen", slog.LevelInfo, "A peer was heard for the first time or again."},
 	{PeerLost, "peer-lost", slog.LevelWarn, "A peer has not been heard for the peer timeout."},
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -79,6 +79,11 @@
 		return 0
 	})
 	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(len(n.list.get())) })
+	n.metrics.NewGauge("pathhead_weights_oldest_seconds", func() float64 {
+		n.Lock()
+		defer n.Unlock()
+		return n.Board().OldestInUse(time.Now()).Seconds()
+	})
 	n.metrics.NewGauge("pathhead_gossip_bytes", func() float64 {
 		sent, read := n.peers.Traffic()
 		return float64(sent + read)
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -94,7 +94,7 @@
 	r.take(begun, to, answer)
 	r.n.takeWord(ctx, begun, to.Addr, answer.Config)
 	for _, named := range answer.Named {
-		r.n.named(begun.Add(-named.Age), Naming{Model: named.Model, Weights: named.Weights})
+		r.n.named(begun.Add(-named.Age), Naming{Model: named.Model, Weights: named.Weights}, "relay "+to.ID)
 	}
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -96,12 +97,12 @@
 	}
 	n.Unlock()
 	for _, name := range c.Named {
-		n.named(time.Now(), name)
+		n.named(time.Now(), name, "the store")
 	}
 }
 
-// named takes the news that weights were named, as was known at a time.
-func (n *Node) named(at time.Time, name Naming) {
+// named takes the news that weights were named, as was known at a time, from a source.
+func (n *Node) named(at time.Time, name Naming, source string) {
 	fresh := false
 	n.Do(func(b *route.Board, _ time.Time) []route.Action {
 		before := b.NewestWeights(name.Model)
@@ -110,7 +111,8 @@
 		return nil
 	})
 	if fresh {
-		n.events.Record(event.Event{Code: event.WeightsNamed, Detail: name.Model + " " + name.Weights})
+		n.events.Record(event.Event{Code: event.WeightsNamed, Detail: fmt.Sprintf(
+			"%s %s, %s ago, says %s", name.Model, name.Weights, time.Since(at).Round(time.Millisecond), source)})
 		n.duty.poke()
 	}
 }
--- a/route/place.go
+++ b/route/place.go
@@ -234,12 +234,14 @@
 	kept := cs[:0]
 	prefers := b.prefersNewest(r, list)
 	for _, c := range cs {
-		price, usable := b.stalePrice(now, r.Model.Name, c.weights)
-		if !usable {
+		u := b.useOf(now, r.Model.Name, c.weights)
+		price := time.Duration(0)
+		switch {
+		case u == useNoMore:
+			b.noteUnused(now, c.target, r.Model.Name, c.weights)
 			continue
-		}
-		if !prefers {
-			price = 0
+		case u == useAtPrice && prefers:
+			price = b.staleness.Price
 		}
 		c.extra = price + b.missCost(now, c.target) + b.distance(c.target, r.Bytes)
 		kept = append(kept, c)
--- a/route/target.go
+++ b/route/target.go
@@ -95,6 +95,8 @@
 	service time.Duration
 	horizon horizon
 	parts   heldParts
+	// unused are weights of the target of which it was recorded that they are used no more.
+	unused string
 	// peers is what other routers have in flight here.
 	peerInFlight int
 	// round and candidate are scratch of one placement.
--- a/route/weights.go
+++ b/route/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -85,22 +86,60 @@
 	return time.Time{}, false
 }
 
-// stalePrice returns what a target's weights cost a request now; usable is false if they are too old.
-func (b *Board) stalePrice(now time.Time, model, weights string) (price time.Duration, usable bool) {
+// useOf returns how weights of a model are used now.
+func (b *Board) useOf(now time.Time, model, weights string) use {
 	if b.staleness == nil {
-		return 0, true
+		return useAsGood
 	}
 	at, replaced := b.replacedAt(model, weights)
 	if !replaced {
-		return 0, true
+		return useAsGood
 	}
 	switch age := now.Sub(at); {
 	case age >= b.staleness.Limit:
-		return 0, false
+		return useNoMore
 	case age >= b.staleness.Grace && !b.off.Has(NewestWeights):
-		return b.staleness.Price, true
+		return useAtPrice
 	}
-	return 0, true
+	return useAsGood
+}
+
+// use says how weights are used by their age.
+type use int
+
+const (
+	useAsGood use = iota
+	useAtPrice
+	useNoMore
+)
+
+// noteUnused records once for each target and weights that these are used no more.
+func (b *Board) noteUnused(now time.Time, t *target, model, weights string) {
+	if t.unused == weights {
+		return
+	}
+	t.unused = weights
+	at, _ := b.replacedAt(model, weights)
+	b.note(event.Event{Code: event.TargetOutdated, Target: t.name(), Detail: fmt.Sprintf(
+		"%s %s: newer ones, by now %s, were named %s ago as known here",
+		model, weights, b.NewestWeights(model), now.Sub(at).Round(time.Millisecond))})
+}
+
+// OldestInUse returns how long ago the oldest weights that targets in use have were
+// replaced, as far as is known; zero where all have the newest.
+func (b *Board) OldestInUse(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, t := range b.targets {
+		if !t.usable() {
+			continue
+		}
+		for model, weights := range t.report.Weights {
+			if at, ok := b.replacedAt(model, weights); ok {
+				oldest = max(oldest, now.Sub(at))
+			}
+		}
+	}
+	return oldest
 }
 
 // newestShare is how many times their part of a pool's requests the engines with the
