--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -248,6 +248,42 @@
 	require.Equal(t, "10", a.Weights, "the next request expects what the target has")
 }
 
+// A refusal says that a target has other weights than were expected, and not which.
+// What is guessed then holds against reports of the weights that it has no more, and
+// not against its own report of newer ones.
+func TestRefusedWeights(t *testing.T) {
+	for name, c := range map[string]struct {
+		reports []string
+		want    string
+	}{
+		"the list lags":                         {reports: []string{"1", "1"}, want: "4"},
+		"brought to the newest":                 {reports: []string{"4"}, want: "4"},
+		"a late order to the middle":            {reports: []string{"2"}, want: "2"},
+		"the list lags, and then a late order":  {reports: []string{"1", "2"}, want: "2"},
+		"a late order, and then the list lags":  {reports: []string{"2", "1"}, want: "2"},
+		"a late order, and then to the newest":  {reports: []string{"2", "4"}, want: "4"},
+		"the newest, and then an older reading": {reports: []string{"4", "2"}, want: "4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPartsBoard(t, 1)
+			for _, weights := range []string{"2", "3", "4"} {
+				p.b.Name(p.now, "m", weights)
+			}
+			a := p.ask(p.request("a", Part{"x", 10}))
+			require.Equal(t, "1", a.Weights)
+			p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "0"})
+			for _, weights := range c.reports {
+				p.now = p.now.Add(100 * time.Millisecond)
+				p.report(0, weights)
+			}
+			require.Equal(t, c.want, p.b.WeightsOf(Mark{testAddr(0), "0"}, "m"))
+			a = p.ask(p.request("a", Part{"y", 10}))
+			require.NotNil(t, a)
+			require.Equal(t, c.want, a.Weights, "the next request expects what the target has")
+		})
+	}
+}
+
 // An address at which another incarnation answers may be another pool's by now. It
 // gets no work until the incarnation is reported.
 func TestStrangerAtAddress(t *testing.T) {
