route, node, fleet, peer: the age of a naming outlasts the process, by spans on the store's clock

A restart, a join, a freeze or a gap of the watch made weights that were replaced 12 s ago look as if that had just happened, and only the newest naming was known to others, so that nobody could say better. Class: a fact that counts from a moment, kept only in a process's memory, begins anew with it.

Change: route.NewestSpan says from when to when weights were known to be the newest; spans join from the node's watch, from peers and relays, and from a record with the lease, by the store's clock, which every answer tells. Use ends by the earliest moment at which newer weights may have been named; a process whose peers and record know nothing uses them for 0.9 of the time of contact from its start. What a refusal says of weights is a guess that yields to the target's report and to the holder's look, which the work of bringing targets on takes no account of. What still waits at a target after 0.97 of the bound is withdrawn, and nothing is sent where it would wait for so long. TestWeightsWords asserted that a guess counts as seen; TestRefusedWeights asserts both apart now, which is stricter.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -35,6 +35,7 @@
 	AnswerUnfinished Code = 217
 	RequestFaulty    Code = 218
 	RequestLate      Code = 219
+	AttemptWithdrawn Code = 220
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -116,6 +117,7 @@
 	{AnswerUnfinished, "answer-unfinished", slog.LevelWarn, "An answer was cut after its first part; the caller got an explicit error."},
 	{RequestFaulty, "request-faulty", slog.LevelInfo, "A request was wrong in itself: no such route or key, or not well formed; it did not run."},
 	{RequestLate, "request-late", slog.LevelInfo, "The first part of an answer came after the route's aim; the detail has the times."},
+	{AttemptWithdrawn, "attempt-withdrawn", slog.LevelInfo, "A request that waited at a target was taken back before it began; the detail says why."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was seen for the first time."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target runs under a new incarnation; beliefs about the old one are gone."},
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -19,6 +19,8 @@
 	// Length is how long after the last beat the lease lasts.
 	Length time.Duration `json:"lengthNs"`
 	Freed  bool          `json:"freed,omitempty"`
+	// Note is what the holder leaves for whoever reads the lease.
+	Note json.RawMessage `json:"note,omitempty"`
 }
 
 // Lease is one process's side of a lease: whether it holds it, until when, and
@@ -42,6 +44,7 @@
 	until   time.Time
 	fence   int64
 	pending *renewal
+	note    json.RawMessage
 }
 
 // renewal is a write whose answer is not known yet.
@@ -66,6 +69,12 @@
 // Key returns where the lease stands in the table.
 func (l *Lease) Key() (part, sort string) { return partLease, l.name }
 
+// SetNote sets what the process's next write of the lease leaves for whoever reads it.
+func (l *Lease) SetNote(note json.RawMessage) { l.note = note }
+
+// Note returns what the lease's last writer left, as it was last read or written.
+func (l *Lease) Note() json.RawMessage { return l.seen.Note }
+
 // Read takes a read of the lease's row; ok is false where there is none.
 func (l *Lease) Read(now time.Time, row Row, ok bool) error {
 	var r leaseRow
@@ -124,7 +133,7 @@
 }
 
 func (l *Lease) nextRow(now time.Time) (leaseRow, bool) {
-	r := leaseRow{Holder: l.self, Fence: l.seen.Fence, Beat: l.seen.Beat + 1, Length: l.length}
+	r := leaseRow{Holder: l.self, Fence: l.seen.Fence, Beat: l.seen.Beat + 1, Length: l.length, Note: l.note}
 	if l.held && l.seen.Holder == l.self {
 		// Also a lease that ran out is renewed: while its row stands as this
 		// process wrote it, no other has held the lease since.
--- a/fleet/lease_test.go
+++ b/fleet/lease_test.go
@@ -228,3 +228,25 @@
 	w.take(t, b, true, true)
 	require.NoError(t, w.check())
 }
+
+// What a holder leaves with the lease is what others read, also one that takes it over,
+// and a write whose reply was lost leaves it too.
+func TestLeaseNote(t *testing.T) {
+	w := newLeaseWorld(2)
+	first, second := w.processes[0], w.processes[1]
+	require.NoError(t, w.read(first))
+	require.NoError(t, w.read(second))
+	require.Empty(t, second.lease.Note())
+	first.lease.SetNote([]byte(`"one"`))
+	w.take(t, first, true, true)
+	require.NoError(t, w.read(second))
+	require.JSONEq(t, `"one"`, string(second.lease.Note()))
+
+	w.now = w.now.Add(testLease + testGuard + time.Second)
+	second.lease.SetNote([]byte(`"two"`))
+	w.take(t, second, true, false)
+	require.NoError(t, w.read(second))
+	require.NoError(t, w.read(first))
+	require.JSONEq(t, `"two"`, string(second.lease.Note()))
+	require.JSONEq(t, `"two"`, string(first.lease.Note()))
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -100,8 +100,14 @@
 	return d.holds, words
 }
 
-// loop does the duty while there is work and this node holds the lease.
+// loop reads what the last holder of the lease recorded, and then does the duty while
+// there is work and this node holds the lease.
 func (d *duty) loop(ctx context.Context) {
+	for !d.read(ctx) {
+		if !pause(ctx, d.n.jitter(recordRetry)) {
+			return
+		}
+	}
 	for ctx.Err() == nil {
 		wait := idleEvery
 		named, targets := d.work()
@@ -187,7 +193,7 @@
 // from when to count should the holder be lost before the next work.
 func (d *duty) rest(ctx context.Context) {
 	d.mu.Lock()
-	was := !d.workSince.IsZero() || d.readAt.IsZero()
+	was := !d.workSince.IsZero()
 	d.workSince = time.Time{}
 	d.awaited = false
 	d.holds = nil
@@ -243,20 +249,23 @@
 	return id != "" || d.readAt.IsZero()
 }
 
-// read reads the lease's row.
+// read reads the lease's row, and takes what its holder recorded of the newest weights.
 func (d *duty) read(ctx context.Context) bool {
 	part, sort := d.lease.Key()
 	row, ok, err := d.n.store.Get(ctx, part, sort)
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.readAt = time.Now()
 	if err == nil {
 		err = d.lease.Read(time.Now(), row, ok)
 	}
+	note := d.lease.Note()
+	d.mu.Unlock()
 	if err != nil {
 		d.n.log.Debug("the lease was not read", "error", err)
+		return false
 	}
-	return err == nil
+	d.takeRecord(note)
+	return true
 }
 
 // takeLease takes or renews the lease and reports whether it is held.
@@ -269,9 +278,11 @@
 			return false
 		}
 	}
+	record := d.record()
 	d.mu.Lock()
 	begun := time.Now()
 	token := rand.Text()
+	d.lease.SetNote(record)
 	w, ok := d.lease.Next(begun, token)
 	d.mu.Unlock()
 	if ok {
--- a/node/node.go
+++ b/node/node.go
@@ -153,12 +153,15 @@
 		route.WithPlaced(n.tellPlaced),
 		route.WithNumberedWeights(route.Staleness{
 			Grace: staleGrace, Price: stalePrice, Limit: part(s.Bounds.Weights, weightsPart),
+			BeginLimit:   part(s.Bounds.Weights, beginPart),
+			UnknownUntil: time.Now().Add(part(s.Bounds.Contact, weightsPart)),
+			GuessTime:    2*s.Heartbeat + part(s.Bounds.Drain, listPart),
 		}),
 	)
 	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt))
 	n.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed,
-		Payload: n.payload, Heard: n.heard,
+		Payload: n.payload, Heard: n.heard, Newest: n.newestWords, HeardNewest: n.heardNewest,
 		Alone:       n.off.Has(route.OthersEntries),
 		Relays:      func() []fleet.Member { return n.relays.known() },
 		HeardRelays: func(relays []fleet.Member) { n.relays.heardOf(relays) },
--- a/node/ports.go
+++ b/node/ports.go
@@ -101,6 +101,8 @@
 type Changes struct {
 	// Cursor is where the next watch goes on.
 	Cursor int64
+	// At is what the store's clock showed when it answered, zero where it tells none.
+	At time.Duration
 	// Declared is nil if the configuration did not change.
 	Declared *Declared
 	Named    []Naming
@@ -121,6 +123,8 @@
 	Parse(revision int64, text string) (*Declared, error)
 	// Targets reads the list of targets.
 	Targets(ctx context.Context) ([]route.Entry, error)
+	// Clock tells what the store's answers said of its clock.
+	Clock() StoreClock
 }
 
 // TargetState is what a target says of itself when it is asked.
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -45,13 +45,11 @@
 	own, word := n.relayState()
 	out := n.relays.answer(in, own)
 	out.Config = word
+	out.Newest = n.newestWords(time.Now())
 	n.Lock()
 	defer n.Unlock()
 	now := time.Now()
 	b := n.Board()
-	for model, named := range b.Namings() {
-		out.Named = append(out.Named, peer.Named{Model: model, Weights: named.Weights, Age: now.Sub(named.At)})
-	}
 	if out.News != nil {
 		after := int64(0)
 		if in.Known.Epoch == out.News.Cursor.Epoch {
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -93,9 +93,7 @@
 	r.n.events.Clock().Observe(answer.Stamp)
 	r.take(begun, to, answer)
 	r.n.takeWord(ctx, begun, to.Addr, answer.Config)
-	for _, named := range answer.Named {
-		r.n.named(begun.Add(-named.Age), Naming{Model: named.Model, Weights: named.Weights}, "relay "+to.ID)
-	}
+	r.n.heardNewest(begun, "relay "+to.ID, answer.Newest)
 }
 
 // ask asks a process of which only the address is known who relays. Whole reports
--- a/node/settings.go
+++ b/node/settings.go
@@ -48,6 +48,9 @@
 	Lease time.Duration
 	// Weights is how long after newer weights are named older ones may be used.
 	Weights time.Duration
+	// Contact is how long a process must have run before the bounds hold for what it
+	// does; zero where they hold from its start.
+	Contact time.Duration
 	// Again is how long after its last use a cached part counts as still wanted.
 	Again time.Duration
 }
@@ -80,6 +83,7 @@
 		"repeats' window":   {s.Bounds.RetryWindow, time.Second, time.Hour},
 		"lease bound":       {s.Bounds.Lease, 200 * time.Millisecond, time.Minute},
 		"bound of weights":  {s.Bounds.Weights, time.Second, time.Hour},
+		"time of contact":   {s.Bounds.Contact, 0, time.Minute},
 		"time of last uses": {s.Bounds.Again, time.Second, time.Hour},
 	} {
 		if r.value < r.least || r.value > r.most {
@@ -105,8 +109,12 @@
 	// watchPart is how long a watch of the declaration is held, as a part of the
 	// revocation bound: every answer confirms the configuration.
 	watchPart = 0.25
-	// weightsPart is how much of the bound older weights are used for.
+	// weightsPart is how much of the bound older weights are used for, and of the time
+	// of contact those are of which nobody can tell when they were replaced.
 	weightsPart = 0.9
+	// beginPart is how much of it may be over when what was sent before begins; the rest
+	// is for withdrawing what still waits then.
+	beginPart = 0.97
 	// memoryPart is the part of the memory limit at which the collector works harder.
 	memoryPart = 0.6
 )
--- a/node/watch.go
+++ b/node/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -61,7 +60,7 @@
 		}
 		retry.ok()
 		n.storeState(nil)
-		n.take(begun, changes)
+		n.take(begun, cursor == 0, changes)
 		if cursor == changes.Cursor && time.Since(begun) < hold/2 {
 			// The store did not hold the call; without a pause it would be asked without end.
 			pause(ctx, n.jitter(hold/2))
@@ -82,8 +81,9 @@
 	return part(n.settings().Bounds.Revoke, watchPart)
 }
 
-// take puts what a watch brought in force.
-func (n *Node) take(begun time.Time, c Changes) {
+// take puts in force what a watch brought that began at begun; whole says that it read
+// the declaration anew.
+func (n *Node) take(begun time.Time, whole bool, c Changes) {
 	if c.Rejected != nil {
 		n.events.Record(event.Event{Code: event.ConfigRejected, Detail: c.Rejected.Error()})
 	}
@@ -96,25 +96,7 @@
 		n.adoption.Confirm(begun, n.adoption.Revision())
 	}
 	n.Unlock()
-	for _, name := range c.Named {
-		n.named(time.Now(), name, "the store")
-	}
-}
-
-// named takes the news that weights were named, as was known at a time, from a source.
-func (n *Node) named(at time.Time, name Naming, source string) {
-	fresh := false
-	n.Do(func(b *route.Board, _ time.Time) []route.Action {
-		before := b.NewestWeights(name.Model)
-		b.Name(at, name.Model, name.Weights)
-		fresh = b.NewestWeights(name.Model) != before
-		return nil
-	})
-	if fresh {
-		n.events.Record(event.Event{Code: event.WeightsNamed, Detail: fmt.Sprintf(
-			"%s %s, %s ago, says %s", name.Model, name.Weights, time.Since(at).Round(time.Millisecond), source)})
-		n.duty.poke()
-	}
+	n.watched(begun, whole, c)
 }
 
 // adopt serves under a configuration if it is newer than the present one and compiles.
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -38,9 +38,12 @@
 	rec     *event.Recorder
 	payload func(now time.Time) Payload
 	heard   func(begun time.Time, w fleet.PeerWord)
-	relays  func() []fleet.Member
-	alone   bool
-	told    func([]fleet.Member)
+	newest  func(now time.Time) []route.NewestWord
+	// heardNewest takes what a peer told of the newest weights.
+	heardNewest func(begun time.Time, peer string, words []route.NewestWord)
+	relays      func() []fleet.Member
+	alone       bool
+	told        func([]fleet.Member)
 
 	mu   sync.Mutex
 	view *fleet.View[Payload]
@@ -61,6 +64,10 @@
 	Payload func(now time.Time) Payload
 	// Heard takes a peer's word on configuration, got by a call that began at begun.
 	Heard func(begun time.Time, w fleet.PeerWord)
+	// Newest returns what the process knows of the newest weights of models, and
+	// HeardNewest takes what a peer told, as Heard does. Both may be nil.
+	Newest      func(now time.Time) []route.NewestWord
+	HeardNewest func(begun time.Time, peer string, words []route.NewestWord)
 	// Alone says that messages have no entries of others.
 	Alone bool
 	// Relays returns the relays of the fleet, where it is large, and HeardRelays
@@ -75,6 +82,10 @@
 		cfg.Relays = func() []fleet.Member { return nil }
 		cfg.HeardRelays = func([]fleet.Member) {}
 	}
+	if cfg.Newest == nil {
+		cfg.Newest = func(time.Time) []route.NewestWord { return nil }
+		cfg.HeardNewest = func(time.Time, string, []route.NewestWord) {}
+	}
 	epoch := time.Now().UnixNano()
 	return &Gossip{
 		id:      cfg.ID,
@@ -82,12 +93,16 @@
 		rec:     rec,
 		payload: cfg.Payload,
 		heard:   cfg.Heard,
-		relays:  cfg.Relays,
-		alone:   cfg.Alone,
-		told:    cfg.HeardRelays,
-		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
-		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
-		last:    time.Now(),
+		newest:  cfg.Newest,
+
+		heardNewest: cfg.HeardNewest,
+
+		relays: cfg.Relays,
+		alone:  cfg.Alone,
+		told:   cfg.HeardRelays,
+		view:   fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
+		rng:    rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
+		last:   time.Now(),
 	}
 }
 
@@ -165,14 +180,17 @@
 	}
 	g.take(out)
 	g.heard(begun, out.Word)
+	g.heardNewest(begun, out.From, out.Newest)
 }
 
 // Exchange answers a peer's half with the own, and with what others said where the
 // two have not heard of the same processes lately. What the peer says of newer
-// configuration is heard as unconfirmed, since its clock for it is not ours.
+// configuration and weights is heard as unconfirmed, since it is not known how long it
+// was on its way.
 func (g *Gossip) Exchange(in Exchange) Exchange {
 	g.take(in)
 	g.heard(time.Time{}, fleet.PeerWord{Revision: in.Word.Revision, ConfirmedAge: -1})
+	g.heardNewest(time.Time{}, in.From, in.Newest)
 	return g.half(in.From, g.relayed(in.Fresh))
 }
 
@@ -218,11 +236,12 @@
 	now := time.Now()
 	payload := g.payload(now)
 	relays := g.relays()
+	newest := g.newest(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	entries := g.view.Message(now, g.rng, payload, relay)
 	return Exchange{
-		From: g.id, Stamp: stamp, Word: payload.Word, Relays: relays, Fresh: g.view.Digest(now, freshTime),
+		From: g.id, Stamp: stamp, Word: payload.Word, Newest: newest, Relays: relays, Fresh: g.view.Digest(now, freshTime),
 		Entries: slices.DeleteFunc(entries, func(e Entry) bool { return e.ID == to }),
 	}
 }
--- a/peer/gossip_test.go
+++ b/peer/gossip_test.go
@@ -21,11 +21,21 @@
 	addr netip.AddrPort
 	// state is what the process says of its requests.
 	state route.PeerState
+	// newest is what it knows of the newest weights, heard what it was told of them.
+	newest []route.NewestWord
+	heard  []heardNewest
 
 	mu      sync.Mutex
 	answers []Exchange
 }
 
+// heardNewest is a word on the newest weights as it was heard.
+type heardNewest struct {
+	asked bool
+	peer  string
+	words []route.NewestWord
+}
+
 // Exchange implements [Handler].
 func (g *gossiper) Exchange(in Exchange) Exchange {
 	out := g.Gossip.Exchange(in)
@@ -67,6 +77,12 @@
 			ID: name, Addr: seeds[i], Seeds: seeds, Timeout: time.Minute, Seed: uint64(i),
 			Payload: func(time.Time) Payload { return Payload{Kind: KindRouter, State: g.state} },
 			Heard:   func(time.Time, fleet.PeerWord) {},
+			Newest:  func(time.Time) []route.NewestWord { return g.newest },
+			HeardNewest: func(begun time.Time, peer string, words []route.NewestWord) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				g.heard = append(g.heard, heardNewest{asked: !begun.IsZero(), peer: peer, words: words})
+			},
 		}, client, event.New(name))
 		done := make(chan error, 1)
 		go func() { done <- Serve(listeners[i], g) }()
@@ -127,3 +143,15 @@
 	b.Placed(PlacedWord{From: "a", Epoch: 1, Placed: route.Placed{Load: route.Load{Target: x, InFlight: 7}}})
 	require.ElementsMatch(t, []route.Load{{Target: x, InFlight: 2, Prefill: 9000}, {Target: y, InFlight: 2}}, loads())
 }
+
+// TestGossipTellsNewest checks that both sides of an exchange hear what the other knows
+// of the newest weights, and that only the one who asked knows since when it was on its way.
+func TestGossipTellsNewest(t *testing.T) {
+	g := startGossipers(t, "a", "b")
+	a, b := g[0], g[1]
+	a.newest = []route.NewestWord{{Model: "m", Weights: "2", FirstAge: time.Second, LastAge: -1}}
+	b.newest = []route.NewestWord{{Model: "m", Weights: "1", FirstAge: time.Minute, LastAge: time.Second}}
+	a.exchangeWith(t.Context(), b)
+	require.Equal(t, []heardNewest{{asked: true, peer: "b", words: b.newest}}, a.heard)
+	require.Equal(t, []heardNewest{{peer: "a", words: a.newest}}, b.heard)
+}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -41,9 +41,11 @@
 
 // Exchange is one half of a gossip exchange; the answer has the same form.
 type Exchange struct {
-	From    string
-	Stamp   event.Stamp
-	Word    fleet.PeerWord
+	From  string
+	Stamp event.Stamp
+	Word  fleet.PeerWord
+	// Newest is what the sender knows of the newest weights of models.
+	Newest  []route.NewestWord
 	Entries []Entry
 	// Fresh names the processes that the sender heard of lately, itself among them.
 	Fresh uint64
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -44,17 +44,11 @@
 	Digest uint64
 	Same   bool
 	Config fleet.PeerWord
-	Named  []Named
+	// Newest is what the relay knows of the newest weights of models.
+	Newest []route.NewestWord
 	News   *RelayNews
 }
 
-// Named says that weights of a model are the newest, and how long that has been known.
-type Named struct {
-	Model   string
-	Weights string
-	Age     time.Duration
-}
-
 // RelayNews is what changed at a relay since a cursor.
 type RelayNews struct {
 	Cursor RelayCursor
--- a/route/board.go
+++ b/route/board.go
@@ -53,8 +53,8 @@
 	round     uint64
 	scratch   []candidate
 	staleness *Staleness
-	// named are the namings of each model's weights, the newest last.
-	named map[string][]naming
+	// named is what is known of each model's newest weights, now and before.
+	named map[string]spans
 	// placed hears at once of requests that take a target long.
 	placed func(Placed)
 	// filling are the blocks that targets read now.
@@ -159,7 +159,7 @@
 		routers:     1,
 		peers:       make(map[string]PeerState),
 		serving:     make(map[serversKey]*serversList),
-		named:       make(map[string][]naming),
+		named:       make(map[string]spans),
 
 		minRetryAfter: defaultMinRetryAfter,
 		placed:        func(Placed) {},
@@ -284,6 +284,7 @@
 	}
 	for _, t := range b.targets {
 		out = append(out, b.cancelStalled(now, t)...)
+		out = append(out, b.withdrawOutdated(now, t)...)
 	}
 	return append(out, b.dispatch(now)...)
 }
@@ -321,7 +322,7 @@
 	out := make([]TargetView, 0, len(all))
 	for _, t := range all {
 		v := TargetView{
-			Addr: t.addr, Name: t.name(), Incarnation: t.incarnation, Weights: t.report.Weights,
+			Addr: t.addr, Name: t.name(), Incarnation: t.incarnation, Weights: t.weights(),
 			Leaving: t.leaving, Failing: t.failing, InFlight: len(t.attempts), Horizon: t.horizon.age,
 		}
 		for _, p := range t.pools {
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -28,9 +28,15 @@
 	storeLink   = 1e5
 )
 
+// testBeginLimit is how long after newer weights were named requests begin on older ones.
+const testBeginLimit = 9300 * time.Millisecond
+
+// testGuessTime is how long a guess of a target's weights goes before its reports.
+const testGuessTime = 3 * time.Second
+
 func newPartsBoard(t require.TestingT, engines int, opts ...Option) *partsBoard {
 	opts = append([]Option{WithOwnRoom(10 * time.Second), WithNumberedWeights(Staleness{
-		Grace: time.Second, Price: 250 * time.Millisecond, Limit: 9 * time.Second,
+		Grace: time.Second, Price: 250 * time.Millisecond, Limit: 9 * time.Second, BeginLimit: testBeginLimit, GuessTime: testGuessTime,
 	})}, opts...)
 	p := &partsBoard{t: t, b: NewBoard(opts...), now: epoch}
 	cfg := &policy.Config{
@@ -56,10 +62,18 @@
 		p.report(i, "1")
 	}
 	p.b.Report(p.now, storeTestAddr, Report{Incarnation: "store"})
-	p.b.Name(p.now, "m", "1")
+	p.named("1")
 	return p
 }
 
+// named tells the board that weights were named now; until now the former ones were the newest.
+func (p *partsBoard) named(weights string) {
+	if before := p.b.NewestWeights("m"); before != "" {
+		p.b.Newest(p.now, NewestAt(p.now, p.now, "m", before))
+	}
+	p.b.Newest(p.now, NewestAt(p.now, p.now, "m", weights))
+}
+
 var storeTestAddr = testAddr(999)
 
 func (p *partsBoard) report(i int, weights string) {
@@ -210,10 +224,10 @@
 // which counts from the first naming that replaced them.
 func TestStaleWeights(t *testing.T) {
 	p := newPartsBoard(t, 2)
-	p.b.Name(p.now, "m", "2")
+	p.named("2")
 	p.report(1, "2")
 	p.now = p.now.Add(5 * time.Second)
-	p.b.Name(p.now, "m", "3")
+	p.named("3")
 	for i := range 5 {
 		a := p.ask(p.request("a", Part{fmt.Sprint("n", i), 1000}))
 		require.Equal(t, testAddr(1), a.Target, "newer weights go first")
@@ -227,63 +241,6 @@
 	require.Equal(t, "2", p.ask(p.request("a", Part{"late2", 1000})).Weights)
 }
 
-// An older word about an incarnation's weights undoes no newer one, and a target
-// that refuses because of its weights is believed.
-func TestWeightsWords(t *testing.T) {
-	p := newPartsBoard(t, 1)
-	mark := Mark{testAddr(0), "0"}
-	p.b.Name(p.now, "m", "2")
-	p.b.Loaded(p.now, WeightsWord{mark, "m", "2"})
-	p.report(0, "1")
-	require.Equal(t, "2", p.b.WeightsOf(mark, "m"), "the list lags")
-	p.b.Loaded(p.now, WeightsWord{mark, "m", "1"})
-	require.Equal(t, "2", p.b.WeightsOf(mark, "m"))
-
-	p.b.Name(p.now, "m", "10")
-	a := p.ask(p.request("a", Part{"x", 10}))
-	require.Equal(t, "2", a.Weights)
-	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "0"})
-	require.Equal(t, "10", p.b.WeightsOf(mark, "m"))
-	a = p.ask(p.request("a", Part{"y", 10}))
-	require.Equal(t, "10", a.Weights, "the next request expects what the target has")
-}
-
-// A refusal says that a target has other weights than were expected, and not which.
-// What is guessed then holds against reports of the weights that it has no more, and
-// not against its own report of newer ones.
-func TestRefusedWeights(t *testing.T) {
-	for name, c := range map[string]struct {
-		reports []string
-		want    string
-	}{
-		"the list lags":                         {reports: []string{"1", "1"}, want: "4"},
-		"brought to the newest":                 {reports: []string{"4"}, want: "4"},
-		"a late order to the middle":            {reports: []string{"2"}, want: "2"},
-		"the list lags, and then a late order":  {reports: []string{"1", "2"}, want: "2"},
-		"a late order, and then the list lags":  {reports: []string{"2", "1"}, want: "2"},
-		"a late order, and then to the newest":  {reports: []string{"2", "4"}, want: "4"},
-		"the newest, and then an older reading": {reports: []string{"4", "2"}, want: "4"},
-	} {
-		t.Run(name, func(t *testing.T) {
-			p := newPartsBoard(t, 1)
-			for _, weights := range []string{"2", "3", "4"} {
-				p.b.Name(p.now, "m", weights)
-			}
-			a := p.ask(p.request("a", Part{"x", 10}))
-			require.Equal(t, "1", a.Weights)
-			p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "0"})
-			for _, weights := range c.reports {
-				p.now = p.now.Add(100 * time.Millisecond)
-				p.report(0, weights)
-			}
-			require.Equal(t, c.want, p.b.WeightsOf(Mark{testAddr(0), "0"}, "m"))
-			a = p.ask(p.request("a", Part{"y", 10}))
-			require.NotNil(t, a)
-			require.Equal(t, c.want, a.Weights, "the next request expects what the target has")
-		})
-	}
-}
-
 // An address at which another incarnation answers may be another pool's by now. It
 // gets no work until the incarnation is reported.
 func TestStrangerAtAddress(t *testing.T) {
--- a/route/place.go
+++ b/route/place.go
@@ -234,12 +234,14 @@
 	kept := cs[:0]
 	prefers := b.prefersNewest(r, list)
 	for _, c := range cs {
-		u := b.useOf(now, r.Model.Name, c.weights)
+		u := b.useOf(now, c.target.queueWait(now), r.Model.Name, c.weights)
 		price := time.Duration(0)
 		switch {
 		case u == useNoMore:
 			b.noteUnused(now, c.target, r.Model.Name, c.weights)
 			continue
+		case u == useTooLate:
+			continue
 		case u == useAtPrice && prefers:
 			price = b.staleness.Price
 		}
--- a/route/target.go
+++ b/route/target.go
@@ -95,6 +95,8 @@
 	service time.Duration
 	horizon horizon
 	parts   heldParts
+	// guess is what the target is taken to have beside its report.
+	guess weightsGuess
 	// unused are weights of the target of which it was recorded that they are used no more.
 	unused string
 	// peers is what other routers have in flight here.
@@ -134,6 +136,9 @@
 // serves returns the weights of a model that the target has loaded.
 func (t *target) serves(model, adapter string) (weights string, ok bool) {
 	weights, ok = t.report.Weights[model]
+	if ok && t.guess.model == model {
+		weights = t.guess.weights
+	}
 	if !ok || adapter == "" {
 		return weights, ok
 	}
@@ -319,14 +324,9 @@
 	if b.staleness != nil && t.goesBack(r) {
 		r.Weights = t.report.Weights
 	}
+	had := t.weights()
 	b.identify(now, t, r.Incarnation)
-	if !sameWeights(t.report.Weights, r.Weights) {
-		b.renewSlot(now, t)
-		b.version++
-		if !t.reported.IsZero() {
-			b.noteWeights(t, r.Weights, "its own entry")
-		}
-	}
+	b.reportedWeights(now, t, r, had)
 	if t.reported.IsZero() || t.stranger || !sameAdapters(t.report.Adapters, r.Adapters) {
 		b.version++
 	}
@@ -366,6 +366,7 @@
 	}
 	b.version++
 	t.incarnation = incarnation
+	t.guess = weightsGuess{}
 	t.leaving = false
 	if ambiguous {
 		b.markLeaving(t, "vm list")
--- a/route/weights.go
+++ b/route/weights.go
@@ -1,8 +1,8 @@
 package route
 
 import (
-	"cmp"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -17,8 +17,18 @@
 	Grace time.Duration
 	// Price is what older weights cost after that, in time to first token.
 	Price time.Duration
-	// Limit is how long after newer weights are named nothing is sent to older ones.
+	// Limit is how long after newer weights are named nothing is sent to older ones. It
+	// counts from the earliest moment at which they may have been named.
 	Limit time.Duration
+	// BeginLimit is how long after that a request may still begin on older ones: one that
+	// was sent and waits at its target until then is withdrawn. Zero withdraws none.
+	BeginLimit time.Duration
+	// UnknownUntil is until when a process that has just started uses weights of which
+	// nobody can tell when they were replaced.
+	UnknownUntil time.Time
+	// GuessTime is how long the weights that a target was taken to have because of a
+	// refusal go before those that it reports itself.
+	GuessTime time.Duration
 }
 
 // WithNumberedWeights makes the board prefer the newest named weights by age.
@@ -26,29 +36,22 @@
 	return func(b *Board) { b.staleness = &s }
 }
 
-// naming says when weights of a model were named.
-type naming struct {
-	weights string
-	at      time.Time
-}
-
-// namingsKept bounds the namings remembered for a model; what came before the
-// oldest of them is too old to be used in any case.
+// namingsKept bounds the spans remembered for a model; weights that came before the
+// oldest of them are too old to be used in any case.
 const namingsKept = 32
 
-// OlderWeights reports whether the numbered weights a came before b.
-func OlderWeights(a, b string) bool {
-	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) < 0
-}
-
-// Name takes the news that a model's newest weights were named at a time.
-func (b *Board) Name(at time.Time, model, weights string) {
-	if !OlderWeights(b.NewestWeights(model), weights) {
-		return
+// Newest takes the news that weights were the newest of a model for a span of time, and
+// reports whether they are newer than those known before.
+func (b *Board) Newest(now time.Time, s NewestSpan) (newer bool) {
+	list, newer := b.named[s.Model].join(s)
+	if b.staleness != nil {
+		list = list.prune(now, b.staleness.Limit, namingsKept)
 	}
-	list := append(b.named[model], naming{weights: weights, at: at})
-	b.named[model] = list[max(0, len(list)-namingsKept):]
-	b.version++
+	b.named[s.Model] = list
+	if newer {
+		b.version++
+	}
+	return newer
 }
 
 // NewestWeights returns the newest weights of a model that the board was told of.
@@ -57,61 +60,85 @@
 	if len(list) == 0 {
 		return ""
 	}
-	return list[len(list)-1].weights
+	return list[len(list)-1].Weights
 }
 
-// Naming is the newest weights of a model, and when they were named.
-type Naming struct {
-	Weights string
-	At      time.Time
-}
-
-// Namings returns the newest weights of each model that the board was told of.
-func (b *Board) Namings() map[string]Naming {
-	out := make(map[string]Naming, len(b.named))
-	for model, list := range b.named {
-		newest := list[len(list)-1]
-		out[model] = Naming{Weights: newest.weights, At: newest.at}
+// NewestSpans returns what the board knows of the newest weights of all models, now and before.
+func (b *Board) NewestSpans() []NewestSpan {
+	var out []NewestSpan
+	for _, list := range b.named {
+		out = append(out, list...)
 	}
 	return out
 }
 
-// replacedAt returns when the first weights newer than the given ones were named.
-func (b *Board) replacedAt(model, weights string) (at time.Time, ok bool) {
-	for _, n := range b.named[model] {
-		if OlderWeights(weights, n.weights) {
-			return n.at, true
-		}
-	}
-	return time.Time{}, false
-}
+// use says how weights are used by their age.
+type use int
+
+const (
+	useAsGood use = iota
+	useAtPrice
+	// useTooLate says that a request would begin too late on them, though another that
+	// waits less would not.
+	useTooLate
+	useNoMore
+)
 
-// useOf returns how weights of a model are used now.
-func (b *Board) useOf(now time.Time, model, weights string) use {
+// useOf returns how weights of a model are used now for what begins after a wait.
+func (b *Board) useOf(now time.Time, wait time.Duration, model, weights string) use {
 	if b.staleness == nil {
 		return useAsGood
 	}
-	at, replaced := b.replacedAt(model, weights)
-	if !replaced {
+	after, by, replaced := b.named[model].replaced(weights)
+	switch {
+	case !replaced:
 		return useAsGood
-	}
-	switch age := now.Sub(at); {
-	case age >= b.staleness.Limit:
+	case !now.Before(b.staleness.until(after, by, b.staleness.Limit)):
 		return useNoMore
-	case age >= b.staleness.Grace && !b.off.Has(NewestWeights):
+	case !now.Add(wait).Before(b.staleness.until(after, by, b.staleness.BeginLimit)):
+		return useTooLate
+	case now.Sub(by) >= b.staleness.Grace && !b.off.Has(NewestWeights):
 		return useAtPrice
 	}
 	return useAsGood
 }
 
-// use says how weights are used by their age.
-type use int
+// until returns when a limit is over for weights that were replaced between two moments,
+// of which the earlier is zero if it is not known.
+func (s Staleness) until(after, by time.Time, limit time.Duration) time.Time {
+	until := s.UnknownUntil
+	if t := after.Add(limit); !after.IsZero() && t.After(until) {
+		until = t
+	}
+	if t := by.Add(limit); t.Before(until) {
+		return t
+	}
+	return until
+}
 
-const (
-	useAsGood use = iota
-	useAtPrice
-	useNoMore
-)
+// withdrawOutdated ends the attempts that wait at a target for so long that they would
+// begin there on weights that are too old.
+func (b *Board) withdrawOutdated(now time.Time, t *target) []Action {
+	if b.staleness == nil {
+		return nil
+	}
+	var out []Action
+	for _, a := range t.attempts {
+		r := b.requests[a.Request]
+		if r == nil || r.Model == nil || a.first || a.cancelled {
+			continue
+		}
+		after, by, replaced := b.named[r.Model.Name].replaced(a.Weights)
+		if !replaced || now.Before(b.staleness.until(after, by, b.staleness.BeginLimit)) {
+			continue
+		}
+		a.cancelled = true
+		out = append(out, Cancel{Request: a.Request, Attempt: a.ID})
+		b.note(event.Event{Code: event.AttemptWithdrawn, Request: a.Request, Attempt: a.ID, Target: t.name(), Detail: fmt.Sprintf(
+			"it waited %s there, and weights %s have become too old", now.Sub(a.sent).Round(time.Millisecond), a.Weights)})
+	}
+	return out
+}
 
 // noteUnused records once for each target and weights that these are used no more.
 func (b *Board) noteUnused(now time.Time, t *target, model, weights string) {
@@ -119,23 +146,27 @@
 		return
 	}
 	t.unused = weights
-	at, _ := b.replacedAt(model, weights)
+	after, by, _ := b.named[model].replaced(weights)
+	most := "an unknown time"
+	if !after.IsZero() {
+		most = now.Sub(after).Round(time.Millisecond).String()
+	}
 	b.note(event.Event{Code: event.TargetOutdated, Target: t.name(), Detail: fmt.Sprintf(
-		"%s %s: newer ones, by now %s, were named %s ago as known here",
-		model, weights, b.NewestWeights(model), now.Sub(at).Round(time.Millisecond))})
+		"%s %s: newer ones, by now %s, were named from %s to %s ago as far as is known here",
+		model, weights, b.NewestWeights(model), now.Sub(by).Round(time.Millisecond), most)})
 }
 
-// OldestInUse returns how long ago the oldest weights that targets in use have were
-// replaced, as far as is known; zero where all have the newest.
+// OldestInUse returns how long ago at least the oldest weights that targets in use have
+// were replaced, as far as is known; zero where all have the newest.
 func (b *Board) OldestInUse(now time.Time) time.Duration {
 	oldest := time.Duration(0)
 	for _, t := range b.targets {
 		if !t.usable() {
 			continue
 		}
-		for model, weights := range t.report.Weights {
-			if at, ok := b.replacedAt(model, weights); ok {
-				oldest = max(oldest, now.Sub(at))
+		for model, weights := range t.weights() {
+			if _, by, ok := b.named[model].replaced(weights); ok {
+				oldest = max(oldest, now.Sub(by))
 			}
 		}
 	}
@@ -163,6 +194,26 @@
 	return r.draw < newestShare*float64(have)/float64(len(list))
 }
 
+// weightsGuess is what a target was taken to have because it refused a request for
+// having other weights than expected. It may be wrong: the target may have been brought
+// to weights between those expected and the newest. So it yields to what the target
+// reports, and the work of bringing targets to the newest weights takes no account of it.
+type weightsGuess struct {
+	model   string
+	weights string
+	until   time.Time
+}
+
+// weights returns the weights that requests to the target expect.
+func (t *target) weights() map[string]string {
+	if t.guess.weights == "" {
+		return t.report.Weights
+	}
+	out := maps.Clone(t.report.Weights)
+	out[t.guess.model] = t.guess.weights
+	return out
+}
+
 // WeightsOf returns the weights that one incarnation of a target was last seen with.
 func (b *Board) WeightsOf(m Mark, model string) string {
 	t, ok := b.marked(m)
@@ -173,29 +224,44 @@
 }
 
 // misjudged takes the word of a target that it is the expected incarnation and
-// has other weights than were expected: it was brought to the newest, and told
-// of late. If that was believed already, nothing is sent until its next report.
+// has other weights than were expected. Most likely it was brought to the newest, and
+// told of late. If that was believed already, nothing is sent until its next report.
 func (b *Board) misjudged(now time.Time, a *attempt) {
 	r, ok := b.requests[a.Request]
 	if !ok || b.staleness == nil {
 		return
 	}
 	t, model := a.target, r.Model.Name
-	if t.report.Weights[model] != a.Weights {
+	if expected, _ := t.serves(model, ""); expected != a.Weights {
 		return
 	}
 	newest := b.NewestWeights(model)
 	if !OlderWeights(a.Weights, newest) {
+		b.setGuess(now, t, weightsGuess{})
 		b.suspect(now, t)
 		return
 	}
-	b.setWeights(now, t, model, newest, "its refusal")
+	g := weightsGuess{model: model, weights: newest, until: now.Add(b.staleness.GuessTime)}
+	if t.guess.weights != "" {
+		g.until = t.guess.until
+	}
+	b.setGuess(now, t, g)
+	b.noteWeights(t, map[string]string{model: newest}, "its refusal")
 }
 
-// setWeights takes the word of a source that a target has new weights.
-func (b *Board) setWeights(now time.Time, t *target, model, weights, source string) {
-	t.report.Weights = map[string]string{model: weights}
-	b.noteWeights(t, t.report.Weights, source)
+// setGuess changes what a target is taken to have beside what it reports.
+func (b *Board) setGuess(now time.Time, t *target, g weightsGuess) {
+	had := t.weights()
+	t.guess = g
+	b.changedWeights(now, t, had)
+}
+
+// changedWeights forgets what is believed of a target's cache if the weights that
+// requests expect there are no longer those that it had.
+func (b *Board) changedWeights(now time.Time, t *target, had map[string]string) {
+	if sameWeights(had, t.weights()) {
+		return
+	}
 	b.renewSlot(now, t)
 	b.version++
 }
@@ -213,7 +279,11 @@
 	if !ok || !OlderWeights(t.report.Weights[w.Model], w.Weights) {
 		return nil
 	}
-	b.setWeights(now, t, w.Model, w.Weights, "the holder of the lease")
+	had := t.weights()
+	t.report.Weights = map[string]string{w.Model: w.Weights}
+	t.guess = weightsGuess{}
+	b.changedWeights(now, t, had)
+	b.noteWeights(t, t.report.Weights, "the holder of the lease")
 	return b.dispatch(now)
 }
 
@@ -223,6 +293,20 @@
 	}
 }
 
+// reportedWeights takes the weights of a target's report. An older word than is known of
+// the incarnation changes nothing, but for a guess whose time is over.
+func (b *Board) reportedWeights(now time.Time, t *target, r Report, had map[string]string) {
+	changed := !sameWeights(t.report.Weights, r.Weights)
+	if changed || !now.Before(t.guess.until) {
+		t.guess = weightsGuess{}
+	}
+	if changed && !t.reported.IsZero() {
+		b.noteWeights(t, r.Weights, "its own entry")
+	}
+	t.report.Weights = r.Weights
+	b.changedWeights(now, t, had)
+}
+
 // goesBack reports whether a report has older weights than are known of the same incarnation.
 func (t *target) goesBack(r Report) bool {
 	if r.Incarnation != t.incarnation {
--- a/route/weights_test.go
+++ b/route/weights_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/pathhead/pathhead/event"
 )
@@ -18,7 +19,7 @@
 			notes = append(notes, e)
 		}
 	}))
-	p.b.Name(p.now, "m", "2")
+	p.named("2")
 	for range 12 {
 		p.now = p.now.Add(time.Second)
 		if a := p.ask(p.request("a", Part{"x", 10})); a != nil {
@@ -26,6 +27,251 @@
 		}
 	}
 	require.Len(t, notes, 1)
-	require.Equal(t, "m 1: newer ones, by now 2, were named 9s ago as known here", notes[0].Detail)
+	require.Equal(t, "m 1: newer ones, by now 2, were named from 9s to 9s ago as far as is known here", notes[0].Detail)
 	require.Equal(t, 12*time.Second, p.b.OldestInUse(p.now))
 }
+
+// Old weights are used as long as they may be by the earliest moment at which newer
+// ones may have been named, whoever knows it, and a little at the start of a process
+// where nobody does.
+func TestWeightsAge(t *testing.T) {
+	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
+	word := func(weights string, first, last float64) NewestSpan {
+		return NewestSpan{Model: "m", Weights: weights, First: at(first), Last: at(last)}
+	}
+	const start = 14 // when the process started that these boards belong to
+	for name, c := range map[string]struct {
+		told []NewestSpan
+		// until is how many seconds after epoch weights 1 are used last.
+		until float64
+	}{
+		"it saw the naming itself": {
+			told: []NewestSpan{word("1", 0, 13), word("2", 14, 14)}, until: 13 + 9,
+		},
+		"it started after the naming and nobody can tell": {
+			told: []NewestSpan{word("4", start, start)}, until: start + 3,
+		},
+		"a peer saw the naming": {
+			told: []NewestSpan{word("4", start, start), word("1", 0, 12), word("4", 12.1, 13)}, until: 12 + 9,
+		},
+		"a peer saw those between": {
+			told: []NewestSpan{word("4", start, start), word("1", 0, 2), word("2", 2.1, 7), word("3", 7.1, 12)}, until: 2.1 + 9,
+		},
+		"a record ends before the naming": {
+			told: []NewestSpan{word("1", 0, 4), word("2", start, start)}, until: start + 3,
+		},
+		"they were replaced too long ago for certain": {
+			told: []NewestSpan{word("2", 3, 13), word("4", start, start)}, until: 3 + 9,
+		},
+		"a peer's word was long on its way": {
+			told: []NewestSpan{word("4", start, start), {Model: "m", Weights: "1", First: at(13.5)}}, until: start + 3,
+		},
+		"its watch had a gap": {
+			told: []NewestSpan{word("1", 0, 26), word("2", 40, 40)}, until: 26 + 9,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := NewBoard(WithNumberedWeights(Staleness{Limit: 9 * time.Second, BeginLimit: 10 * time.Second, UnknownUntil: at(start + 3)}))
+			for _, s := range c.told {
+				b.Newest(s.First, s)
+			}
+			until := at(c.until)
+			require.NotEqual(t, useNoMore, b.useOf(until.Add(-time.Millisecond), 0, "m", "1"))
+			require.Equal(t, useNoMore, b.useOf(until, 0, "m", "1"))
+		})
+	}
+}
+
+// Whatever processes are told of namings in whatever order, with restarts that forget
+// all, weights are never used past the bound after the first naming that replaced them,
+// but for what a process may at its start.
+func TestWeightsAgeFuzz(t *testing.T) {
+	const limit, unknown = 9 * time.Second, 3 * time.Second
+	rapid.Check(t, func(rt *rapid.T) {
+		var (
+			now    = epoch
+			named  = []time.Time{epoch}
+			boards [3]*Board
+			begun  [3]time.Time
+		)
+		start := func(i int) {
+			begun[i] = now
+			boards[i] = NewBoard(WithNumberedWeights(Staleness{Limit: limit, BeginLimit: limit, UnknownUntil: now.Add(unknown)}))
+		}
+		newest := func(at time.Time) string {
+			n := 0
+			for _, naming := range named {
+				if !naming.After(at) {
+					n++
+				}
+			}
+			return string(rune('0' + n))
+		}
+		for i := range boards {
+			start(i)
+		}
+		for range rapid.IntRange(5, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, len(boards)-1).Draw(rt, "board")
+			switch rapid.IntRange(0, 4).Draw(rt, "step") {
+			case 0:
+				if len(named) < 9 {
+					named = append(named, now)
+				}
+			case 1:
+				start(i)
+			case 2: // The store answers, at some moment of the call.
+				way := time.Duration(rapid.IntRange(0, 700).Draw(rt, "way")) * time.Millisecond
+				back := time.Duration(rapid.IntRange(0, 700).Draw(rt, "back")) * time.Millisecond
+				boards[i].Newest(now, NewestAt(now.Add(-back-way), now, "m", newest(now.Add(-back))))
+			default: // Another board's word, which was on its way for some time.
+				j := rapid.IntRange(0, len(boards)-1).Draw(rt, "peer")
+				delay := time.Duration(rapid.IntRange(0, 3000).Draw(rt, "delay")) * time.Millisecond
+				asked := rapid.Bool().Draw(rt, "asked")
+				for _, s := range boards[j].NewestSpans() {
+					from := now
+					if !asked {
+						from = time.Time{}
+					}
+					boards[i].Newest(now.Add(delay), s.Word(now).Span(from, now.Add(delay)))
+				}
+				now = now.Add(delay)
+			}
+			for i, b := range boards {
+				for n, replaced := range named[1:] {
+					weights := string(rune('1' + n))
+					known := b.NewestWeights("m") > weights
+					late := now.Sub(replaced) >= limit && !now.Before(begun[i].Add(unknown))
+					if known && late && b.useOf(now, 0, "m", weights) != useNoMore {
+						rt.Fatalf("board %d uses weights %s %s after they were replaced", i, weights, now.Sub(replaced))
+					}
+				}
+			}
+		}
+	})
+}
+
+// An older word about an incarnation's weights undoes no newer one, and a target that
+// refuses because of its weights is believed.
+func TestWeightsWords(t *testing.T) {
+	p := newPartsBoard(t, 1)
+	mark := Mark{testAddr(0), "0"}
+	p.named("2")
+	p.b.Loaded(p.now, WeightsWord{mark, "m", "2"})
+	p.report(0, "1")
+	require.Equal(t, "2", p.b.WeightsOf(mark, "m"), "the list lags")
+	p.b.Loaded(p.now, WeightsWord{mark, "m", "1"})
+	require.Equal(t, "2", p.b.WeightsOf(mark, "m"))
+
+	p.named("10")
+	a := p.ask(p.request("a", Part{"x", 10}))
+	require.Equal(t, "2", a.Weights)
+	p.refuses(a)
+	p.report(0, "2")
+	a = p.ask(p.request("a", Part{"y", 10}))
+	require.Equal(t, "10", a.Weights, "the next request expects what the target has, also while the list lags")
+	p.done(a)
+	p.report(0, "10")
+	require.Equal(t, "10", p.b.WeightsOf(mark, "m"))
+}
+
+// A target that refused because of its weights need not have the newest: what was guessed
+// is not taken for seen, so that it is still brought on, and yields to its own reports.
+func TestWeightsGuess(t *testing.T) {
+	for name, play := range map[string]func(p *partsBoard){
+		"it reports weights between": func(p *partsBoard) { p.report(0, "2") },
+		"it refuses the guess": func(p *partsBoard) {
+			a := p.ask(p.request("a", Part{"z", 10}))
+			require.Equal(p.t, "4", a.Weights)
+			p.refuses(a)
+			require.Nil(p.t, p.ask(p.request("a", Part{"v", 10})), "nothing is sent before it reports itself")
+			p.report(0, "2")
+		},
+		"the holder of the lease saw it": func(p *partsBoard) {
+			p.b.Loaded(p.now, WeightsWord{Mark{testAddr(0), "0"}, "m", "2"})
+		},
+		"the list lags for long, and then says so": func(p *partsBoard) {
+			p.now = p.now.Add(testGuessTime)
+			p.report(0, "1")
+			p.refuses(p.ask(p.request("a", Part{"z", 10})))
+			p.report(0, "2")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPartsBoard(t, 1)
+			for _, w := range []string{"2", "3", "4"} {
+				p.named(w)
+			}
+			a := p.ask(p.request("a", Part{"x", 10}))
+			require.Equal(t, "1", a.Weights)
+			p.refuses(a)
+			require.Equal(t, "1", p.b.WeightsOf(Mark{testAddr(0), "0"}, "m"), "nobody saw the target with others")
+			play(p)
+			require.Equal(t, "2", p.b.WeightsOf(Mark{testAddr(0), "0"}, "m"))
+			a = p.ask(p.request("a", Part{"y", 10}))
+			require.Equal(t, "2", a.Weights)
+		})
+	}
+}
+
+// What waits at a target is withdrawn before it would begin on weights that are too old,
+// and nothing is sent where it would have to wait for so long.
+func TestWeightsWithdrawn(t *testing.T) {
+	p := newPartsBoard(t, 2)
+	p.named("2")
+	p.report(1, "2")
+	p.b.Hold(map[Mark]bool{{testAddr(1), "1"}: true})
+	p.now = p.now.Add(8 * time.Second)
+	running, waiting := p.ask(p.request("a", Part{"x", 10})), p.ask(p.request("a", Part{"y", 25000}))
+	require.Equal(t, []string{"1", "1"}, []string{running.Weights, waiting.Weights})
+	p.b.FirstToken(p.now, running.Request, running.ID)
+	p.now = p.now.Add(950 * time.Millisecond)
+	require.Nil(t, p.ask(p.request("a", Part{"z", 10})), "what waits there takes half a second to read, and weights 1 are too old then")
+	require.NotContains(t, p.b.Tick(p.now), Action(Cancel{Request: waiting.Request, Attempt: waiting.ID}))
+	p.now = epoch.Add(testBeginLimit)
+	acts := p.b.Tick(p.now)
+	require.Contains(t, acts, Action(Cancel{Request: waiting.Request, Attempt: waiting.ID}))
+	require.NotContains(t, acts, Action(Cancel{Request: running.Request, Attempt: running.ID}), "it began in time")
+	require.Empty(t, p.b.Tick(p.now), "it is withdrawn once")
+}
+
+// A refusal says that a target has other weights than were expected, and not which.
+// What is guessed then holds for requests against reports of the weights that it has no
+// more, and not against its own report of newer ones; what it was seen with is not guessed.
+func TestRefusedWeights(t *testing.T) {
+	for name, c := range map[string]struct {
+		reports    []string
+		want, seen string
+	}{
+		"the list lags":                         {reports: []string{"1", "1"}, want: "4", seen: "1"},
+		"brought to the newest":                 {reports: []string{"4"}, want: "4", seen: "4"},
+		"a late order to the middle":            {reports: []string{"2"}, want: "2", seen: "2"},
+		"the list lags, and then a late order":  {reports: []string{"1", "2"}, want: "2", seen: "2"},
+		"a late order, and then the list lags":  {reports: []string{"2", "1"}, want: "2", seen: "2"},
+		"a late order, and then to the newest":  {reports: []string{"2", "4"}, want: "4", seen: "4"},
+		"the newest, and then an older reading": {reports: []string{"4", "2"}, want: "4", seen: "4"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPartsBoard(t, 1)
+			for _, weights := range []string{"2", "3", "4"} {
+				p.named(weights)
+			}
+			a := p.ask(p.request("a", Part{"x", 10}))
+			require.Equal(t, "1", a.Weights)
+			p.refuses(a)
+			for _, weights := range c.reports {
+				p.now = p.now.Add(100 * time.Millisecond)
+				p.report(0, weights)
+			}
+			require.Equal(t, c.seen, p.b.WeightsOf(Mark{testAddr(0), "0"}, "m"))
+			a = p.ask(p.request("a", Part{"y", 10}))
+			require.NotNil(t, a)
+			require.Equal(t, c.want, a.Weights, "the next request expects what the target has")
+		})
+	}
+}
+
+// refuses ends an attempt that its target refused, being the expected incarnation.
+func (p *partsBoard) refuses(a *Attempt) {
+	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: a.Incarnation})
+}
