route: a test of the repeats' bound over restarts, which fails

The bound on repeats holds over all routers and any window. A router's count of what it spent lives in its process, and so does the number of routers by which it divides the reserve. The test plays six routers that repeat as often as they may and are started anew, frozen or lost in several ways; the bound is counted as the installation does. It fails in every case, since a router that starts takes itself for the only one until it hears of others:

The cases after the first have the first one's start in them, and are told apart once that is mended.

--- /dev/null
+++ b/route/retry_restart_test.go
@@ -0,0 +1,210 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/policy"
+)
+
+// The fleet of [retryWorld] and the bound that its configuration states.
+const (
+	retryRouters = 6
+	// retrySeeds is how many routers the settings of each one name.
+	retrySeeds   = 3
+	retryRatio   = 0.2
+	retryReserve = 52
+	retryWindow  = 10 * time.Second
+	// retryStep is the resolution of the test's time, retryRate the requests a second at each router.
+	retryStep = 50 * time.Millisecond
+	retryRate = 2
+	// meetTime is how long a router that starts or wakes knows no more than its settings,
+	// lostTime the silence after which it counts a peer as lost.
+	meetTime = 500 * time.Millisecond
+	lostTime = 2500 * time.Millisecond
+)
+
+// retryWorld is a fleet whose routers repeat as often as they may.
+type retryWorld struct {
+	now    time.Time
+	boards []*Board
+	// upAt is when each router started or woke last; it is zero while the router is down,
+	// and goneAt says since when that is.
+	upAt   []time.Time
+	goneAt []time.Time
+	// first and again count the requests and the repeats of all routers in each step.
+	first, again []int
+}
+
+func newRetryWorld() *retryWorld {
+	w := &retryWorld{
+		now: epoch, boards: make([]*Board, retryRouters),
+		upAt: make([]time.Time, retryRouters), goneAt: make([]time.Time, retryRouters),
+	}
+	for i := range retryRouters {
+		w.start(i)
+	}
+	return w
+}
+
+// start starts a router with nothing of what its last process knew.
+func (w *retryWorld) start(i int) {
+	b := NewBoard(WithSeed(uint64(len(w.first)*retryRouters + i)))
+	cfg := &policy.Config{Version: policy.Version, Requests: policy.Requests{
+		RetryBudget: retryRatio, RetryReserve: retryReserve, RetryWindow: policy.Duration(retryWindow),
+	}, Pools: []policy.Pool{{Name: "s", Kind: policy.KindService, Selector: "s=s"}}}
+	snap, err := policy.Compile(cfg, 1)
+	if err != nil {
+		panic(err)
+	}
+	b.Adopt(w.now, snap)
+	w.boards[i] = b
+	w.wake(i)
+}
+
+// wake lets a router go on that was frozen.
+func (w *retryWorld) wake(i int) { w.upAt[i], w.goneAt[i] = w.now, time.Time{} }
+
+// stop ends or freezes a router.
+func (w *retryWorld) stop(i int) { w.upAt[i], w.goneAt[i] = time.Time{}, w.now }
+
+func (w *retryWorld) all(do func(i int)) {
+	for i := range retryRouters {
+		do(i)
+	}
+}
+
+// heard is how many routers one knows of, itself included.
+func (w *retryWorld) heard(i int) int {
+	if w.now.Sub(w.upAt[i]) < meetTime {
+		return retrySeeds
+	}
+	n := 0
+	for j := range retryRouters {
+		if w.goneAt[j].IsZero() || w.now.Sub(w.goneAt[j]) < lostTime {
+			n++
+		}
+	}
+	return max(n, retrySeeds)
+}
+
+// play lets time pass: every router that runs gets its requests and repeats as much as it may.
+func (w *retryWorld) play(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(retryStep) {
+		first, again := 0, 0
+		for i, b := range w.boards {
+			if w.upAt[i].IsZero() {
+				continue
+			}
+			if w.now.Sub(w.upAt[i]) >= 5*retryStep {
+				b.Peers(w.now, nil, w.heard(i))
+			}
+			if len(w.first)%int(time.Second/retryStep/retryRate) == i {
+				b.earnRetry(w.now, &b.pools["s"].retries)
+				first++
+			}
+			for b.spendRetry(w.now, &b.pools["s"].retries) {
+				again++
+			}
+		}
+		w.first, w.again = append(w.first, first), append(w.again, again)
+	}
+}
+
+// sum counts over one window that begins at a step.
+func (w *retryWorld) sum(counts []int, from int) int {
+	steps, n := int(retryWindow/retryStep), 0
+	for i := max(0, from); i < min(len(counts), from+steps); i++ {
+		n += counts[i]
+	}
+	return n
+}
+
+// worst returns the window whose repeats are the most above the bound, or the least
+// below it: its repeats and the bound, by the requests of that window, of the one
+// before and of the one half a window before, whichever has most.
+func (w *retryWorld) worst() (repeats int, bound float64) {
+	steps := int(retryWindow / retryStep)
+	bound = 1e9
+	for from := range w.again {
+		most := max(w.sum(w.first, from), w.sum(w.first, from-steps), w.sum(w.first, from-steps/2))
+		n, may := w.sum(w.again, from), retryRatio*float64(most)+retryReserve
+		if may-float64(n) < bound-float64(repeats) {
+			repeats, bound = n, may
+		}
+	}
+	return repeats, bound
+}
+
+// Over any window the repeats of all routers stay within the bound, whichever
+// routers are started anew, freeze or are lost, and however often.
+func TestRetryBoundRestarts(t *testing.T) {
+	cases := map[string]func(w *retryWorld){
+		"nobody restarts": func(w *retryWorld) { w.play(2 * retryWindow) },
+		"all once": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			w.all(w.start)
+			w.play(retryWindow)
+		},
+		"all twice in one window": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			for range 2 {
+				w.all(w.start)
+				w.play(retryWindow / 3)
+			}
+			w.play(retryWindow)
+		},
+		"all again and again": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			for range 8 {
+				w.all(w.start)
+				w.play(retryWindow / 5)
+			}
+			w.play(retryWindow)
+		},
+		"in turn": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			for n := range 4 * retryRouters {
+				w.start(n % retryRouters)
+				w.play(time.Second)
+			}
+			w.play(retryWindow)
+		},
+		"all frozen for longer than peers are known": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			w.all(w.stop)
+			w.play(lostTime + time.Second)
+			w.all(w.wake)
+			w.play(retryWindow)
+		},
+		"all but one are lost": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			for i := range retryRouters - 1 {
+				w.stop(i)
+			}
+			w.play(2 * retryWindow)
+		},
+		"all but one are lost and come back": func(w *retryWorld) {
+			w.play(retryWindow + time.Second)
+			for i := range retryRouters - 1 {
+				w.stop(i)
+			}
+			w.play(lostTime + time.Second)
+			for i := range retryRouters - 1 {
+				w.start(i)
+			}
+			w.play(2 * retryWindow)
+		},
+	}
+	for name, play := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newRetryWorld()
+			play(w)
+			repeats, bound := w.worst()
+			t.Logf("%d repeats where %.0f may be", repeats, bound)
+			require.LessOrEqual(t, float64(repeats), bound)
+		})
+	}
+}
