route: a router that starts spends nothing of the reserve for a window

Cause: what a router spent of the reserve of repeats, and how many routers there are, live in its process. After a start it used 0.3 of its part at once, as often as it was started, and until it heard of others it took the whole reserve for its part; a router that was frozen, or cut off for longer than peers are known, divided the reserve by too few.

Change: a pool's count has a beginning; before it is a window old only the router's share of the requests that it counted itself is used. The reserve is divided by the most routers known of in a window (crowd). A pool that a configuration takes away and brings back begins anew as well. Board.begun and startPart go.

TestRetryBound had the router that spends first start with the test, and asked that it spends something. It now has lived for a window, which is when it may; the bound over its restart is the same.

What it costs: for budgetWindowS after a start a node repeats no more than 0.16 of its own requests.

--- a/route/board.go
+++ b/route/board.go
@@ -44,9 +44,9 @@
 	// moves bounds what moves over a store's link, in tokens.
 	moves   bucket
 	routers int
-	// begun is when the first configuration was adopted, rounding the part of one
-	// retry that this router's part of the reserve is rounded up by.
-	begun     time.Time
+	// crowd is how many routers may have spent retries lately, rounding the part of
+	// one retry that this router's part of the reserve is rounded up by.
+	crowd     crowd
 	rounding  float64
 	peers     map[string]PeerState
 	closed    *Refusal
@@ -157,6 +157,7 @@
 		firstParts:  newGenerations[Block, meter](homeKept),
 		kept:        newGenerations[Block, keptPrefix](keptEntries),
 		routers:     1,
+		crowd:       crowd{most: 1},
 		peers:       make(map[string]PeerState),
 		serving:     make(map[serversKey]*serversList),
 		named:       make(map[string][]naming),
@@ -179,9 +180,6 @@
 	if b.snap != nil && snap.Revision < b.snap.Revision {
 		return nil
 	}
-	if b.begun.IsZero() {
-		b.begun = now
-	}
 	b.snap = snap
 	clear(b.serving)
 	b.adoptPools(now)
@@ -199,7 +197,7 @@
 	for _, cp := range b.snap.Pools() {
 		p, ok := b.pools[cp.Name]
 		if !ok {
-			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget()}
+			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget(now)}
 			p.drained.at, p.offered.at = now, now
 			b.pools[cp.Name] = p
 		}
--- a/route/limit.go
+++ b/route/limit.go
@@ -245,6 +245,9 @@
 // there are, this one included and those not heard of too.
 func (b *Board) Peers(now time.Time, states map[string]PeerState, routers int) []Action {
 	b.routers = max(1, routers, len(states)+1)
+	if b.snap != nil {
+		b.crowd.see(now, b.routers, time.Duration(b.snap.Config.Requests.RetryWindow))
+	}
 	for id, s := range states {
 		b.peers[id] = s
 	}
--- a/route/retry.go
+++ b/route/retry.go
@@ -13,6 +13,8 @@
 
 	sent  window
 	spent window
+	// begun is when the counting began.
+	begun time.Time
 }
 
 // defaultRetryReserve is the number of retries that a pool may make at one
@@ -21,18 +23,21 @@
 const defaultRetryReserve = 10
 
 // The parts of a stated bound that a router uses. A router that was restarted has
-// forgotten what it spent: until it has lived for a window it uses startPart of
-// its part of the reserve, and reservePart leaves room for that. ratioPart leaves
-// room for requests that the installation counts elsewhere than here. A router's
-// part of a large fleet's reserve may be below one: each rounds up by a part that
-// it draws at its start, so that all together spend what they may.
+// forgotten what it spent: until it has counted for a window it uses nothing of its
+// part of the reserve, only its share of the requests that it counted itself. So it
+// does not matter how often or how many routers are started anew in one window.
+// ratioPart leaves room for requests that the installation counts elsewhere than
+// here, reservePart for routers that were lost and may have spent their part in the
+// window. A router's part of a large fleet's reserve may be below one: each rounds up
+// by a part that it draws at its start, so that all together spend what they may.
 const (
 	reservePart = 0.65
-	startPart   = 0.3
 	ratioPart   = 0.8
 )
 
-func newRetryBudget() retryBudget { return retryBudget{tokens: defaultRetryReserve} }
+func newRetryBudget(now time.Time) retryBudget {
+	return retryBudget{tokens: defaultRetryReserve, begun: now}
+}
 
 // earnRetry counts a request that is sent for the first time.
 func (b *Board) earnRetry(now time.Time, k *retryBudget) {
@@ -52,11 +57,10 @@
 		return true
 	}
 	over := time.Duration(q.RetryWindow)
-	part := reservePart
-	if now.Sub(b.begun) < over {
-		part = startPart
+	most := ratioPart * q.RetryBudget * float64(k.sent.count(now, over))
+	if now.Sub(k.begun) >= over {
+		most += reservePart * q.RetryReserve / float64(b.crowd.most)
 	}
-	most := ratioPart*q.RetryBudget*float64(k.sent.count(now, over)) + part*q.RetryReserve/float64(b.routers)
 	if float64(k.spent.count(now, over)+1) > most+b.rounding {
 		return false
 	}
@@ -70,6 +74,30 @@
 	return o.Kind == OutcomeUnsent && b.snap.Config.Requests.RetryReserve > 0
 }
 
+// crowd is how many routers there were. Fewer count only once no more were seen for
+// a window: those that are gone may have spent their part in it, and a router that
+// was frozen or cut off has forgotten for a moment who else lives.
+type crowd struct {
+	most int
+	// fewer is the most that were seen since a time, all below most; zero if none were.
+	fewer int
+	since time.Time
+}
+
+// see takes the number of routers known at a time.
+func (c *crowd) see(now time.Time, n int, over time.Duration) {
+	switch {
+	case n >= c.most:
+		c.most, c.fewer = n, 0
+	case c.fewer == 0:
+		c.fewer, c.since = n, now
+	case now.Sub(c.since) >= over:
+		c.most, c.fewer = max(c.fewer, n), 0
+	default:
+		c.fewer = max(c.fewer, n)
+	}
+}
+
 // windowSlots is the resolution of a sliding window.
 const windowSlots = 20
 
--- a/route/retry_test.go
+++ b/route/retry_test.go
@@ -9,15 +9,13 @@
 	"github.com/pathhead/pathhead/policy"
 )
 
-// boundBoard is the board of a router that has just started, whose configuration
-// states a bound on repeats.
-func boundBoard(now time.Time, routers int) *Board {
+// boundBoard is the board of a router whose configuration states a bound on repeats.
+func boundBoard(routers int) *Board {
 	b := NewBoard()
-	b.begun = now
 	b.snap = &policy.Snapshot{Config: &policy.Config{Requests: policy.Requests{
 		RetryBudget: 0.2, RetryReserve: 50, RetryWindow: policy.Duration(10 * time.Second),
 	}}}
-	b.routers = routers
+	b.crowd.most = routers
 	return b
 }
 
@@ -26,23 +24,23 @@
 func TestRetryBound(t *testing.T) {
 	const routers = 5
 	now := time.Unix(1000, 0)
-	b := boundBoard(now, routers)
+	b := boundBoard(routers)
 	spend := func(k *retryBudget) (n int) {
 		for b.spendRetry(now, k) {
 			n++
 		}
 		return n
 	}
-	k := newRetryBudget()
+	k := newRetryBudget(now.Add(-time.Minute))
 	b.earnRetry(now, &k)
 	before := spend(&k)
-	b = boundBoard(now, routers)
-	restarted := newRetryBudget()
+	b = boundBoard(routers)
+	restarted := newRetryBudget(now)
 	b.earnRetry(now, &restarted)
 	require.LessOrEqual(t, before+spend(&restarted), 50/routers+1)
 	require.Positive(t, before)
 
-	k = newRetryBudget()
+	k = newRetryBudget(now)
 	for range 100 {
 		b.earnRetry(now, &k)
 		now = now.Add(200 * time.Millisecond)
@@ -67,6 +65,28 @@
 	require.Zero(t, w.count(now.Add(time.Hour), 10*time.Second))
 }
 
+// Fewer routers count once no more were seen for a window, not before: those that are
+// gone may have spent their part in it.
+func TestCrowd(t *testing.T) {
+	const window = 10 * time.Second
+	now := time.Unix(1000, 0)
+	c := crowd{most: 1}
+	see := func(after time.Duration, n int) int {
+		now = now.Add(after)
+		c.see(now, n, window)
+		return c.most
+	}
+	require.Equal(t, 8, see(0, 8))
+	require.Equal(t, 8, see(time.Second, 3), "five fell silent")
+	require.Equal(t, 8, see(window-time.Second, 5))
+	require.Equal(t, 5, see(time.Second, 4), "for a window nobody saw more than five")
+	require.Equal(t, 9, see(time.Second, 9))
+	require.Equal(t, 9, see(time.Second, 2))
+	require.Equal(t, 9, see(time.Second, 9), "a moment in which few were known is over")
+	require.Equal(t, 9, see(window, 2), "a router that was frozen knows nobody when it wakes")
+	require.Equal(t, 9, see(window/2, 9))
+}
+
 // Routers whose part of the reserve is less than one spend it together all the same.
 func TestRetryBoundLargeFleet(t *testing.T) {
 	const routers = 400
@@ -74,9 +94,8 @@
 	total := 0
 	for i := range routers {
 		b := NewBoard(WithSeed(uint64(i)))
-		b.snap = boundBoard(now, 1).snap
-		b.begun, b.routers = now.Add(-time.Minute), routers
-		k := newRetryBudget()
+		b.snap, b.crowd.most = boundBoard(1).snap, routers
+		k := newRetryBudget(now.Add(-time.Minute))
 		for b.spendRetry(now, &k) {
 			total++
 		}
