node: a missing target counts from the first reading without it

Cause: the time for which targets stay whose entries are missing after an outage began anew with each reading that failed, so that on a path that fails now and then a target that was gone for good kept getting requests. And of two readings that overlap the one that was answered last counted, also where it had begun first.

Ruled out: counting failed readings as no outage at all (entries may go while the store is down for a moment, and the targets live).

Change: each missing target has the moment of the first reading without it; only an outage that is longer than entries last begins it anew, since none can come back in it. A reading that began before the newest one changes nothing, and is not told to others.

A node that was frozen or cut off counts the store as away when it reads again, and keeps what went in between for 2.2 s more. That is less than the time after which a machine counts as in touch again on the installations we know (3 and 4 s), and is no more than before.

--- a/node/list.go
+++ b/node/list.go
@@ -18,8 +18,11 @@
 	failing bool
 	// backAt is when the store answered again after it had failed.
 	backAt time.Time
+	// readAt is when the newest reading began.
 	readAt time.Time
-	conns  map[netip.AddrPort]int
+	// missing says since when targets are kept that the readings lack.
+	missing map[netip.AddrPort]time.Time
+	conns   map[netip.AddrPort]int
 	// fixed are targets that stand in the configuration.
 	fixed []route.Entry
 	// beats are the revisions of the targets' entries that the board was told of.
@@ -43,13 +46,18 @@
 const outageGap = 2400 * time.Millisecond
 
 // merge takes a new reading that began at a time. Of two entries with one address the
-// newer counts. Targets that are gone stay for a while after an outage of the store.
+// newer counts. Targets that are gone stay for a while after an outage of the store. A
+// reading that began before the newest one changes nothing.
 func (l *targetList) merge(now, at time.Time, read []route.Entry, relayed bool) []route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if at.Before(l.readAt) {
+		return inOrder(l.targets)
+	}
+	long := !l.readAt.IsZero() && at.Sub(l.readAt) > outageGap
 	away := l.failing
 	if relayed {
-		away = !l.readAt.IsZero() && at.Sub(l.readAt) > outageGap
+		away = long
 	}
 	if away {
 		l.backAt = now
@@ -62,15 +70,36 @@
 			fresh[t.Seen.Addr] = t
 		}
 	}
-	if now.Sub(l.backAt) < relistTime {
-		for addr, t := range l.targets {
-			if _, ok := fresh[addr]; !ok {
-				fresh[addr] = t
-			}
+	l.keepMissing(now, long, fresh)
+	l.targets = fresh
+	return inOrder(fresh)
+}
+
+// keepMissing adds to a reading the targets that it lacks and that may still come back
+// after an outage. Each stays from the first reading without it, so that readings that
+// fail again and again do not keep it for ever. In an outage that is longer than
+// entries last none can come back, and that time begins after it. The caller holds
+// the lock.
+func (l *targetList) keepMissing(now time.Time, long bool, fresh map[netip.AddrPort]route.Entry) {
+	missing := make(map[netip.AddrPort]time.Time)
+	for addr, t := range l.targets {
+		if _, ok := fresh[addr]; ok || now.Sub(l.backAt) >= relistTime {
+			continue
+		}
+		since, ok := l.missing[addr]
+		if !ok || long {
+			since = now
+		}
+		if now.Sub(since) < relistTime {
+			fresh[addr], missing[addr] = t, since
 		}
 	}
-	l.targets = fresh
-	return slices.SortedFunc(maps.Values(fresh), func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
+	l.missing = missing
+}
+
+// inOrder returns entries in the order of their addresses.
+func inOrder(entries map[netip.AddrPort]route.Entry) []route.Entry {
+	return slices.SortedFunc(maps.Values(entries), func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
 }
 
 // failed notes that the list could not be read.
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -9,11 +9,11 @@
 	"github.com/pathhead/pathhead/route"
 )
 
-// told notes the list as it is told to others.
+// told notes the list as it is told to others, unless a newer reading was.
 func (r *relays) told(at time.Time, list []route.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.large {
+	if !r.large || at.Before(r.listAt) {
 		return
 	}
 	r.listAt = at
