fleet: a test of the lease over restarts and freezes

The lease is sound: a life that starts under the name of the last one waits as long as any other process and takes a higher fence, and a row that was read before a freeze counts from the waking. The fuzz restarts processes alone and as a herd, freezes them, and does their writes late; its oracle asks that every other life stopped believing in its lease for the guard before one takes it.

--- /dev/null
+++ b/fleet/lease_restart_test.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// leaseLives is a lease world whose processes are started anew under the same names,
+// freeze and wake, and that remembers until when each life believed that it holds.
+type leaseLives struct {
+	*leaseWorld
+	// frozen are the processes that do nothing now.
+	frozen map[*leaseProcess]bool
+	// believed is until when, by the true time, each life has believed that it holds the lease.
+	believed map[*Lease]time.Time
+}
+
+func newLeaseLives(n int) *leaseLives {
+	return &leaseLives{newLeaseWorld(n), make(map[*leaseProcess]bool), make(map[*Lease]time.Time)}
+}
+
+// restart starts a process anew: its name stays, and all that it knew goes. Writes
+// that it sent may still be done.
+func (w *leaseLives) restart(p *leaseProcess) {
+	p.lease = NewLease("pool/x", p.lease.self, testLease, testGuard)
+	p.reply = nil
+	delete(w.frozen, p)
+}
+
+// check is the oracle: while one life holds the lease, every other one, also of the same
+// process, has stopped believing in its own for at least the guard.
+func (w *leaseLives) check() error {
+	if err := w.leaseWorld.check(); err != nil {
+		return err
+	}
+	for _, p := range w.processes {
+		if !p.lease.Holds(w.clock(p)) {
+			continue
+		}
+		until := p.lease.until.Add(-p.offset)
+		if until.After(w.believed[p.lease]) {
+			w.believed[p.lease] = until
+		}
+		from := until.Add(-testLease)
+		for other, until := range w.believed {
+			if other == p.lease || other.fence > p.lease.fence {
+				continue
+			}
+			if other.fence == p.lease.fence {
+				return fmt.Errorf("two lives of %s and %s hold fence %d", other.self, p.lease.self, other.fence)
+			}
+			if from.Before(until.Add(testGuard)) {
+				return fmt.Errorf("%s holds with fence %d from %s, %s with fence %d until %s",
+					p.lease.self, p.lease.fence, from.Sub(epoch), other.self, other.fence, until.Sub(epoch))
+			}
+		}
+	}
+	return nil
+}
+
+func TestLeaseRestartFuzz(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newLeaseLives(3)
+		must := func(err error) {
+			if err != nil {
+				rt.Fatal(err)
+			}
+		}
+		pick := func() *leaseProcess {
+			return w.processes[rapid.IntRange(0, len(w.processes)-1).Draw(rt, "process")]
+		}
+		// awake does something with a process that is not frozen.
+		awake := func(do func(p *leaseProcess)) {
+			if p := pick(); !w.frozen[p] {
+				do(p)
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"read": func(*rapid.T) { awake(func(p *leaseProcess) { must(w.read(p)) }) },
+			"take": func(rt *rapid.T) {
+				awake(func(p *leaseProcess) {
+					must(w.read(p))
+					w.write(p, true, rapid.Bool().Draw(rt, "reply"))
+				})
+			},
+			"renew": func(*rapid.T) { awake(func(p *leaseProcess) { w.take(rt, p, true, true) }) },
+			"write late": func(*rapid.T) {
+				awake(func(p *leaseProcess) {
+					must(w.read(p))
+					w.writeLate(p)
+					p.deliver()
+				})
+			},
+			"done late": func(rt *rapid.T) {
+				if len(w.late) > 0 {
+					w.doLate(rapid.IntRange(0, len(w.late)-1).Draw(rt, "which"))
+				}
+			},
+			"reply":   func(*rapid.T) { awake((*leaseProcess).deliver) },
+			"restart": func(*rapid.T) { w.restart(pick()) },
+			"herd": func(*rapid.T) {
+				for _, p := range w.processes {
+					w.restart(p)
+				}
+			},
+			"freeze": func(*rapid.T) { w.frozen[pick()] = true },
+			"wake":   func(*rapid.T) { delete(w.frozen, pick()) },
+			"pass": func(rt *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 9000).Draw(rt, "ms")) * time.Millisecond)
+			},
+			"": func(*rapid.T) { must(w.check()) },
+		})
+	})
+}
+
+// A holder that is started anew under the same name does not go on with the lease of
+// its last life: it waits as long as any other process, and takes a higher fence.
+func TestLeaseRestartedHolder(t *testing.T) {
+	cases := map[string]func(w *leaseLives, p *leaseProcess){
+		"after a renewal": func(w *leaseLives, p *leaseProcess) { w.take(t, p, true, true) },
+		"whose renewal was done and not answered": func(w *leaseLives, p *leaseProcess) {
+			require.NoError(t, w.read(p))
+			w.write(p, true, false)
+		},
+		"whose renewal is done late": func(w *leaseLives, p *leaseProcess) {
+			require.NoError(t, w.read(p))
+			w.writeLate(p)
+		},
+	}
+	for name, last := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newLeaseLives(2)
+			p := w.processes[0]
+			w.take(t, p, true, true)
+			fence := p.lease.Fence()
+			last(w, p)
+			w.restart(p)
+			w.now = w.now.Add(time.Second)
+			for len(w.late) > 0 {
+				w.doLate(0)
+			}
+			w.take(t, p, true, true)
+			require.False(t, p.lease.Holds(w.clock(p)), "the last life's lease is not its own")
+			w.now = w.now.Add(testLease + testGuard)
+			w.take(t, p, true, true)
+			require.False(t, p.lease.Holds(w.clock(p)), "the wait counts from the first reading")
+			w.now = w.now.Add(time.Millisecond)
+			w.take(t, p, true, true)
+			require.True(t, p.lease.Holds(w.clock(p)))
+			require.Greater(t, p.lease.Fence(), fence)
+		})
+	}
+}
+
+// A process that reads the lease's row, is frozen and wakes counts from when it took
+// the answer in: a row that was read long ago makes no lease look older than it may be.
+func TestLeaseReadThroughFreeze(t *testing.T) {
+	w := newLeaseLives(2)
+	a, b := w.processes[0], w.processes[1]
+	w.take(t, a, true, true)
+	part, sort := b.lease.Key()
+	row, ok, err := w.rows.Get(t.Context(), part, sort)
+	require.NoError(t, err)
+	w.now = w.now.Add(testLease + testGuard + time.Second)
+	require.NoError(t, b.lease.Read(w.clock(b), row, ok))
+	_, ok = b.lease.Next(w.clock(b), "x")
+	require.False(t, ok, "the row counts from the waking")
+	// The holder renews in the meantime, so that what b read stands no more.
+	w.take(t, a, true, true)
+	w.now = w.now.Add(testLease + testGuard + time.Millisecond)
+	w.write(b, true, true)
+	b.deliver()
+	require.False(t, b.lease.Holds(w.clock(b)), "the write is conditional on the row that was read")
+	require.NoError(t, w.check())
+}
