route: a test of organisations' limits over restarts, which fails

What an organisation has used of its limits lives in each router's process. One that starts takes a second's worth of its part as a burst, and the whole limit for its part until it hears of others. Eight routers, a limit of 400 requests a second, 800 offered; over 8 s with a burst of one second 3,960 may be admitted (1.1 times 3,600):

--- /dev/null
+++ b/route/limit_restart_test.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// limitLives is a limit world whose routers are started anew, with what is admitted in each step.
+type limitLives struct {
+	*limitWorld
+	t        *testing.T
+	rng      *rand.Rand
+	admitted []int
+}
+
+// The fleet of the test, the limit in requests a second, what is offered, and the
+// window over which the limit is judged.
+const (
+	limitRouters = 8
+	limitRate    = 400
+	limitOffered = 800
+	limitWindow  = 8 * time.Second
+	limitStep    = 100 * time.Millisecond
+)
+
+func newLimitLives(t *testing.T) *limitLives {
+	return &limitLives{limitWorld: newLimitWorld(t, limitRouters, limitRate), t: t, rng: rand.New(rand.NewPCG(1, 1))}
+}
+
+// restart starts a router anew, which knows the others by its settings alone.
+func (w *limitLives) restart(i int) {
+	b := NewBoard(WithSeed(1))
+	b.Adopt(w.now, testSetup{rate: limitRate}.snapshot(w.t))
+	w.boards[i] = b
+}
+
+func (w *limitLives) herd() {
+	for i := range limitRouters {
+		w.restart(i)
+	}
+}
+
+// pass lets time pass, in which more is offered than the limit allows.
+func (w *limitLives) pass(d time.Duration) {
+	for ; d > 0; d -= limitStep {
+		w.limitWorld.admitted = 0
+		w.play(w.rng, limitStep, limitOffered, func(int) float64 { return 1 })
+		w.admitted = append(w.admitted, w.limitWorld.admitted)
+	}
+}
+
+// most returns the most that was admitted in one window.
+func (w *limitLives) most() int {
+	n, most := 0, 0
+	for i, a := range w.admitted {
+		if n += a; i >= int(limitWindow/limitStep) {
+			n -= w.admitted[i-int(limitWindow/limitStep)]
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// An organisation's limit holds over all routers and any window, however often they
+// are started anew: a process that has just begun does not know what the last one of
+// its name admitted, and owes nobody a burst.
+func TestLimitOverRestarts(t *testing.T) {
+	cases := map[string]func(w *limitLives){
+		"nobody restarts": func(w *limitLives) { w.pass(2 * limitWindow) },
+		"all once": func(w *limitLives) {
+			w.pass(limitWindow)
+			w.herd()
+			w.pass(limitWindow)
+		},
+		"all again and again": func(w *limitLives) {
+			w.pass(limitWindow)
+			for range 8 {
+				w.herd()
+				w.pass(time.Second)
+			}
+		},
+		"in turn": func(w *limitLives) {
+			w.pass(limitWindow)
+			for i := range 3 * limitRouters {
+				w.restart(i % limitRouters)
+				w.pass(500 * time.Millisecond)
+			}
+		},
+	}
+	for name, play := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newLimitLives(t)
+			play(w)
+			t.Logf("%d admitted", w.most())
+			// A burst of a second's worth is allowed once in a window.
+			require.LessOrEqual(t, float64(w.most()), 1.1*limitRate*(limitWindow.Seconds()+1))
+		})
+	}
+}
