route: a router that starts owes no organisation a burst

Cause: an organisation's buckets were full when a process first heard of it, and the process took the whole limit for its part until its first round of gossip.

Change: buckets fill from when the first configuration was adopted; a router that has run for a second has its burst as before. WithRouters gives the board the number of routers that the settings name, which holds until peers are heard of.

What remains: a bucket goes below zero by one request, and a restart forgets that debt, so that each start may admit one request of an organisation more. With limits in tokens and parts below one request that is much; nodes of the platform take no limits yet.

--- a/node/node.go
+++ b/node/node.go
@@ -143,6 +143,7 @@
 	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns))
 	board := route.NewBoard(
 		route.WithSeed(seed),
+		route.WithRouters(len(s.Seeds)),
 		route.WithPlacer(n.placement),
 		route.WithNotes(n.events.Record),
 		route.WithZone(s.Zone),
--- a/route/board.go
+++ b/route/board.go
@@ -44,6 +44,8 @@
 	// moves bounds what moves over a store's link, in tokens.
 	moves   bucket
 	routers int
+	// begun is when the first configuration was adopted.
+	begun time.Time
 	// crowd is how many routers may have spent retries lately, rounding the part of
 	// one retry that this router's part of the reserve is rounded up by.
 	crowd     crowd
@@ -114,6 +116,12 @@
 	return func(b *Board) { b.zone = zone }
 }
 
+// WithRouters sets how many routers there are as far as the settings tell, which holds
+// until peers are heard of.
+func WithRouters(n int) Option {
+	return func(b *Board) { b.routers = max(1, n) }
+}
+
 // WithOwnRoom sets the prefill that this router may have waiting at one engine,
 // where callers are spread too unevenly over routers for an even part to do.
 func WithOwnRoom(d time.Duration) Option {
@@ -180,6 +188,9 @@
 	if b.snap != nil && snap.Revision < b.snap.Revision {
 		return nil
 	}
+	if b.begun.IsZero() {
+		b.begun = now
+	}
 	b.snap = snap
 	clear(b.serving)
 	b.adoptPools(now)
--- a/route/limit.go
+++ b/route/limit.go
@@ -23,7 +23,10 @@
 func (b *Board) orgState(name string) *orgState {
 	o, ok := b.orgs[name]
 	if !ok {
-		o = &orgState{offered: newMeter(demandWindow), share: 1 / float64(b.routers)}
+		o = &orgState{
+			requests: newBucket(b.begun), tokens: newBucket(b.begun),
+			offered: newMeter(demandWindow), share: 1 / float64(b.routers),
+		}
 		b.orgs[name] = o
 	}
 	return o
--- a/route/limit_restart_test.go
+++ b/route/limit_restart_test.go
@@ -32,7 +32,7 @@
 
 // restart starts a router anew, which knows the others by its settings alone.
 func (w *limitLives) restart(i int) {
-	b := NewBoard(WithSeed(1))
+	b := NewBoard(WithSeed(1), WithRouters(limitRouters))
 	b.Adopt(w.now, testSetup{rate: limitRate}.snapshot(w.t))
 	w.boards[i] = b
 }
--- a/route/meter.go
+++ b/route/meter.go
@@ -60,6 +60,10 @@
 	at    time.Time
 }
 
+// newBucket returns a bucket that fills from a time on. A process that begins does not
+// know what the last one took, so a full bucket could be taken twice.
+func newBucket(begun time.Time) bucket { return bucket{at: begun} }
+
 // refill adds what came in since the last call, up to a burst of one second.
 func (b *bucket) refill(now time.Time, rate float64) {
 	burst := math.Max(rate, 1)
--- a/router/router.go
+++ b/router/router.go
@@ -186,8 +186,10 @@
 		seed = uint64(time.Now().UnixNano())
 	}
 	r.rng = rand.New(rand.NewPCG(seed, 2))
+	r.seedRouters = len(slices.DeleteFunc(slices.Clone(s.Seeds), func(a netip.AddrPort) bool { return a == s.Peers }))
 	board := route.NewBoard(
 		route.WithSeed(seed),
+		route.WithRouters(1+r.seedRouters),
 		route.WithPlacer(route.Placers()[s.Placement]),
 		route.WithNotes(r.events.Record),
 	)
@@ -196,7 +198,6 @@
 		dispatch.WithArriving(func() { r.applyServing() }),
 		dispatch.WithEnded(func(k route.OutcomeKind) { r.counters.attempt(k) }),
 	)
-	r.seedRouters = len(slices.DeleteFunc(slices.Clone(s.Seeds), func(a netip.AddrPort) bool { return a == s.Peers }))
 	r.adoption = fleet.NewAdoption(s.Validity, r.seedRouters == 0)
 	r.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: r.id, Addr: s.Peers, Seeds: s.Seeds, Timeout: s.PeerTimeout, Seed: seed,
