node: connections at the start are shared by the nodes that the settings name

Cause: a node that starts has heard of nobody, and took the whole of the connections that a target takes for its own until its second reading of the list; a herd of nodes that start did so at once. The board took the seeds into account, the connections did not.

TestConnsAtStart failed first: expected 30, got 90, with three seeds. Change: one count for both, fleetSize. Its figure is too small in a large fleet until a relay tells more.

--- a/node/list.go
+++ b/node/list.go
@@ -231,7 +231,7 @@
 	if snap == nil {
 		return
 	}
-	nodes, _ := n.relays.size()
+	nodes := n.fleetSize()
 	conns := make(map[netip.AddrPort]int, len(list))
 	for _, t := range list {
 		if p, ok := snap.Pool(t.Seen.Labels[LabelPool]); ok && p.MaxConns > 0 {
--- a/node/peers.go
+++ b/node/peers.go
@@ -80,7 +80,8 @@
 // tellBoard gives the board the states of the live peers: each one's own, or in a
 // large fleet the joined one that relays tell. Holds come from their holder alone.
 func (n *Node) tellBoard() {
-	nodes, large := n.relays.size()
+	_, large := n.relays.size()
+	nodes := n.fleetSize()
 	states := make(map[string]route.PeerState)
 	held := make(map[route.Mark]bool)
 	var loaded []route.WeightsWord
@@ -108,10 +109,17 @@
 			out = append(out, b.Loaded(now, w)...)
 		}
 		b.Hold(held)
-		return append(out, b.Peers(now, states, max(nodes, len(n.settings().Seeds)))...)
+		return append(out, b.Peers(now, states, nodes)...)
 	})
 }
 
+// fleetSize is how many nodes share what is bounded for all: those that are known, and
+// at least as many as the settings name, since a node that starts knows nobody yet.
+func (n *Node) fleetSize() int {
+	nodes, _ := n.relays.size()
+	return max(nodes, len(n.settings().Seeds))
+}
+
 // allOthers names the joined state of all other nodes among those of single ones.
 const allOthers = "all others"
 
