route: tests of the repeats' window against the time of day, which fail

The slots of the sliding window are numbered by the time of day. Where a clock is set forward, all slots are cleared: what was spent is forgotten, as by a restart. Set back, none is cleared until the old time comes again. A window whose length changes at a reload does the same.

TestWindowTimeOfDay: another start gives other counts (slots begin elsewhere) TestWindowLength: expected 5, got 0

--- a/route/retry_test.go
+++ b/route/retry_test.go
@@ -65,6 +65,39 @@
 	require.Zero(t, w.count(now.Add(time.Hour), 10*time.Second))
 }
 
+// What a window holds depends on the times between events alone: a clock that is set
+// to another time of day neither empties it nor stops it.
+func TestWindowTimeOfDay(t *testing.T) {
+	const over = 10 * time.Second
+	counts := func(start time.Time) (out []int) {
+		var w window
+		w.add(start, over)
+		w.add(start.Add(3*time.Second), over)
+		for after := 3 * time.Second; after < 15*time.Second; after += 100 * time.Millisecond {
+			out = append(out, w.count(start.Add(after), over))
+		}
+		return out
+	}
+	want := counts(time.Unix(1000, 0))
+	for _, start := range []time.Time{time.Unix(1000, 1), time.Unix(1000, 490e6), time.Unix(-2400, 130e6), time.Unix(1<<40, 7)} {
+		require.Equal(t, want, counts(start), "from %s", start.UTC())
+	}
+}
+
+// A window of another length keeps what was counted, until that length has passed.
+func TestWindowLength(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var w window
+	for range 5 {
+		w.add(now, 10*time.Second)
+	}
+	now = now.Add(time.Second)
+	for _, over := range []time.Duration{20 * time.Second, 5 * time.Second} {
+		require.Equal(t, 5, w.count(now, over))
+	}
+	require.Zero(t, w.count(now.Add(5*time.Second), 5*time.Second))
+}
+
 // Fewer routers count once no more were seen for a window, not before: those that are
 // gone may have spent their part in it.
 func TestCrowd(t *testing.T) {
