route: the repeats' window counts by the process's own clock

Cause: slots were numbered by the time of day, which is set forward and back on some machines. Forward, the window emptied and the reserve could be spent once more; back, it stood still, and what a long time had earned could be spent in one window.

Change: slots are numbered from the window's own beginning, by the difference of times, which does not follow the time of day. If the length changes at a reload, what was counted counts as new.

--- a/route/retry.go
+++ b/route/retry.go
@@ -104,13 +104,22 @@
 // window counts events over a sliding time.
 type window struct {
 	slots [windowSlots]int
-	// at is the number of the newest slot since the epoch of time.
+	// width is the length of one slot. Slots are numbered from begun, by the process's
+	// own clock: the time of day may be set forward or back.
+	width time.Duration
+	begun time.Time
+	// at is the number of the newest slot.
 	at int64
 }
 
 func (w *window) slide(now time.Time, over time.Duration) {
-	width := max(over, time.Second) / windowSlots
-	at := now.UnixNano() / int64(width)
+	if width := max(over, time.Second) / windowSlots; width != w.width {
+		// What was counted over another length counts as if it were new.
+		n := w.sum()
+		*w = window{width: width, begun: now}
+		w.slots[0] = n
+	}
+	at := int64(now.Sub(w.begun) / w.width)
 	for n := min(at-w.at, windowSlots); n > 0; n-- {
 		w.slots[(at-n+1)%windowSlots] = 0
 	}
@@ -124,6 +133,10 @@
 
 func (w *window) count(now time.Time, over time.Duration) int {
 	w.slide(now, over)
+	return w.sum()
+}
+
+func (w *window) sum() int {
 	n := 0
 	for _, s := range w.slots {
 		n += s
