peer: a test of a process that starts anew with its clock set back, which fails

The order of a process's lives in gossip goes by the time of day at their starts. One that starts after its clock was set back is not heard until its last life is forgotten, 20 times the silence after which a peer counts as lost: 50 s at a node.

TestGossipClockSetBack: expected 2, actual 1, the second exchange of a new life

--- a/peer/gossip_test.go
+++ b/peer/gossip_test.go
@@ -127,3 +127,37 @@
 	b.Placed(PlacedWord{From: "a", Epoch: 1, Placed: route.Placed{Load: route.Load{Target: x, InFlight: 7}}})
 	require.ElementsMatch(t, []route.Load{{Target: x, InFlight: 2, Prefill: 9000}, {Target: y, InFlight: 2}}, loads())
 }
+
+// TestGossipClockSetBack checks that a process which is started anew after its clock
+// was set back is heard at once: the order of its lives does not hang on its clock.
+func TestGossipClockSetBack(t *testing.T) {
+	g := startGossipers(t, "a", "b", "c")
+	a, b, c := g[0], g[1], g[2]
+	a.state = route.PeerState{Revision: 1}
+	a.exchangeWith(t.Context(), b, c)
+	b.exchangeWith(t.Context(), c)
+	// The new life has nothing of the old one but its name and address.
+	a.mu.Lock()
+	a.state = route.PeerState{Revision: 2}
+	a.mu.Unlock()
+	a.Gossip.mu.Lock()
+	a.view = fleet.NewView[Payload]("a", a.addr, 1, []netip.AddrPort{b.addr, c.addr}, time.Minute)
+	a.Gossip.mu.Unlock()
+	revision := func(of *gossiper) int64 {
+		for _, e := range of.Live() {
+			if e.ID == "a" {
+				return e.Payload.State.Revision
+			}
+		}
+		return 0
+	}
+	a.exchangeWith(t.Context(), b)
+	a.exchangeWith(t.Context(), b)
+	require.EqualValues(t, 2, revision(b), "the second exchange of a new life is heard")
+	// The one that still knows the old life does not bring it back.
+	c.exchangeWith(t.Context(), b)
+	require.EqualValues(t, 2, revision(b))
+	b.exchangeWith(t.Context(), c)
+	a.exchangeWith(t.Context(), c)
+	require.EqualValues(t, 2, revision(c))
+}
