peer: a new life of a process is told of a later one, and counts as later still

A machine whose time of day was set back, and whose process then starts anew, was no peer for 50 s: its marks, loads and word were not heard, it was not counted among the nodes that share a bound, and parts of the reserve were too large.

Ruled out: taking any life of a peer that has been silent (a third process that still knows the old one would bring it back, and two lives could replace each other by rumour for ever). The roster of large fleets needs nothing: what a process says of itself goes first there, and words of others last 2.5 s.

Change: who answers an exchange tells of the life that it takes for later; the process that hears that goes on with an epoch above it. One exchange is lost.

TestGossipClockSetBack: expected 2, actual 1 before; passes after, also where a third process still knows the old life.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -69,10 +69,15 @@
 	return append([]Entry[P]{v.self}, live[:min(len(live), relay)]...)
 }
 
-// Merge takes a message and returns the ids of peers that were not live before.
+// Merge takes a message and returns the ids of peers that were not live before. Where
+// another life of this process counts as later, the clock was set back before this one
+// began: from then on this one is the later.
 func (v *View[P]) Merge(now time.Time, entries []Entry[P]) (joined []string) {
 	for _, e := range entries {
 		if e.ID == v.self.ID {
+			if e.Epoch > v.self.Epoch {
+				v.self.Epoch = e.Epoch + 1
+			}
 			continue
 		}
 		k, ok := v.peers[e.ID]
@@ -94,6 +99,16 @@
 	}
 }
 
+// Later returns the name of a life of a peer that is known and that counts as later
+// than the one of an epoch, to be told to that one.
+func (v *View[P]) Later(id string, epoch int64) (e Entry[P], ok bool) {
+	k, ok := v.peers[id]
+	if !ok || k.entry.Epoch <= epoch {
+		return e, false
+	}
+	return Entry[P]{ID: id, Addr: k.entry.Addr, Epoch: k.entry.Epoch}, true
+}
+
 // Epoch is this process's own.
 func (v *View[P]) Epoch() int64 { return v.self.Epoch }
 
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -173,7 +173,23 @@
 func (g *Gossip) Exchange(in Exchange) Exchange {
 	g.take(in)
 	g.heard(time.Time{}, fleet.PeerWord{Revision: in.Word.Revision, ConfirmedAge: -1})
-	return g.half(in.From, g.relayed(in.Fresh))
+	out := g.half(in.From, g.relayed(in.Fresh))
+	if later, ok := g.later(in); ok {
+		out.Entries = append(out.Entries, later)
+	}
+	return out
+}
+
+// later returns the life of a peer that keeps its present one from being heard.
+func (g *Gossip) later(in Exchange) (Entry, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range in.Entries {
+		if e.ID == in.From {
+			return g.view.Later(e.ID, e.Epoch)
+		}
+	}
+	return Entry{}, false
 }
 
 // relayed is how many entries of others a peer gets that heard of the processes
