route: a test that nothing counts from the time a caller was told to come back

Sound: a router remembers no such time, works the next one out of what waits there now, and takes a caller that comes back early or late as any other, also after a restart.

--- /dev/null
+++ b/route/come_back_test.go
@@ -0,0 +1,47 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Nothing counts from the time to come back that a caller was told: a router that was
+// started anew works the next one out of what waits there now, and takes a caller that
+// comes back before or after it as any other.
+func TestComeBackOverRestart(t *testing.T) {
+	w := newWorld(t, 0, 1, testSetup{})
+	ask := func(b *Board, id string) []Action {
+		return b.Arrive(w.now, Request{
+			ID: id, Revision: b.Revision(), Org: "b", Pool: "s", Deadline: w.now.Add(time.Second),
+			QueueTime: 10 * time.Millisecond, Repeatable: true,
+		})
+	}
+	refusal := func(out []Action) Refusal {
+		require.Len(t, out, 1)
+		require.IsType(t, Refuse{}, out[0])
+		return out[0].(Refuse).Refusal
+	}
+	b := NewBoard()
+	first := refusal(ask(b, "r1"))
+	require.Equal(t, NotRun, first.Verdict)
+	require.Equal(t, defaultMinRetryAfter, first.RetryAfter)
+	for name, after := range map[string]time.Duration{"at once": 0, "when told": first.RetryAfter, "much later": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			w.now = w.now.Add(after)
+			b := restarted(t, w)
+			require.Empty(t, ask(b, "r2"), "it waits for a target")
+			w.now = w.now.Add(20 * time.Millisecond)
+			next := refusal(b.Tick(w.now))
+			require.Equal(t, NotRun, next.Verdict)
+			require.Equal(t, defaultMinRetryAfter, next.RetryAfter, "no more than what waits there now")
+			f := w.targets[0]
+			b.Targets(w.now, seenOf(false, f))
+			b.Report(w.now, f.addr, f.report())
+			out := ask(b, "r3")
+			require.Len(t, out, 1)
+			require.IsType(t, Send{}, out[0])
+		})
+	}
+}
