--- a/route/board.go
+++ b/route/board.go
@@ -44,10 +44,14 @@
 	// moves bounds what moves over a store's link, in tokens.
 	moves   bucket
 	routers int
-	// begun is when the first configuration was adopted, rounding the part of one
-	// retry that this router's part of the reserve is rounded up by.
-	begun     time.Time
-	rounding  float64
+	// begun is when the first configuration was adopted.
+	begun time.Time
+	// crowd is how many routers may have spent retries lately, rounding the part of
+	// one retry that this router's part of the reserve is rounded up by.
+	crowd    crowd
+	rounding float64
+	// alone says that the settings name no other router.
+	alone     bool
 	peers     map[string]PeerState
 	closed    *Refusal
 	round     uint64
@@ -114,6 +118,12 @@
 	return func(b *Board) { b.zone = zone }
 }
 
+// WithRouters sets how many routers there are as far as the settings tell, which holds
+// until peers are heard of.
+func WithRouters(n int) Option {
+	return func(b *Board) { b.routers = max(1, n) }
+}
+
 // WithOwnRoom sets the prefill that this router may have waiting at one engine,
 // where callers are spread too unevenly over routers for an even part to do.
 func WithOwnRoom(d time.Duration) Option {
@@ -157,6 +167,7 @@
 		firstParts:  newGenerations[Block, meter](homeKept),
 		kept:        newGenerations[Block, keptPrefix](keptEntries),
 		routers:     1,
+		crowd:       crowd{most: 1},
 		peers:       make(map[string]PeerState),
 		serving:     make(map[serversKey]*serversList),
 		named:       make(map[string]spans),
@@ -169,6 +180,7 @@
 		opt(b)
 	}
 	b.rounding = b.rng.Float64()
+	b.alone = b.routers == 1
 	return b
 }
 
@@ -199,7 +211,7 @@
 	for _, cp := range b.snap.Pools() {
 		p, ok := b.pools[cp.Name]
 		if !ok {
-			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget()}
+			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget(now)}
 			p.drained.at, p.offered.at = now, now
 			b.pools[cp.Name] = p
 		}
--- a/route/limit.go
+++ b/route/limit.go
@@ -23,7 +23,10 @@
 func (b *Board) orgState(name string) *orgState {
 	o, ok := b.orgs[name]
 	if !ok {
-		o = &orgState{offered: newMeter(demandWindow), share: 1 / float64(b.routers)}
+		o = &orgState{
+			requests: newBucket(b.begun), tokens: newBucket(b.begun),
+			offered: newMeter(demandWindow), share: 1 / float64(b.routers),
+		}
 		b.orgs[name] = o
 	}
 	return o
@@ -245,6 +248,9 @@
 // there are, this one included and those not heard of too.
 func (b *Board) Peers(now time.Time, states map[string]PeerState, routers int) []Action {
 	b.routers = max(1, routers, len(states)+1)
+	if b.snap != nil {
+		b.crowd.see(now, b.routers, time.Duration(b.snap.Config.Requests.RetryWindow))
+	}
 	for id, s := range states {
 		b.peers[id] = s
 	}
