route: a router that starts has an eighth of an organisation's burst

Cause: the mend before had buckets empty at a start. TestPlannedStopCutsNothing (real processes) failed by it: eight requests at once, 25 ms after a router adopted its configuration, and two were refused, "limit on requests per second", far below a limit of 400 a second.

Ruled out: a sixteenth, which a limit of 150 over two routers would feel with the same eight requests (worked out, not run).

Change: a bucket begins with an eighth of a burst, so that eight starts of all routers in one window have one burst together.

--- a/route/meter.go
+++ b/route/meter.go
@@ -58,15 +58,25 @@
 type bucket struct {
 	level float64
 	at    time.Time
+	// begins says that nothing was taken yet since the process began.
+	begins bool
 }
 
-// newBucket returns a bucket that fills from a time on. A process that begins does not
-// know what the last one took, so a full bucket could be taken twice.
-func newBucket(begun time.Time) bucket { return bucket{at: begun} }
+// newBucket returns a bucket of a process that began at a time, which does not know
+// what the last one took: it holds startBurst of a burst then, and fills from there.
+func newBucket(begun time.Time) bucket { return bucket{at: begun, begins: true} }
+
+// startBurst is the part of a burst that a process has when it begins. Eight starts
+// of all routers have one burst together. With none, two of eight requests that came
+// at once after a start were refused, far below a limit of 400 a second.
+const startBurst = 1.0 / 8
 
 // refill adds what came in since the last call, up to a burst of one second.
 func (b *bucket) refill(now time.Time, rate float64) {
 	burst := math.Max(rate, 1)
+	if b.begins {
+		b.level, b.begins = startBurst*burst, false
+	}
 	if b.at.IsZero() {
 		b.level = burst
 	} else if d := now.Sub(b.at); d > 0 {
