fleet: targets that do not answer an order serve on, and others go

A target whose order got no answer kept one of the two places, and got no work, until 6 s were over; so nine in ten late orders brought about half of the targets to new weights in time. Each round also waited for its orders and reads, up to 0.8 s where a target was dark.

Ruled out: that orders under way make a second one unsafe. All are conditional on the same order count, so at most one takes effect.

The change, in the roll: - An order keeps its place, and its target its hold, for 100 ms. Without an answer the target serves on, is read every 120 ms, and is ordered again under the same count 0.5 s later, to the weights that are newest then. - What is known to load, by answer, report or count, takes a place, whoever ordered it. Whoever was chosen and finds the places full waits. - The holder reads all old targets first, so a new one sees running loads. - A target that can't be read is not ordered and takes a place; at least half of the places stay to the others. - Six seconds (GiveUp) bound a load alone. Changes are kept by model, since a target with two models ended the change of one by the weights of the other. They are worked on in one order, so that a replay repeats. In the duty: orders and reads do not keep a round waiting, one read of a target at a time; a read that fails ends what was known of the target.

--- a/fleet/roll_test.go
+++ b/fleet/roll_test.go
@@ -71,3 +71,129 @@
 		require.Len(t, r.Next(time.Unix(100, 0), map[string]string{"m": "2"}, targets, shorter).Holds, want)
 	}
 }
+
+// rollAt returns rounds of a roll to weights "2", or those given, so long after its start.
+func rollAt(r *Roll) func(after time.Duration, targets []RollTarget, weights ...string) RollSteps {
+	return func(after time.Duration, targets []RollTarget, weights ...string) RollSteps {
+		named := append(weights, "2")[0]
+		return r.Next(time.Unix(100, 0).Add(after), map[string]string{"m": named}, targets, shorter)
+	}
+}
+
+// A target that did not answer its order serves on, is read, and makes room for
+// others; it is ordered again under the same count, to the weights that are the newest then.
+func TestRollUnanswered(t *testing.T) {
+	s := DefaultRollSettings()
+	next := rollAt(NewRoll(s))
+	targets := []RollTarget{rollTarget(1, "1", 0), rollTarget(2, "1", 0), rollTarget(3, "1", 0)}
+	next(0, targets)
+	sent := next(s.HoldTime, targets)
+	require.Len(t, sent.Orders, 2)
+	require.Len(t, sent.Holds, 2)
+	at := s.HoldTime + s.AnswerTime
+	steps := next(at, targets)
+	require.Len(t, steps.Holds, 1)
+	require.Equal(t, targets[2].Addr, steps.Holds[0].Addr, "the third has its turn")
+	require.Len(t, steps.Looks, 2)
+	at += s.HoldTime
+	require.Len(t, next(at, targets).Orders, 1)
+	at = s.HoldTime + s.OrderEvery
+	steps = next(at, targets, "3")
+	require.Len(t, steps.Orders, 2)
+	for _, o := range steps.Orders {
+		require.Contains(t, []RollTarget{targets[0], targets[1]}, o.Target)
+		require.Equal(t, "3", o.Weights)
+		require.EqualValues(t, 0, o.Target.Orders)
+	}
+}
+
+// Loads that run count, whoever ordered them: a new holder orders none beside them.
+func TestRollCountsLoads(t *testing.T) {
+	s := DefaultRollSettings()
+	next := rollAt(NewRoll(s))
+	targets := []RollTarget{rollTarget(1, "1", 0), rollTarget(2, "1", 0), rollTarget(3, "1", 0)}
+	targets[0].Busy, targets[1].Busy = true, true
+	require.Len(t, next(0, targets).Holds, 2)
+	steps := next(s.HoldTime, targets)
+	require.Empty(t, steps.Orders)
+	require.Len(t, steps.Holds, 2)
+	targets[0].Weights, targets[0].Busy = "2", false
+	require.Len(t, next(time.Second, targets).Holds, 2)
+	require.Len(t, next(time.Second+s.HoldTime, targets).Orders, 1)
+}
+
+// A target that was about to be ordered waits when late orders fill the places.
+func TestRollLateFillsPlaces(t *testing.T) {
+	s := DefaultRollSettings()
+	next := rollAt(NewRoll(s))
+	targets := []RollTarget{rollTarget(1, "1", 0), rollTarget(2, "1", 0), rollTarget(3, "1", 0), rollTarget(4, "1", 0)}
+	require.Len(t, next(0, targets).Holds, 2)
+	targets[2].Busy, targets[3].Busy = true, true
+	steps := next(s.HoldTime, targets)
+	require.Empty(t, steps.Orders)
+	require.Len(t, steps.Holds, 2)
+}
+
+// A target that loads for ever does not keep the others waiting, and is not ordered again.
+func TestRollGivesUp(t *testing.T) {
+	s := DefaultRollSettings()
+	s.AtOnce, s.AtOncePart = 1, 0
+	next := rollAt(NewRoll(s))
+	targets := []RollTarget{rollTarget(1, "1", 0), rollTarget(2, "1", 0)}
+	targets[0].Busy = true
+	require.Equal(t, targets[0].Addr, next(0, targets).Holds[0].Addr)
+	steps := next(s.GiveUp+time.Millisecond, targets)
+	require.Len(t, steps.Holds, 1)
+	require.Equal(t, targets[1].Addr, steps.Holds[0].Addr)
+	steps = next(s.GiveUp+time.Millisecond+s.HoldTime, targets)
+	require.Len(t, steps.Orders, 1)
+	require.Equal(t, targets[1].Addr, steps.Orders[0].Target.Addr)
+}
+
+// Targets that can't be read are not ordered. They serve nothing either, so fewer
+// change beside them, but never less than half.
+func TestRollSilent(t *testing.T) {
+	s := DefaultRollSettings()
+	for silent, want := range map[int]int{0: 4, 1: 3, 2: 2, 5: 2} {
+		next := rollAt(NewRoll(s))
+		var targets []RollTarget
+		for i := range 20 {
+			target := rollTarget(byte(i), "1", 0)
+			target.Orders = OrdersUnknown
+			targets = append(targets, target)
+		}
+		require.Len(t, next(0, targets).Looks, 20)
+		for i := range targets[silent:] {
+			targets[silent+i].Orders = 0
+		}
+		at := s.AnswerTime + time.Millisecond
+		require.Len(t, next(at, targets).Holds, want, "%d silent", silent)
+		at += s.HoldTime
+		for _, o := range next(at, targets).Orders {
+			require.NotEqualValues(t, OrdersUnknown, o.Target.Orders)
+		}
+	}
+	// One that falls silent after it was chosen is not ordered without its count.
+	next := rollAt(NewRoll(s))
+	target := rollTarget(1, "1", 0)
+	require.Len(t, next(0, []RollTarget{target}).Holds, 1)
+	target.Orders = OrdersUnknown
+	require.Empty(t, next(s.HoldTime, []RollTarget{target}).Orders)
+}
+
+// A target that serves two models is brought to the newest weights of the one that
+// is old, whatever the other's are.
+func TestRollTwoModels(t *testing.T) {
+	s := DefaultRollSettings()
+	r := NewRoll(s)
+	old, other := rollTarget(1, "1", 0), rollTarget(1, "7", 0)
+	other.Model = "n"
+	for _, targets := range [][]RollTarget{{old, other}, {other, old}} {
+		r.Reset()
+		named := map[string]string{"m": "2", "n": "7"}
+		require.Len(t, r.Next(time.Unix(100, 0), named, targets, shorter).Holds, 1)
+		steps := r.Next(time.Unix(100, 0).Add(s.HoldTime), named, targets, shorter)
+		require.Len(t, steps.Orders, 1)
+		require.Equal(t, "m", steps.Orders[0].Target.Model)
+	}
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -37,14 +37,18 @@
 type duty struct {
 	n    *Node
 	wake chan struct{}
+	// calls are the orders and looks under way.
+	calls sync.WaitGroup
 
 	// mu guards the fields below; it is taken inside the node's lock, never around it.
 	mu     sync.Mutex
 	lease  *fleet.Lease
 	roll   *fleet.Roll
 	states map[route.Mark]TargetState
-	holds  []route.Mark
-	loaded []loadedWord
+	// looking are the targets that are being read.
+	looking map[route.Mark]bool
+	holds   []route.Mark
+	loaded  []loadedWord
 	// workSince is when work was first seen that nobody has done.
 	workSince time.Time
 	// awaited is true once it was logged that another holds the lease.
@@ -64,9 +68,10 @@
 		n:    n,
 		wake: make(chan struct{}, 1),
 		// The next holder waits for longer than the bound between two holders' orders.
-		lease:  fleet.NewLease(leaseName, n.settings().Name+"@"+n.settings().Peers.Addr().String(), leaseTime, n.settings().Bounds.Lease+orderMargin),
-		roll:   fleet.NewRoll(n.rollSettings()),
-		states: make(map[route.Mark]TargetState),
+		lease:   fleet.NewLease(leaseName, n.settings().Name+"@"+n.settings().Peers.Addr().String(), leaseTime, n.settings().Bounds.Lease+orderMargin),
+		roll:    fleet.NewRoll(n.rollSettings()),
+		states:  make(map[route.Mark]TargetState),
+		looking: make(map[route.Mark]bool),
 	}
 }
 
@@ -102,6 +107,7 @@
 
 // loop does the duty while there is work and this node holds the lease.
 func (d *duty) loop(ctx context.Context) {
+	defer d.calls.Wait()
 	for ctx.Err() == nil {
 		wait := idleEvery
 		named, targets := d.work()
@@ -159,7 +165,7 @@
 				rt.Load = b.InFlight(t.Seen.Addr)
 			}
 			if asked {
-				rt.Orders = state.Orders
+				rt.Orders, rt.Busy = state.Orders, state.Busy
 				if route.OlderWeights(rt.Weights, state.Weights[model]) {
 					rt.Weights = state.Weights[model]
 				}
@@ -310,14 +316,13 @@
 		d.n.tellBoard()
 		d.n.tellEveryone(ctx)
 	}
-	var calls sync.WaitGroup
+	// A target that does not answer keeps neither the others nor the lease waiting.
 	for _, o := range steps.Orders {
-		calls.Go(func() { d.order(ctx, o) })
+		d.calls.Go(func() { d.order(ctx, o) })
 	}
 	for _, t := range steps.Looks {
-		calls.Go(func() { d.look(ctx, t) })
+		d.calls.Go(func() { d.look(ctx, t) })
 	}
-	calls.Wait()
 }
 
 // setHolds takes the targets that get no new work and reports whether they changed.
@@ -360,19 +365,44 @@
 		d.look(ctx, o.Target)
 		return
 	}
+	if answer == OrderTaken {
+		d.mu.Lock()
+		if state, ok := d.states[mark]; ok {
+			state.Busy = true
+			d.states[mark] = state
+		}
+		d.mu.Unlock()
+	}
 	d.n.counters.orders.Inc()
 	d.n.events.Record(event.Event{Code: event.OrderSent, Target: o.Target.Addr.String(), Detail: detail + ": " + answer.String()})
 }
 
 // look reads a target back and tells everyone of new weights.
 func (d *duty) look(ctx context.Context, t fleet.RollTarget) {
+	mark := route.Mark{Target: t.Addr, Incarnation: t.Incarnation}
+	d.mu.Lock()
+	under := d.looking[mark]
+	d.looking[mark] = true
+	d.mu.Unlock()
+	if under {
+		return
+	}
 	state, err := d.n.engines.State(ctx, t.Addr)
+	d.mu.Lock()
+	delete(d.looking, mark)
+	if err != nil {
+		// What it said before need not hold any more.
+		delete(d.states, mark)
+	}
+	d.mu.Unlock()
 	if err != nil {
 		d.n.log.Debug("a target was not read back", "target", t.Addr, "error", err)
 		return
 	}
-	mark := route.Mark{Target: t.Addr, Incarnation: t.Incarnation}
 	d.mu.Lock()
+	if _, asked := d.states[mark]; !asked {
+		d.poke()
+	}
 	d.states[mark] = state
 	loaded := !state.Busy && route.OlderWeights(t.Weights, state.Weights[t.Model])
 	if loaded {
