--- a/node/duty.go
+++ b/node/duty.go
@@ -109,8 +109,10 @@
 // there is work and this node holds the lease.
 func (d *duty) loop(ctx context.Context) {
 	defer d.calls.Wait()
-	for !d.read(ctx) {
-		if !pause(ctx, d.n.jitter(recordRetry)) {
+	var retry backoff
+	// A relay tells what the record says, and more.
+	for !d.n.relays.follows() && !d.read(ctx) {
+		if !pause(ctx, d.n.jitter(retry.failed())) {
 			return
 		}
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -99,6 +99,7 @@
 		Repeatable:     !rt.Once,
 		Resumable:      rt.Resumable && !n.off.Has(route.Resuming),
 		ResumeAnywhere: true,
+		Streams:        rt.Streams,
 		MaxTries:       rt.Attempts,
 		MaxTokens:      v.ask.MaxTokens,
 		Bytes:          headBytes + len(v.body) + eventBytes*v.ask.MaxTokens,
--- a/node/newest.go
+++ b/node/newest.go
@@ -13,18 +13,17 @@
 // the store. All join on the board, so that a process that starts, joins or was held up
 // counts no naming's age anew.
 
-// watchLag is how long after a change the store may answer a watch that it holds: 4 ms,
-// and some 60 times that in trouble.
-const watchLag = 300 * time.Millisecond
-
 // answered returns between which moments the store gave an answer to a call that began
-// at begun and was heard of at heard. Without the store's clock no more is known: this
-// process, or what it was told on, may have been held up on the way.
+// at begun and was heard of at heard. Without the store's clock, or with another one, no
+// more is known: this process, or what it was told on, may have been held up on the way.
 func answered(c StoreClock, at time.Duration, begun, heard time.Time) (from, by time.Time) {
 	if !c.Known() || at == 0 {
 		return begun, heard
 	}
 	from, by = c.ToHere(at)
+	if by.Before(begun) || from.After(heard) {
+		return begun, heard
+	}
 	if from.Before(begun) {
 		from = begun
 	}
@@ -34,33 +33,66 @@
 	return from, by
 }
 
+// seenNaming is a naming that an answer to a watch told of, and the last moment at which
+// the store is known not to have had it; zero if none is known.
+type seenNaming struct {
+	Naming
+	notBefore time.Time
+}
+
 // watchSays returns what an answer to a watch, given between from and by, says of the
-// newest weights of models, of which before were known as the newest. A call that was
-// held was answered soon after the change.
-func watchSays(before map[string]string, named []Naming, from, by time.Time, held bool) []route.NewestSpan {
-	changed := make(map[string]bool, len(named))
+// newest weights of models, of which before were the newest known when the watch began.
+func watchSays(before map[string]string, named []seenNaming, from, by time.Time) []route.NewestSpan {
+	newest := make(map[string]seenNaming, len(named))
+	for _, name := range named {
+		if route.OlderWeights(newest[name.Model].Weights, name.Weights) {
+			newest[name.Model] = name
+		}
+	}
 	var out []route.NewestSpan
 	for _, name := range named {
-		changed[name.Model] = true
-		out = append(out, route.NewestAt(from, by, name.Model, name.Weights))
+		if name.Weights == newest[name.Model].Weights {
+			out = append(out, route.NewestAt(from, by, name.Model, name.Weights))
+			continue
+		}
+		// It was replaced again before the answer, nobody knows when.
+		out = append(out, route.NewestSpan{Model: name.Model, Weights: name.Weights, First: by})
 	}
 	for model, weights := range before {
-		switch was := from.Add(-watchLag); {
-		case !changed[model]:
+		name, changed := newest[model]
+		switch {
+		case !changed:
 			out = append(out, route.NewestAt(from, by, model, weights))
-		case held:
-			out = append(out, route.NewestAt(was, was, model, weights))
+		case !name.notBefore.IsZero() && route.OlderWeights(weights, name.Weights) && route.Following(weights, name.Weights):
+			// None can have been named between the two.
+			out = append(out, route.NewestAt(name.notBefore, by, model, weights))
 		}
 	}
 	return out
 }
 
 // watched takes what the answer to a watch that began at begun says of the newest
-// weights of models; whole says that it read the declaration anew.
-func (n *Node) watched(begun time.Time, whole bool, c Changes) {
-	from, by := answered(n.store.Clock(), c.At, begun, time.Now())
-	held := !whole && from.Sub(begun) > watchLag
-	n.takeNewest(watchSays(n.newestWeights(), c.Named, from, by, held), "the store")
+// weights of models, of which before were known then; whole says that it read the
+// declaration anew, in which a model without weights has none named.
+func (n *Node) watched(begun time.Time, before map[string]string, whole bool, c Changes) {
+	clock := n.store.Clock()
+	from, by := answered(clock, c.At, begun, time.Now())
+	if whole {
+		for model := range n.newestWeights() {
+			if _, ok := before[model]; !ok {
+				before[model] = ""
+			}
+		}
+	}
+	named := make([]seenNaming, 0, len(c.Named))
+	for _, name := range c.Named {
+		seen := seenNaming{Naming: name}
+		if at, ok := n.store.LastBefore(name.Revision); ok && clock.Known() {
+			seen.notBefore, _ = clock.ToHere(at)
+		}
+		named = append(named, seen)
+	}
+	n.takeNewest(watchSays(before, named, from, by), "the store")
 }
 
 // newestWeights returns the newest weights known of each model that is configured, empty
@@ -69,11 +101,11 @@
 	n.Lock()
 	defer n.Unlock()
 	b := n.Board()
+	out := make(map[string]string)
 	snap := b.Snapshot()
 	if snap == nil {
-		return nil
+		return out
 	}
-	out := make(map[string]string)
 	for _, m := range snap.Config.Models {
 		out[m.Name] = b.NewestWeights(m.Name)
 	}
--- a/node/newest_test.go
+++ b/node/newest_test.go
@@ -51,7 +51,7 @@
 		if known {
 			span.Last = span.First.Add(drawTime(rt, "last", time.Minute))
 		}
-		got, err := decodeRecord(reader, encodeRecord(writer, []route.NewestSpan{span}))
+		got, err := decodeRecord(reader, now.Add(offset+time.Hour), encodeRecord(writer, []route.NewestSpan{span}))
 		require.NoError(rt, err)
 		require.Len(rt, got, 1)
 		require.False(rt, got[0].First.Before(span.First.Add(offset)), "the later bound comes no earlier")
@@ -101,26 +101,100 @@
 	require.Equal(t, []time.Time{begun, heard}, []time.Time{from, by})
 }
 
-// What a watch does not name is still the newest; what it replaced was so until shortly
-// before an answer that was held.
+// What a watch does not name is still the newest; what it replaced was so until the last
+// answer before the naming, where none can have been named in between.
 func TestWatchSays(t *testing.T) {
-	at := time.Now()
+	at, last := time.Now(), time.Now().Add(-time.Second)
 	before := map[string]string{"a": "2", "b": ""}
-	still := route.NewestAt(at, at, "b", "")
-	named := route.NewestAt(at, at, "a", "3")
-	was := route.NewestAt(at.Add(-watchLag), at.Add(-watchLag), "a", "2")
+	still := []route.NewestSpan{route.NewestAt(at, at, "a", "2"), route.NewestAt(at, at, "b", "")}
+	naming := func(model, weights string, notBefore time.Time) seenNaming {
+		return seenNaming{Naming: Naming{Model: model, Weights: weights}, notBefore: notBefore}
+	}
 	for name, c := range map[string]struct {
-		named []Naming
-		held  bool
+		named []seenNaming
 		want  []route.NewestSpan
 	}{
-		"no change":          {held: true, want: []route.NewestSpan{route.NewestAt(at, at, "a", "2"), still}},
-		"a change":           {named: []Naming{{"a", "3"}}, held: true, want: []route.NewestSpan{named, was, still}},
-		"a change some time": {named: []Naming{{"a", "3"}}, want: []route.NewestSpan{named, still}},
-		"a new model":        {named: []Naming{{"c", "1"}}, want: []route.NewestSpan{route.NewestAt(at, at, "a", "2"), still, route.NewestAt(at, at, "c", "1")}},
+		"no change": {want: still},
+		"a change after an answer without it": {
+			named: []seenNaming{naming("a", "3", last)},
+			want:  []route.NewestSpan{route.NewestAt(at, at, "a", "3"), route.NewestAt(last, at, "a", "2"), still[1]},
+		},
+		"a change of which no answer says when": {
+			named: []seenNaming{naming("a", "3", time.Time{})},
+			want:  []route.NewestSpan{route.NewestAt(at, at, "a", "3"), still[1]},
+		},
+		"a change that passes weights over": {
+			named: []seenNaming{naming("a", "4", last)},
+			want:  []route.NewestSpan{route.NewestAt(at, at, "a", "4"), still[1]},
+		},
+		"the first weights named are the second": {
+			named: []seenNaming{naming("b", "2", last)},
+			want:  []route.NewestSpan{route.NewestAt(at, at, "b", "2"), route.NewestAt(last, at, "b", ""), still[0]},
+		},
+		"an answer that is older than what a peer told": {
+			named: []seenNaming{naming("a", "1", last)},
+			want:  []route.NewestSpan{route.NewestAt(at, at, "a", "1"), still[1]},
+		},
+		"a new model": {
+			named: []seenNaming{naming("c", "1", time.Time{})},
+			want:  append([]route.NewestSpan{route.NewestAt(at, at, "c", "1")}, still...),
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			require.ElementsMatch(t, c.want, watchSays(before, c.named, at, at, c.held))
+			require.ElementsMatch(t, c.want, watchSays(before, c.named, at, at))
 		})
 	}
 }
+
+// An answer after a gap may have several changes of one row, in order. That weights were
+// named and replaced again somewhen in the gap does not say that they were the newest
+// when it was answered.
+func TestWatchSaysSeveralOfOneModel(t *testing.T) {
+	at := time.Now()
+	before := map[string]string{"m": "1"}
+	said := watchSays(before, []seenNaming{{Naming: Naming{Model: "m", Weights: "2"}}, {Naming: Naming{Model: "m", Weights: "3"}}}, at, at)
+	for _, s := range said {
+		if s.Weights == "2" {
+			require.True(t, s.Last.IsZero(), "weights 2 were replaced at a time in the gap, not at the answer")
+		}
+	}
+}
+
+// A moment that the store's clock has not reached yet is of another clock: nothing that
+// was recorded can lie in the future.
+func TestRecordOfAnotherClock(t *testing.T) {
+	now := time.Now()
+	old := StoreClock{At: time.Hour, Begun: now, Heard: now}
+	note := encodeRecord(old, []route.NewestSpan{{Model: "m", Weights: "1", First: now.Add(-time.Minute), Last: now}})
+	anew := StoreClock{At: 5 * time.Second, Begun: now.Add(time.Second), Heard: now.Add(time.Second)}
+	got, err := decodeRecord(anew, anew.Heard, note)
+	require.NoError(t, err)
+	for _, s := range got {
+		require.False(t, s.Last.After(anew.Heard), "weights were the newest %s from now", s.Last.Sub(anew.Heard))
+	}
+}
+
+// The same for an answer of a clock that another answer has replaced meanwhile.
+func TestAnsweredByAnotherClock(t *testing.T) {
+	now := time.Now()
+	anew := StoreClock{At: 5 * time.Second, Begun: now, Heard: now.Add(4 * time.Millisecond)}
+	begun, heard := now.Add(-time.Second), now.Add(5*time.Millisecond)
+	from, by := answered(anew, time.Hour, begun, heard)
+	require.False(t, from.After(heard), "an answer that was heard is given %s later", from.Sub(heard))
+	require.False(t, by.Before(from))
+}
+
+// A request is withdrawn only after it is no longer sent, and before it would begin too late.
+func TestStalenessOfSettings(t *testing.T) {
+	now := time.Now()
+	set := Settings{Heartbeat: time.Second, Bounds: Bounds{Weights: 10 * time.Second, Contact: 3 * time.Second, Drain: 2 * time.Second}}
+	s := stalenessOf(set, now)
+	require.Less(t, s.Grace, s.Limit)
+	require.Less(t, s.Limit, s.BeginLimit)
+	require.Less(t, s.BeginLimit, set.Bounds.Weights)
+	require.True(t, s.UnknownUntil.After(now))
+	require.True(t, s.UnknownUntil.Before(now.Add(set.Bounds.Contact)))
+	require.Greater(t, s.GuessTime, set.Heartbeat, "a target's entry is as old as that")
+	set.Bounds.Contact = 0
+	require.Equal(t, now, stalenessOf(set, now).UnknownUntil)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -152,12 +152,7 @@
 		route.WithReusedAddresses(),
 		route.WithoutMechanisms(n.off),
 		route.WithPlaced(n.tellPlaced),
-		route.WithNumberedWeights(route.Staleness{
-			Grace: staleGrace, Price: stalePrice, Limit: part(s.Bounds.Weights, weightsPart),
-			BeginLimit:   part(s.Bounds.Weights, beginPart),
-			UnknownUntil: time.Now().Add(part(s.Bounds.Contact, weightsPart)),
-			GuessTime:    2*s.Heartbeat + part(s.Bounds.Drain, listPart),
-		}),
+		route.WithNumberedWeights(stalenessOf(s, time.Now())),
 	)
 	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt))
 	n.gossip = peer.NewGossip(peer.GossipConfig{
@@ -173,6 +168,18 @@
 	return n, nil
 }
 
+// stalenessOf returns how weights are told apart by age in a process that starts now.
+func stalenessOf(s Settings, now time.Time) route.Staleness {
+	return route.Staleness{
+		Grace: staleGrace, Price: stalePrice,
+		Limit:        part(s.Bounds.Weights, weightsPart),
+		BeginLimit:   part(s.Bounds.Weights, beginPart),
+		UnknownUntil: now.Add(part(s.Bounds.Contact, weightsPart)),
+		// A target's entry is up to a heartbeat old, and read after up to another pause.
+		GuessTime: 2*s.Heartbeat + part(s.Bounds.Drain, listPart),
+	}
+}
+
 // settings returns the settings in effect.
 func (n *Node) settings() *Settings { return n.set.Load() }
 
--- a/node/ports.go
+++ b/node/ports.go
@@ -95,6 +95,8 @@
 type Naming struct {
 	Model   string
 	Weights string
+	// Revision is the store's counter at the naming.
+	Revision int64
 }
 
 // Changes is what a watch of the declaration brought.
@@ -125,6 +127,9 @@
 	Targets(ctx context.Context) ([]route.Entry, error)
 	// Clock tells what the store's answers said of its clock.
 	Clock() StoreClock
+	// LastBefore returns what the store's clock showed at the last answer heard of that
+	// it gave before its counter came to a revision.
+	LastBefore(revision int64) (at time.Duration, ok bool)
 }
 
 // TargetState is what a target says of itself when it is asked.
--- a/node/record.go
+++ b/node/record.go
@@ -48,14 +48,23 @@
 	return data
 }
 
-func decodeRecord(c StoreClock, data json.RawMessage) ([]route.NewestSpan, error) {
+// decodeRecord returns what was recorded, on this process's clock. What would lie after
+// now was recorded by another clock of the store.
+func decodeRecord(c StoreClock, now time.Time, data json.RawMessage) ([]route.NewestSpan, error) {
 	var record []recordedSpan
 	if err := json.Unmarshal(data, &record); err != nil {
 		return nil, errs.Errorf("the lease's record of weights: %w", err)
 	}
 	spans := make([]route.NewestSpan, 0, len(record))
 	for _, r := range record {
-		spans = append(spans, r.span(c))
+		s := r.span(c)
+		if s.Last.After(now) {
+			s.Last = time.Time{}
+		}
+		if s.First.After(now) {
+			s.First = now
+		}
+		spans = append(spans, s)
 	}
 	return spans, nil
 }
@@ -87,14 +96,10 @@
 	if len(note) == 0 || !c.Known() {
 		return
 	}
-	spans, err := decodeRecord(c, note)
+	spans, err := decodeRecord(c, time.Now(), note)
 	if err != nil {
 		d.n.events.Record(event.Event{Code: event.ConfigRejected, Detail: err.Error()})
 		return
 	}
 	d.n.takeNewest(spans, "the lease's record")
 }
-
-// recordRetry is the pause after a failed read of the record, a tenth of the time for
-// which a process that starts may use weights of unknown age.
-const recordRetry = 300 * time.Millisecond
--- a/node/watch.go
+++ b/node/watch.go
@@ -41,6 +41,7 @@
 			continue
 		}
 		hold := n.watchTime()
+		before := n.newestWeights()
 		begun := time.Now()
 		changes, err := n.store.Watch(ctx, cursor, hold)
 		switch {
@@ -60,7 +61,8 @@
 		}
 		retry.ok()
 		n.storeState(nil)
-		n.take(begun, cursor == 0, changes)
+		n.take(begun, changes)
+		n.watched(begun, before, cursor == 0, changes)
 		if cursor == changes.Cursor && time.Since(begun) < hold/2 {
 			// The store did not hold the call; without a pause it would be asked without end.
 			pause(ctx, n.jitter(hold/2))
@@ -81,9 +83,8 @@
 	return part(n.settings().Bounds.Revoke, watchPart)
 }
 
-// take puts in force what a watch brought that began at begun; whole says that it read
-// the declaration anew.
-func (n *Node) take(begun time.Time, whole bool, c Changes) {
+// take puts the configuration in force that a watch brought, which began at begun.
+func (n *Node) take(begun time.Time, c Changes) {
 	if c.Rejected != nil {
 		n.events.Record(event.Event{Code: event.ConfigRejected, Detail: c.Rejected.Error()})
 	}
@@ -96,7 +97,6 @@
 		n.adoption.Confirm(begun, n.adoption.Revision())
 	}
 	n.Unlock()
-	n.watched(begun, whole, c)
 }
 
 // adopt serves under a configuration if it is newer than the present one and compiles.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -366,6 +366,9 @@
 	if o.Kind == OutcomeRefused && o.Incarnation == a.Incarnation && a.Salt != "" {
 		b.misjudged(now, a)
 	}
+	if a.withdrawn {
+		return
+	}
 	a.target.misses.add(now, 1)
 	if r, ok := b.requests[o.Request]; ok && a.Salt != "" {
 		b.beliefs.unlearn(r.chain(a.Weights), a.target.slot)
--- a/route/newest.go
+++ b/route/newest.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -78,6 +79,17 @@
 // OlderWeights reports whether the numbered weights a came before b.
 func OlderWeights(a, b string) bool { return compareWeights(a, b) < 0 }
 
+// Following reports whether no weights can have been named between two: they are counted
+// from 1 on, and those that targets have before any are named are the first.
+func Following(before, weights string) bool {
+	was, err := strconv.ParseInt(cmp.Or(before, "1"), 10, 64)
+	if err != nil {
+		return false
+	}
+	is, err := strconv.ParseInt(weights, 10, 64)
+	return err == nil && is <= was+1
+}
+
 // compareWeights compares numbered weights by their age, the oldest first.
 func compareWeights(a, b string) int {
 	return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b))
--- a/route/place.go
+++ b/route/place.go
@@ -153,7 +153,9 @@
 	for i := range cs {
 		b.predict(&cs[i], r, price)
 	}
-	return cs
+	return slices.DeleteFunc(cs, func(c candidate) bool {
+		return r.Model != nil && b.tooOldBy(now.Add(c.first(r)), r.Model.Name, c.weights)
+	})
 }
 
 // delayed is the mean number of requests that wait for one target here or arrive
@@ -234,14 +236,12 @@
 	kept := cs[:0]
 	prefers := b.prefersNewest(r, list)
 	for _, c := range cs {
-		u := b.useOf(now, c.target.queueWait(now), r.Model.Name, c.weights)
+		u := b.useOf(now, r.Model.Name, c.weights)
 		price := time.Duration(0)
 		switch {
 		case u == useNoMore:
 			b.noteUnused(now, c.target, r.Model.Name, c.weights)
 			continue
-		case u == useTooLate:
-			continue
 		case u == useAtPrice && prefers:
 			price = b.staleness.Price
 		}
--- a/route/request.go
+++ b/route/request.go
@@ -42,6 +42,8 @@
 	SharesCache bool
 	// MaxTries bounds the targets that the request is sent to; zero means the board's own bound.
 	MaxTries int
+	// Streams says that the answer comes in parts, of which the first is seen.
+	Streams bool
 	// ResumeAnywhere says that a broken answer may go on under other weights.
 	ResumeAnywhere bool
 	// Resumable says that a broken answer may go on at another target.
@@ -350,4 +352,6 @@
 	fetched   bool
 	progress  time.Time
 	cancelled bool
+	// withdrawn says that it was cancelled for no fault of the target.
+	withdrawn bool
 }
--- a/route/weights.go
+++ b/route/weights.go
@@ -38,7 +38,7 @@
 
 // namingsKept bounds the spans remembered for a model; weights that came before the
 // oldest of them are too old to be used in any case.
-const namingsKept = 32
+const namingsKept = 8
 
 // Newest takes the news that weights were the newest of a model for a span of time, and
 // reports whether they are newer than those known before.
@@ -78,14 +78,11 @@
 const (
 	useAsGood use = iota
 	useAtPrice
-	// useTooLate says that a request would begin too late on them, though another that
-	// waits less would not.
-	useTooLate
 	useNoMore
 )
 
-// useOf returns how weights of a model are used now for what begins after a wait.
-func (b *Board) useOf(now time.Time, wait time.Duration, model, weights string) use {
+// useOf returns how weights of a model are used now.
+func (b *Board) useOf(now time.Time, model, weights string) use {
 	if b.staleness == nil {
 		return useAsGood
 	}
@@ -95,14 +92,22 @@
 		return useAsGood
 	case !now.Before(b.staleness.until(after, by, b.staleness.Limit)):
 		return useNoMore
-	case !now.Add(wait).Before(b.staleness.until(after, by, b.staleness.BeginLimit)):
-		return useTooLate
 	case now.Sub(by) >= b.staleness.Grace && !b.off.Has(NewestWeights):
 		return useAtPrice
 	}
 	return useAsGood
 }
 
+// tooOldBy reports whether weights of a model are too old for a request to begin on at a
+// later time.
+func (b *Board) tooOldBy(begin time.Time, model, weights string) bool {
+	if b.staleness == nil {
+		return false
+	}
+	after, by, replaced := b.named[model].replaced(weights)
+	return replaced && !begin.Before(b.staleness.until(after, by, b.staleness.BeginLimit))
+}
+
 // until returns when a limit is over for weights that were replaced between two moments,
 // of which the earlier is zero if it is not known.
 func (s Staleness) until(after, by time.Time, limit time.Duration) time.Time {
@@ -117,7 +122,8 @@
 }
 
 // withdrawOutdated ends the attempts that wait at a target for so long that they would
-// begin there on weights that are too old.
+// begin there on weights that are too old. That an answer which is no stream has begun is
+// not seen, so that those are left alone.
 func (b *Board) withdrawOutdated(now time.Time, t *target) []Action {
 	if b.staleness == nil {
 		return nil
@@ -125,14 +131,10 @@
 	var out []Action
 	for _, a := range t.attempts {
 		r := b.requests[a.Request]
-		if r == nil || r.Model == nil || a.first || a.cancelled {
-			continue
-		}
-		after, by, replaced := b.named[r.Model.Name].replaced(a.Weights)
-		if !replaced || now.Before(b.staleness.until(after, by, b.staleness.BeginLimit)) {
+		if r == nil || r.Model == nil || !r.Streams || a.first || a.cancelled || !b.tooOldBy(now, r.Model.Name, a.Weights) {
 			continue
 		}
-		a.cancelled = true
+		a.cancelled, a.withdrawn = true, true
 		out = append(out, Cancel{Request: a.Request, Attempt: a.ID})
 		b.note(event.Event{Code: event.AttemptWithdrawn, Request: a.Request, Attempt: a.ID, Target: t.name(), Detail: fmt.Sprintf(
 			"it waited %s there, and weights %s have become too old", now.Sub(a.sent).Round(time.Millisecond), a.Weights)})
--- a/route/weights_test.go
+++ b/route/weights_test.go
@@ -76,8 +76,26 @@
 				b.Newest(s.First, s)
 			}
 			until := at(c.until)
-			require.NotEqual(t, useNoMore, b.useOf(until.Add(-time.Millisecond), 0, "m", "1"))
-			require.Equal(t, useNoMore, b.useOf(until, 0, "m", "1"))
+			require.NotEqual(t, useNoMore, b.useOf(until.Add(-time.Millisecond), "m", "1"))
+			require.Equal(t, useNoMore, b.useOf(until, "m", "1"))
+		})
+	}
+}
+
+// What one process tells another says the same there, as far as the way allows.
+func TestNewestWord(t *testing.T) {
+	now := epoch.Add(time.Minute)
+	for name, s := range map[string]NewestSpan{
+		"both known": {Model: "m", Weights: "2", First: epoch, Last: epoch.Add(3 * time.Second)},
+		"no end":     {Model: "m", Weights: "2", First: epoch.Add(time.Second)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := s.Word(now)
+			require.Equal(t, s, w.Span(now, now))
+			late := w.Span(now, now.Add(time.Second))
+			require.Equal(t, s.First.Add(time.Second), late.First, "it may have been named by then, not before")
+			require.Equal(t, s.Last, late.Last)
+			require.True(t, w.Span(time.Time{}, now).Last.IsZero(), "nobody knows how long the word was on its way")
 		})
 	}
 }
@@ -142,7 +160,7 @@
 					weights := string(rune('1' + n))
 					known := b.NewestWeights("m") > weights
 					late := now.Sub(replaced) >= limit && !now.Before(begun[i].Add(unknown))
-					if known && late && b.useOf(now, 0, "m", weights) != useNoMore {
+					if known && late && b.useOf(now, "m", weights) != useNoMore {
 						rt.Fatalf("board %d uses weights %s %s after they were replaced", i, weights, now.Sub(replaced))
 					}
 				}
@@ -222,7 +240,13 @@
 	p.report(1, "2")
 	p.b.Hold(map[Mark]bool{{testAddr(1), "1"}: true})
 	p.now = p.now.Add(8 * time.Second)
-	running, waiting := p.ask(p.request("a", Part{"x", 10})), p.ask(p.request("a", Part{"y", 25000}))
+	stream := func(id string, tokens int) Request {
+		r := p.request("a", Part{id, tokens})
+		r.Streams = true
+		return r
+	}
+	running, waiting := p.ask(stream("x", 10)), p.ask(stream("y", 25000))
+	unseen := p.ask(p.request("a", Part{"u", 10}))
 	require.Equal(t, []string{"1", "1"}, []string{running.Weights, waiting.Weights})
 	p.b.FirstToken(p.now, running.Request, running.ID)
 	p.now = p.now.Add(950 * time.Millisecond)
@@ -232,6 +256,7 @@
 	acts := p.b.Tick(p.now)
 	require.Contains(t, acts, Action(Cancel{Request: waiting.Request, Attempt: waiting.ID}))
 	require.NotContains(t, acts, Action(Cancel{Request: running.Request, Attempt: running.ID}), "it began in time")
+	require.NotContains(t, acts, Action(Cancel{Request: unseen.Request, Attempt: unseen.ID}), "it may have begun")
 	require.Empty(t, p.b.Tick(p.now), "it is withdrawn once")
 }
 
@@ -271,6 +296,20 @@
 	}
 }
 
+// A prompt that takes longer to read than is left until requests may begin no more is not
+// sent there: it would be withdrawn while it is read, and sent to another target after that.
+func TestWeightsTooLateForOwnPrompt(t *testing.T) {
+	p := newPartsBoard(t, 1)
+	p.named("2")
+	p.now = p.now.Add(9*time.Second - 10*time.Millisecond)
+	a := p.ask(p.request("a", Part{"x", 35000}))
+	if a == nil {
+		return
+	}
+	own := time.Duration(35000 / p.b.targets[a.Target].rate() * float64(time.Second))
+	require.Less(t, p.now.Add(own), epoch.Add(testBeginLimit), "it takes %s to read", own)
+}
+
 // refuses ends an attempt that its target refused, being the expected incarnation.
 func (p *partsBoard) refuses(a *Attempt) {
 	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: a.Incarnation})
