node: changes of a relay's list count only while that list is the one known

Change: a relay's changes are dropped where the list that they change is not the one that is known; the next report asks for all.

--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -149,6 +149,10 @@
 		return false
 	}
 	if f.id != id || f.cursor.Epoch != a.News.Cursor.Epoch {
+		if !a.News.EntriesFull || !a.News.BeatsFull {
+			// It was asked for changes of a list that another's has replaced since.
+			return false
+		}
 		*f = followed{id: id, entries: make(map[netip.AddrPort]route.Entry), beats: make(map[netip.AddrPort]int64)}
 	}
 	apply(f.entries, a.News.Entries, a.News.EntriesFull)
