fleet: targets that change together begin apart

Ruled out: slower changes (worth given up on old weights is less), and a later start of a roll by one round (looking again at once was in it already).

The change: within 300 ms at most half of the places are given to targets that are ordered for the first time. Orders that are repeated don't wait.

Tests: TestRollAtOnce and TestRollOldestFirst asked for all places in the first round. In their place: half in the first, no more until the time is over, all then, never more; and the oldest is the first of all. They fail without the change.

--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -42,6 +42,9 @@
 	// the same time, and that number as a part of its targets; the greater counts.
 	AtOnce     int
 	AtOncePart float64
+	// Spread is the time within which at most half of those places are given to
+	// targets that are ordered for the first time: all would drop what they keep at once.
+	Spread time.Duration
 	// HoldTime is how long a target gets no new work before its first order,
 	// which covers the time in which all routers hear of the hold.
 	HoldTime time.Duration
@@ -66,7 +69,9 @@
 	return RollSettings{
 		AtOnce:     2,
 		AtOncePart: 0.2,
-		HoldTime:   40 * time.Millisecond,
+		// Somewhat less than half of a load, which takes 0.8 s.
+		Spread:   300 * time.Millisecond,
+		HoldTime: 40 * time.Millisecond,
 		// Targets answer in a few milliseconds; 300 ms left targets unusable for five times as long.
 		AnswerTime: 100 * time.Millisecond,
 		// Two seconds left targets unusable for five times as long; 200 ms gained little more.
@@ -120,9 +125,10 @@
 	target RollTarget
 	// weights are those of the last order.
 	weights string
-	// found is when the target was found to have old weights, begun when it was last chosen,
-	// ordered when it was last ordered.
+	// found is when the target was found to have old weights, first when it was first
+	// chosen, begun when it was last chosen, ordered when it was last ordered.
 	found   time.Time
+	first   time.Time
 	begun   time.Time
 	ordered time.Time
 	looked  time.Time
@@ -236,8 +242,12 @@
 	for _, t := range targets {
 		all[t.Model]++
 	}
+	fresh := make(map[string]int)
 	var due, chosen []*rollChange
 	for _, c := range r.sorted() {
+		if now.Sub(c.first) < r.settings.Spread {
+			fresh[c.target.Model]++
+		}
 		switch {
 		case r.busy(now, c):
 			busy[c.target.Model]++
@@ -275,10 +285,15 @@
 		)
 	})
 	for _, c := range due {
-		if busy[c.target.Model] >= places(c.target.Model) {
+		model, n := c.target.Model, places(c.target.Model)
+		if busy[model] >= n || c.first.IsZero() && fresh[model] >= (n+1)/2 {
 			continue
 		}
-		busy[c.target.Model]++
+		if c.first.IsZero() {
+			c.first = now
+			fresh[model]++
+		}
+		busy[model]++
 		c.begun = now
 	}
 }
