transport: the tests' proxy is silent once mute returns

Cause: TestSilentKept failed once in two runs of its package on the landed code: "Expected error with "nothing came in time" in chain but got nil". mute closed a channel and returned; each connection set its deadlines only when its own goroutine had woken. A request sent meanwhile was passed on and answered, so the first send rightly had no error. From a run with the times noted: muted at 11668.748 ms, sent at .771, the connection's goroutine wakes at .928, the request's 70 bytes are passed at .956 and the answer's 49 at 669.277, its deadlines are set at 669.351.

Ruled out: the product. In each of 36 failures of 600 runs with times noted the send had its whole answer; 33 show the request being passed on after the mute, in the other 3 that line was not yet written when the test ended.

Change: mute returns when the copying of all open connections has ended. The test asks the same as before.

Conclusion: the stand-in was wrong, the test stays as strict.

--- a/transport/silent_test.go
+++ b/transport/silent_test.go
@@ -23,13 +23,16 @@
 
 	mu    sync.Mutex
 	muted chan struct{}
+	// passing counts the connections that may still pass something on.
+	passing sync.WaitGroup
 }
 
-// mute silences the connections that are open.
+// mute silences the connections that are open; once it returns they pass nothing on.
 func (m *muteProxy) mute() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	close(m.muted)
+	m.passing.Wait()
 	m.muted = make(chan struct{})
 }
 
@@ -39,6 +42,7 @@
 		m.opened.Add(1)
 		m.mu.Lock()
 		muted := m.muted
+		m.passing.Add(1)
 		m.mu.Unlock()
 		m.pass(c, target, muted)
 	})
@@ -73,6 +77,7 @@
 	defer c.Close()
 	up, err := net.Dial("tcp4", target.String())
 	if err != nil {
+		m.passing.Done()
 		return
 	}
 	defer up.Close()
@@ -86,6 +91,7 @@
 		_ = end.SetDeadline(past)
 	}
 	copies.Wait()
+	m.passing.Done()
 	_ = c.SetDeadline(time.Time{})
 	_, _ = io.Copy(io.Discard, c)
 }
