--- a/node/record.go
+++ b/node/record.go
@@ -6,7 +6,6 @@
 
 	"github.com/zeebo/errs/v2"
 
-	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -98,7 +97,7 @@
 	}
 	spans, err := decodeRecord(c, time.Now(), note)
 	if err != nil {
-		d.n.events.Record(event.Event{Code: event.ConfigRejected, Detail: err.Error()})
+		d.n.log.Warn("what the holder of the lease recorded was not read", "error", err)
 		return
 	}
 	d.n.takeNewest(spans, "the lease's record")
--- a/route/weights.go
+++ b/route/weights.go
@@ -109,7 +109,8 @@
 }
 
 // until returns when a limit is over for weights that were replaced between two moments,
-// of which the earlier is zero if it is not known.
+// of which the earlier is zero if it is not known. It counts from the earlier, is not
+// over before UnknownUntil, and is over for certain once it is counted from the later.
 func (s Staleness) until(after, by time.Time, limit time.Duration) time.Time {
 	until := s.UnknownUntil
 	if t := after.Add(limit); !after.IsZero() && t.After(until) {
