--- a/route/weights_test.go
+++ b/route/weights_test.go
@@ -211,7 +211,9 @@
 		"the list lags for long, and then says so": func(p *partsBoard) {
 			p.now = p.now.Add(testGuessTime)
 			p.report(0, "1")
-			p.refuses(p.ask(p.request("a", Part{"z", 10})))
+			a := p.ask(p.request("a", Part{"z", 10}))
+			require.Equal(p.t, "1", a.Weights, "its own word goes first again")
+			p.refuses(a)
 			p.report(0, "2")
 		},
 	} {
