node: what is done under the lease stands in a file of its own

Change: act, its holds, orders and looks are in orders.go, moved as they were. Ruled out: more than a move. No behaviour changes.

--- /dev/null
+++ b/node/orders.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
+)
+
+// act does one round under the lease.
+func (d *duty) act(ctx context.Context, named map[string]string, targets []fleet.RollTarget) {
+	steps := d.roll.Next(time.Now(), named, targets, route.OlderWeights)
+	if d.setHolds(steps.Holds) {
+		d.n.tellBoard()
+		d.n.tellEveryone(ctx)
+	}
+	// A target that does not answer keeps neither the others nor the lease waiting.
+	for _, o := range steps.Orders {
+		d.calls.Go(func() { d.order(ctx, o) })
+	}
+	for _, t := range steps.Looks {
+		d.calls.Go(func() { d.look(ctx, t) })
+	}
+}
+
+// setHolds takes the targets that get no new work and reports whether they changed.
+func (d *duty) setHolds(ts []fleet.RollTarget) bool {
+	marks := make([]route.Mark, 0, len(ts))
+	set := make(map[route.Mark]bool, len(ts))
+	for _, t := range ts {
+		m := route.Mark{Target: t.Addr, Incarnation: t.Incarnation}
+		marks = append(marks, m)
+		set[m] = true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := len(marks) != len(d.holds)
+	for _, m := range d.holds {
+		changed = changed || !set[m]
+	}
+	d.holds = marks
+	return changed
+}
+
+// order sends one order if the lease lasts for long enough.
+func (d *duty) order(ctx context.Context, o fleet.RollOrder) {
+	mark := route.Mark{Target: o.Target.Addr, Incarnation: o.Target.Incarnation}
+	detail := fmt.Sprintf("%s %s in place of %s, after %d orders", o.Target.Model, o.Weights, o.Target.Weights, o.Target.Orders)
+	d.mu.Lock()
+	holds, fence := d.lease.HoldsFor(time.Now(), orderMargin), d.lease.Fence()
+	d.mu.Unlock()
+	if !holds {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderMargin)
+	defer cancel()
+	answer, err := d.n.engines.Order(ctx, Order{
+		Target: mark, Model: o.Target.Model, Weights: o.Weights, Orders: o.Target.Orders,
+		Holder: d.n.settings().Name, Fence: fence,
+	})
+	if err != nil {
+		d.n.events.Record(event.Event{Code: event.OrderFailed, Target: o.Target.Addr.String(), Detail: detail + ": " + err.Error()})
+		d.look(ctx, o.Target)
+		return
+	}
+	if answer == OrderTaken {
+		d.mu.Lock()
+		if state, ok := d.states[mark]; ok {
+			state.Busy = true
+			d.states[mark] = state
+		}
+		d.mu.Unlock()
+	}
+	d.n.counters.orders.Inc()
+	d.n.events.Record(event.Event{Code: event.OrderSent, Target: o.Target.Addr.String(), Detail: detail + ": " + answer.String()})
+}
+
+// look reads a target back and tells everyone of new weights.
+func (d *duty) look(ctx context.Context, t fleet.RollTarget) {
+	mark := route.Mark{Target: t.Addr, Incarnation: t.Incarnation}
+	d.mu.Lock()
+	under := d.looking[mark]
+	d.looking[mark] = true
+	d.mu.Unlock()
+	if under {
+		return
+	}
+	state, err := d.n.engines.State(ctx, t.Addr)
+	d.mu.Lock()
+	delete(d.looking, mark)
+	if err != nil {
+		// What it said before need not hold any more.
+		delete(d.states, mark)
+	}
+	d.mu.Unlock()
+	if err != nil {
+		d.n.log.Debug("a target was not read back", "target", t.Addr, "error", err)
+		return
+	}
+	d.mu.Lock()
+	if _, asked := d.states[mark]; !asked {
+		d.poke()
+	}
+	d.states[mark] = state
+	loaded := !state.Busy && route.OlderWeights(t.Weights, state.Weights[t.Model])
+	if loaded {
+		d.loaded = append(d.loaded, loadedWord{route.WeightsWord{Target: mark, Model: t.Model, Weights: state.Weights[t.Model]}, time.Now()})
+		d.loaded = d.loaded[max(0, len(d.loaded)-maxLoadedTold):]
+	}
+	d.mu.Unlock()
+	if loaded {
+		d.n.events.Record(event.Event{Code: event.OrderDone, Target: t.Addr.String(), Detail: t.Model + " " + state.Weights[t.Model]})
+		d.n.tellBoard()
+	}
+}
+
+// maxLoadedTold bounds the words on weights in one message.
+const maxLoadedTold = 16
