soak: a first soak of real nodes against the stand-ins, by a seeded plan

Change: internal/soak draws a plan from a seed, plays it and judges a record of it; cmd/pathhead-soak is its command.

--- /dev/null
+++ b/cmd/pathhead-soak/main.go
@@ -0,0 +1,126 @@
+// Command pathhead-soak plays seeded plans of faults against real nodes and checks
+// the promises while they run.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/internal/cli"
+	"github.com/pathhead/pathhead/internal/soak"
+)
+
+type flags struct {
+	Version  kong.VersionFlag `help:"Print the version and end."`
+	Programs string           `help:"Folder with pathhead-node." default:"target" type:"existingdir" env:"PATHHEAD_BIN"`
+	Seed     uint64           `help:"First seed." default:"1"`
+	Seeds    int              `help:"Number of seeds, one after the other." default:"1"`
+	Parallel int              `help:"Plans played at the same time." default:"1"`
+	For      time.Duration    `help:"How long faults come; calls go on for 16s after them." default:"40s"`
+	Nodes    int              `help:"Nodes, each a process of its own." default:"5"`
+	Engines  int              `help:"Targets that serve a model." default:"5"`
+	Callers  int              `help:"Callers, each with two calls under way." default:"6"`
+	Plans    []string         `help:"Play plans from files instead of seeds." name:"plan" type:"existingfile"`
+	Draw     bool             `help:"Print the plans and end."`
+	Out      string           `help:"Folder for what failing plans leave." default:"out/soak"`
+	Report   string           `help:"File that the report is added to, besides standard output."`
+}
+
+// plans returns what is to be played.
+func (f *flags) plans() ([]soak.Plan, error) {
+	var out []soak.Plan
+	for _, name := range f.Plans {
+		plan, err := soak.ReadPlan(name)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, plan)
+	}
+	if len(out) > 0 {
+		return out, nil
+	}
+	size := soak.DefaultSize
+	size.Nodes, size.Engines, size.Callers = f.Nodes, f.Engines, f.Callers
+	for n := range f.Seeds {
+		out = append(out, soak.Draw(f.Seed+uint64(n), f.For, size))
+	}
+	return out, nil
+}
+
+// Run plays the plans and fails if one broke a promise.
+func (f *flags) Run(ctx context.Context) error {
+	plans, err := f.plans()
+	if err != nil {
+		return err
+	}
+	if f.Draw {
+		return errs.Wrap(json.NewEncoder(os.Stdout).Encode(plans))
+	}
+	if err := os.MkdirAll(f.Out, 0o755); err != nil {
+		return errs.Wrap(err)
+	}
+	var report io.Writer = os.Stdout
+	if f.Report != "" {
+		file, err := os.OpenFile(f.Report, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		if err != nil {
+			return errs.Wrap(err)
+		}
+		defer file.Close()
+		report = io.MultiWriter(os.Stdout, file)
+	}
+	s := soak.New(f.Programs, soak.WithOutput(f.Out), soak.WithLogger(slog.New(slog.NewTextHandler(os.Stderr, nil))))
+	return play(ctx, s, plans, f.Parallel, report)
+}
+
+// play plays plans, some at the same time.
+func play(ctx context.Context, s *soak.Soak, plans []soak.Plan, parallel int, report io.Writer) error {
+	var (
+		mu     sync.Mutex
+		all    sync.WaitGroup
+		faults errs.Group
+		next   = make(chan soak.Plan)
+	)
+	for range max(1, parallel) {
+		all.Go(func() {
+			for plan := range next {
+				res, err := s.Play(ctx, plan)
+				mu.Lock()
+				if err == nil {
+					res.Write(report)
+				}
+				if len(res.Breaches) > 0 {
+					err = errs.Errorf("seed %d broke %d promises", plan.Seed, len(res.Breaches))
+				}
+				faults.Add(err)
+				mu.Unlock()
+			}
+		})
+	}
+	for _, plan := range plans {
+		if ctx.Err() == nil {
+			next <- plan
+		}
+	}
+	close(next)
+	all.Wait()
+	return faults.Err()
+}
+
+func main() {
+	var f flags
+	kctx := cli.Parse(&f, "Plays seeded plans of faults against real nodes and checks what callers and targets see.")
+	ctx, stop := cli.Signalled()
+	defer stop()
+	kctx.BindTo(ctx, (*context.Context)(nil))
+	if err := kctx.Run(); err != nil {
+		cli.Fail(cli.ExitFailed, err)
+	}
+}
--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,304 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/platform/platformtest"
+)
+
+// balancer gives new connections to the nodes that say that they are ready.
+type balancer struct {
+	site *site
+
+	mu     sync.Mutex
+	missed map[string]int
+}
+
+// The balancer asks once a second and leaves out a node that missed twice.
+const (
+	askEvery   = time.Second
+	missesMost = 2
+)
+
+// run asks the nodes until ctx ends.
+func (b *balancer) run(ctx context.Context) {
+	c := client()
+	for ctx.Err() == nil {
+		for _, n := range b.site.allNodes() {
+			go func() {
+				ready := n.ready(ctx, c)
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				b.missed[n.name]++
+				if ready {
+					b.missed[n.name] = 0
+				}
+			}()
+		}
+		wait(ctx, askEvery)
+	}
+}
+
+// pick returns a node for a new connection. Where fewer than half are in, it is any.
+func (b *balancer) pick() *node {
+	all := b.site.allNodes()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var in []*node
+	for _, n := range all {
+		if b.missed[n.name] < missesMost {
+			in = append(in, n)
+		}
+	}
+	if 2*len(in) < len(all) {
+		in = all
+	}
+	return in[rand.IntN(len(in))]
+}
+
+// dialTime is what a new connection gets to come up.
+const dialTime = time.Second
+
+// taggedConn is a connection that knows its process.
+type taggedConn struct {
+	net.Conn
+	node string
+	boot int
+}
+
+// dial opens a connection to a node.
+func (b *balancer) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	n := b.pick()
+	p := n.running()
+	if p == nil {
+		return nil, errs.Errorf("%s is down", n.name)
+	}
+	d := net.Dialer{Timeout: dialTime}
+	c, err := d.DialContext(ctx, "tcp4", n.set.Callers.String())
+	if err != nil {
+		return nil, err
+	}
+	return &taggedConn{Conn: c, node: n.name, boot: p.boot}, nil
+}
+
+// caller sends calls over connections that it keeps until they end, and repeats
+// over new ones.
+type caller struct {
+	site *site
+	name string
+	keep *http.Client
+	anew *http.Client
+}
+
+// flows is how many calls a caller has under way at once.
+const flows = 2
+
+func newCaller(s *site, b *balancer, name string) *caller {
+	client := func(keep bool) *http.Client {
+		return &http.Client{Transport: &http.Transport{
+			DialContext: b.dial, DisableCompression: true, DisableKeepAlives: !keep, MaxIdleConnsPerHost: flows,
+		}}
+	}
+	return &caller{site: s, name: name, keep: client(true), anew: client(false)}
+}
+
+// The pauses of a flow between two calls; a quarter of the flows begin by resting.
+const (
+	leastPause = 20 * time.Millisecond
+	mostPause  = 200 * time.Millisecond
+)
+
+// run sends calls until ctx ends; the last is finished.
+func (c *caller) run(ctx context.Context) {
+	var all sync.WaitGroup
+	for f := range flows {
+		all.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				c.call(fmt.Sprintf("%s.%d.%d", c.name, f, n))
+				wait(ctx, leastPause+rand.N(mostPause-leastPause))
+			}
+		})
+	}
+	all.Wait()
+	c.keep.CloseIdleConnections()
+}
+
+// mix is how often the kinds of calls come.
+var mix = []struct {
+	kind CallKind
+	path string
+	part int
+}{
+	{StreamCall, "/stream/", 30}, {ResumeCall, "/resume/", 20}, {OnceCall, "/once/", 20}, {SafeCall, "/safe/", 8},
+	{SafeCall, "/public/", 4}, {SafeCall, movePath, 6}, {SafeCall, "", 12},
+}
+
+// draw returns a new call. The last of the mix goes to a route of some version.
+func (c *caller) draw(call string) Attempt {
+	a := Attempt{Call: call, Kind: SafeCall, Key: openKey, Body: strings.Repeat(call+" ", 1+rand.IntN(20))}
+	total := 0
+	for _, m := range mix {
+		total += m.part
+	}
+	at := rand.IntN(total)
+	for _, m := range mix {
+		if at -= m.part; at < 0 {
+			a.Kind, a.Path = m.kind, m.path
+			break
+		}
+	}
+	lately := func(back int) int64 { return max(1, c.site.newest()-int64(rand.IntN(back))) }
+	if a.Path == "" {
+		a.Path = pathOf(lately(routesStay + 2))
+	}
+	switch rand.IntN(6) {
+	case 0:
+		a.Key = keyOf(lately(keysStay + 1))
+	case 1:
+		a.Key = walledKey
+	}
+	a.Path += "x?" + call
+	if a.Kind.streams() {
+		a.Parts = fmt.Sprintf("%02x:400,%04x:90", rand.IntN(20), rand.IntN(5000))
+	}
+	return a
+}
+
+// The bounds of a call: how often it is sent, and the part of streams that are given up early.
+const (
+	attemptsMost = 3
+	leavePart    = 0.03
+)
+
+// call sends one call, and repeats it as its kind allows.
+func (c *caller) call(call string) {
+	a := c.draw(call)
+	end := time.Now().Add(callTime)
+	for n := range attemptsMost {
+		a.ID = fmt.Sprintf("%s.%d", call, n)
+		client := c.keep
+		if n > 0 {
+			client = c.anew
+		}
+		pause, again := c.attempt(client, a, time.Until(end))
+		if !again || time.Until(end) < leastPause {
+			return
+		}
+		time.Sleep(min(pause, time.Until(end)/3))
+	}
+}
+
+// attempt sends a call once. It returns whether and when it may be sent again.
+func (c *caller) attempt(client *http.Client, a Attempt, left time.Duration) (pause time.Duration, again bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if a.Kind.streams() && rand.Float64() < leavePart {
+		t := time.AfterFunc(rand.N(left/8), cancel)
+		defer t.Stop()
+	}
+	place := 0
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		conn, ok := i.Conn.(*taggedConn)
+		if !ok {
+			return
+		}
+		c.site.write(func(r *Record) {
+			a := &r.Attempts[place]
+			a.Node, a.Boot, a.Kept, a.Sent = conn.node, conn.boot, i.Reused, time.Now()
+		})
+	}})
+	a.Sent = time.Now()
+	c.site.write(func(r *Record) {
+		place = len(r.Attempts)
+		r.Attempts = append(r.Attempts, a)
+	})
+	pause = leastPause
+	answer := func(r *Attempt) {
+		resp, err := client.Do(request(ctx, a, left))
+		if err != nil {
+			r.Err = err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		r.Status, r.Seal, r.AnswerID = resp.StatusCode, resp.Header.Get("X-Response-Seal"), resp.Header.Get("X-Request-Id")
+		data, err := io.ReadAll(resp.Body)
+		if err != nil {
+			r.Err = err.Error()
+		}
+		r.Answer = string(data)
+		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+			pause = time.Duration(s * float64(time.Second))
+		}
+	}
+	var got Attempt
+	answer(&got)
+	c.site.write(func(r *Record) {
+		p := &r.Attempts[place]
+		p.Done, p.Status, p.Seal, p.AnswerID, p.Answer, p.Err = time.Now(), got.Status, got.Seal, got.AnswerID, got.Answer, got.Err
+		p.Left = ctx.Err() != nil
+		again = repeats(*p)
+	})
+	return pause, again
+}
+
+// repeats reports whether a call may be sent again after an attempt.
+func repeats(a Attempt) bool {
+	switch a.Status {
+	case http.StatusOK:
+		return a.Err != "" && !a.Kind.once()
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusNotFound:
+		return false
+	}
+	return !a.Kind.once() || a.promised() || a.Err != "" && a.Node == ""
+}
+
+// promised reports whether the answer says that the request has not run and never will.
+func (a Attempt) promised() bool {
+	switch a.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// request builds an attempt's request.
+func request(ctx context.Context, a Attempt, left time.Duration) *http.Request {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostName+a.Path, strings.NewReader(a.Body))
+	if err != nil {
+		panic("soak: a path of its own does not parse")
+	}
+	// A POST is never sent again by the client itself once bytes of it were written.
+	req.Header.Set("X-Request-Id", a.ID)
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	req.Header.Set("X-Credential", a.Key)
+	if a.Parts != "" {
+		req.Header.Set("X-Model", modelName)
+		req.Header.Set("X-Token-Count", "490,20")
+		req.Header.Set("X-Prefix-Hash", a.Parts)
+	}
+	return req
+}
+
+// wanted is the whole answer to an attempt.
+func (a Attempt) wanted() string {
+	if !a.Kind.streams() {
+		return platformtest.Body(a.ID)
+	}
+	var b strings.Builder
+	for n := 1; n <= streamEvents; n++ {
+		b.WriteString(platformtest.Event(a.ID, n))
+	}
+	return b.String()
+}
