--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -543,8 +543,8 @@
 
 // The number of requests that may go on past their route's time, and their part of all that last so long.
 const (
-	lateMost = 7
-	latePart = 4
+	overdueMost  = 7
+	overdueEvery = 4
 )
 
 // late checks that requests get a final answer around their route's time.
@@ -561,7 +561,7 @@
 			late, last = append(late, a.ID), a.Done
 		}
 	}
-	if len(late) > lateMost && latePart*len(late) > long {
+	if len(late) > overdueMost && overdueEvery*len(late) > long {
 		j.breach(AnswersInTime, last, late[0], "%d of %d that lasted as long as their route allows", len(late), long)
 	}
 }
@@ -580,8 +580,8 @@
 	}
 	all, served := 0, 0
 	for _, a := range j.Attempts {
-		denied := a.Status == http.StatusNotFound || a.Status == http.StatusUnauthorized
-		if a.Sent.Before(j.Calm.Add(j.Bounds.Recovery)) || a.Left || denied {
+		h := handle(j.Configs[len(j.Configs)-1].Config, a.Path, a.Key)
+		if a.Sent.Before(j.Calm.Add(j.Bounds.Recovery)) || a.Left || h.noPath || h.noKey {
 			continue
 		}
 		all++
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -77,7 +77,7 @@
 }
 
 // DefaultSize is a small fleet, of which some nodes can be down without the others being full.
-var DefaultSize = Size{Nodes: 5, Engines: 5, Plain: 3, Callers: 6}
+var DefaultSize = Size{Nodes: 5, Engines: 7, Plain: 3, Callers: 6}
 
 // DefaultTail is the time for recovery, and some to see that it came.
 const DefaultTail = 16 * time.Second
@@ -108,8 +108,8 @@
 // plan has some five of the kinds, and half of the plans have no fault of a link or
 // the store: such a fault excuses nodes from most bounds for a while. Pauses and
 // starts last up to a few seconds, which is around the time after which nodes
-// have to be in touch again (3 s). Late orders stay under 4 s: two targets at once, a
-// pool of five still gets to new weights within its bound (14 s).
+// have to be in touch again (3 s). Late orders are late for
+// longer than the bound of weights (10 s).
 var classes = []class{
 	{Pause, 0.35, 200 * time.Millisecond, 5 * time.Second, 5},
 	{Kill, 0.4, 50 * time.Millisecond, 3 * time.Second, 5},
@@ -124,7 +124,7 @@
 	{TargetDrain, 0.35, 3 * time.Second, 6 * time.Second, 3},
 	{TargetHide, 0.2, 3 * time.Second, 6 * time.Second, 2},
 	{TargetGrey, 0.25, time.Second, 6 * time.Second, 3},
-	{OrdersLate, 0.5, 8 * time.Second, 25 * time.Second, 5},
+	{OrdersLate, 0.5, 10 * time.Second, 30 * time.Second, 5},
 	{NameWeights, 0.7, time.Second, 4 * time.Second, 4},
 	{Reconfigure, 0.5, 0, 0, 5},
 }
@@ -167,7 +167,10 @@
 		how = herd
 	}
 	subject, count := rng.IntN(size.Nodes+size.Engines), 1+rng.IntN(c.count)
-	if how == herd && c.count > 2 {
+	switch {
+	case c.kind == OrdersLate:
+		count = size.Engines
+	case how == herd && c.count > 2:
 		count = size.Nodes - rng.IntN(2)
 	}
 	at, gap := within(0, length*2/3), within(leastGap, mostGap)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -141,8 +142,10 @@
 	var at time.Time
 	process := strings.TrimSuffix(filepath.Base(name), ".log")
 	for line := range strings.Lines(string(data)) {
-		if t := gjson.Get(line, "time"); t.Exists() {
-			at = t.Time()
+		// An event's time is in nanoseconds, with a logical count after a point.
+		nanos, _, _ := strings.Cut(gjson.Get(line, "at").String(), ".")
+		if n, err := strconv.ParseInt(nanos, 10, 64); err == nil {
+			at = time.Unix(0, n)
 		}
 		out = append(out, entry{at, process + " " + strings.TrimSpace(line)})
 	}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -41,9 +41,12 @@
 	reuseTime = 2 * time.Second
 	// againTime is after how long a process that ended by itself is started again.
 	againTime = 500 * time.Millisecond
-	// leastLate and lateRange bound how late orders are carried out.
-	leastLate = time.Second
-	lateRange = 3 * time.Second
+	// latePart is the part of orders that are late, leastLate and mostLate by how
+	// much; lateEvery is how often that is drawn anew, under the time between two orders.
+	latePart  = 0.9
+	leastLate = 2 * time.Second
+	mostLate  = 12 * time.Second
+	lateEvery = 300 * time.Millisecond
 	// greyPart is the part of its requests that a grey target fails.
 	greyPart = 0.3
 )
@@ -52,6 +55,26 @@
 type slot struct {
 	proxy   *Proxy
 	replica *platformtest.Replica
+	// taken says that a step ends its target, which others leave alone meanwhile.
+	taken bool
+}
+
+// take claims a place for a step that ends its target.
+func (s *site) take(sl *slot) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sl.taken {
+		return false
+	}
+	sl.taken = true
+	return true
+}
+
+// free ends the claim of a step.
+func (s *site) free(sl *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sl.taken = false
 }
 
 // site is an installation with its nodes and stand-ins.
@@ -60,6 +83,7 @@
 	bounds  Bounds
 	dir     string
 	program string
+	ports   *ports
 	store   *platformtest.Store
 	runs    *platformtest.RunLog
 	// steps are the faults under way.
@@ -76,8 +100,8 @@
 }
 
 // newSite starts the stand-ins and the nodes of an installation.
-func newSite(program, dir string, bounds Bounds, size Size) (*site, error) {
-	s := &site{bounds: bounds, dir: dir, program: program, store: platformtest.NewStore(), runs: new(platformtest.RunLog), engines: size.Engines}
+func newSite(program, dir string, free *ports, bounds Bounds, size Size) (*site, error) {
+	s := &site{bounds: bounds, dir: dir, program: program, ports: free, store: platformtest.NewStore(), runs: new(platformtest.RunLog), engines: size.Engines}
 	s.rec.Begun, s.rec.Bounds = time.Now(), bounds
 	if err := s.name(); err != nil {
 		return s, err
@@ -130,14 +154,29 @@
 	s.store.Close()
 }
 
-// freeAddrs returns addresses of the loopback that nothing listens on.
-func freeAddrs(count int) ([]netip.AddrPort, error) {
-	ports, err := load.FreePorts(count)
+// ports gives out ports of the loopback address, each only once: one that is
+// chosen is not yet listened on while others are.
+type ports struct {
+	mu    sync.Mutex
+	given map[int]bool
+}
+
+// addrs returns addresses that nothing listens on.
+func (p *ports) addrs(count int) ([]netip.AddrPort, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	var out []netip.AddrPort
-	for _, port := range ports {
-		out = append(out, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)))
+	for len(out) < count {
+		free, err := load.FreePorts(1)
+		if err != nil {
+			return nil, err
+		}
+		if port := free[0]; !p.given[port] {
+			p.given[port] = true
+			out = append(out, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)))
+		}
 	}
-	return out, err
+	return out, nil
 }
 
 // prepareNode adds a node whose process does not run yet.
@@ -147,7 +186,7 @@
 		return err
 	}
 	const doors = 5
-	addrs, err := freeAddrs(doors)
+	addrs, err := s.ports.addrs(doors)
 	if err != nil {
 		return err
 	}
@@ -212,7 +251,7 @@
 
 // addTarget starts a target of a service at a new place.
 func (s *site) addTarget(service string) (*slot, error) {
-	addrs, err := freeAddrs(1)
+	addrs, err := s.ports.addrs(1)
 	if err != nil {
 		return nil, err
 	}
@@ -355,10 +394,16 @@
 		s.impair(ctx, step, n.link, n.name)
 	case TargetLink:
 		s.impair(ctx, step, sl.proxy, "")
-	case TargetCrash:
-		s.crash(ctx, step, sl)
-	case TargetDrain, TargetHide:
-		s.replace(ctx, step, sl)
+	case TargetCrash, TargetDrain, TargetHide:
+		if !s.take(sl) {
+			return
+		}
+		defer s.free(sl)
+		if step.Kind == TargetCrash {
+			s.crash(ctx, step, sl)
+		} else {
+			s.replace(ctx, step, sl)
+		}
 	case TargetGrey:
 		s.grey(ctx, step, sl)
 	case OrdersLate:
@@ -442,9 +487,7 @@
 	s.target(r.ID, func(t *Target) { t.Ended = time.Now() })
 	time.AfterFunc(lapseTime, r.Hide)
 	wait(ctx, step.Length)
-	if s.replicaAt(sl) == r {
-		s.must(s.startTarget(sl, r.Service, r.Weights()))
-	}
+	s.must(s.startTarget(sl, r.Service, r.Weights()))
 }
 
 func (s *site) replicaAt(sl *slot) *platformtest.Replica {
@@ -479,9 +522,7 @@
 	r.Leave()
 	s.target(r.ID, func(t *Target) { t.Ended = time.Now() })
 	wait(ctx, reuseTime)
-	if s.replicaAt(old) == r {
-		s.must(s.startTarget(old, strangeName, 0))
-	}
+	s.must(s.startTarget(old, strangeName, 0))
 }
 
 // swap exchanges the places of two targets in the list.
@@ -522,14 +563,19 @@
 	r.Play(nil)
 }
 
-// delayOrders has a target carry orders out late.
+// delayOrders has a target leave most orders unanswered and carry them out late.
 func (s *site) delayOrders(ctx context.Context, step Step, sl *slot) {
 	r := s.replicaAt(sl)
-	late := leastLate + step.Length%lateRange
-	defer s.begin(Trouble{Scope: OfOrders, Kind: step.Kind, Subject: r.ID, Detail: late.String()})()
-	r.Delay(late)
-	wait(ctx, step.Length)
-	r.Delay(0)
+	defer s.begin(Trouble{Scope: OfOrders, Kind: step.Kind, Subject: r.ID})()
+	defer r.Delay(0)
+	rng := rand.New(rand.NewPCG(uint64(step.Length), 0))
+	for end := time.Now().Add(step.Length); time.Now().Before(end) && ctx.Err() == nil; wait(ctx, lateEvery) {
+		late := time.Duration(0)
+		if rng.Float64() < latePart {
+			late = leastLate + drawTime(rng, mostLate-leastLate)
+		}
+		r.Delay(late)
+	}
 }
 
 // wait waits for a time or until ctx ends.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -17,6 +17,7 @@
 	out      string
 	bounds   Bounds
 	log      *slog.Logger
+	ports    *ports
 }
 
 // Option changes a [Soak] at its construction.
@@ -33,7 +34,7 @@
 
 // New returns a soak of the programs in a folder.
 func New(programs string, opts ...Option) *Soak {
-	s := &Soak{programs: programs, out: os.TempDir(), bounds: DefaultBounds, log: slog.New(slog.DiscardHandler)}
+	s := &Soak{programs: programs, out: os.TempDir(), bounds: DefaultBounds, log: slog.New(slog.DiscardHandler), ports: &ports{given: make(map[int]bool)}}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -63,7 +64,7 @@
 	if err != nil {
 		return Result{}, errs.Wrap(err)
 	}
-	st, err := newSite(s.programs+"/pathhead-node", dir, s.bounds, plan.Size)
+	st, err := newSite(s.programs+"/pathhead-node", dir, s.ports, s.bounds, plan.Size)
 	defer st.close()
 	if err != nil {
 		return Result{}, err
