--- a/cmd/pathhead-soak/main.go
+++ b/cmd/pathhead-soak/main.go
@@ -26,7 +26,7 @@
 	Parallel int              `help:"Plans played at the same time." default:"1"`
 	For      time.Duration    `help:"How long faults come; calls go on for 16s after them." default:"40s"`
 	Nodes    int              `help:"Nodes, each a process of its own." default:"5"`
-	Engines  int              `help:"Targets that serve a model." default:"7"`
+	Engines  int              `help:"Targets that serve a model." default:"9"`
 	Callers  int              `help:"Callers, each with two calls under way." default:"6"`
 	Plans    []string         `help:"Play plans from files instead of seeds." name:"plan" type:"existingfile"`
 	Draw     bool             `help:"Print the plans and end."`
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -77,7 +77,7 @@
 }
 
 // DefaultSize is a small fleet, of which some nodes can be down without the others being full.
-var DefaultSize = Size{Nodes: 5, Engines: 7, Plain: 3, Callers: 6}
+var DefaultSize = Size{Nodes: 5, Engines: 9, Plain: 3, Callers: 6}
 
 // DefaultTail is the time for recovery, and some to see that it came.
 const DefaultTail = 16 * time.Second
@@ -125,7 +125,7 @@
 	{TargetHide, 0.2, 3 * time.Second, 6 * time.Second, 2},
 	{TargetGrey, 0.25, time.Second, 6 * time.Second, 3},
 	{OrdersLate, 0.5, 10 * time.Second, 30 * time.Second, 5},
-	{NameWeights, 0.7, time.Second, 4 * time.Second, 4},
+	{NameWeights, 0.7, 0, 0, 5},
 	{Reconfigure, 0.5, 0, 0, 5},
 }
 
@@ -138,12 +138,35 @@
 	}
 )
 
+// focuses are kinds that bring faults out together; a seed draws one of them, or none.
+var focuses = [][]Kind{
+	nil,
+	{NameWeights, OrdersLate, Kill, Stop, Pause, Join},
+	{StoreFails, StoreLink, Kill, Pause, NameWeights},
+	{Reconfigure, StoreFails, StoreLink, Pause, Join},
+	{TargetDrain, TargetHide, TargetCrash, Stop, Reconfigure},
+}
+
+// The parts of plans that have a kind of the focus, and by how much rarer the others are.
+const (
+	focusPart = 0.8
+	otherPart = 0.3
+)
+
 // Draw returns the plan of a seed.
 func Draw(seed uint64, length time.Duration, size Size) Plan {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	p := Plan{Seed: seed, Length: length, Tail: DefaultTail, Size: size}
+	focus := focuses[rng.IntN(len(focuses))]
 	for _, c := range classes {
-		if rng.Float64() < c.part {
+		part := c.part
+		switch {
+		case slices.Contains(focus, c.kind):
+			part = focusPart
+		case focus != nil:
+			part *= otherPart
+		}
+		if rng.Float64() < part {
 			p.Steps = append(p.Steps, c.draw(rng, length, size)...)
 		}
 	}
@@ -174,6 +197,10 @@
 		count = size.Nodes - rng.IntN(2)
 	}
 	at, gap := within(0, length*2/3), within(leastGap, mostGap)
+	if c.kind == OrdersLate || c.kind == NameWeights {
+		// What comes of them takes longer than a third of a plan.
+		at /= 3
+	}
 	var out []Step
 	for range count {
 		s := Step{At: at, Kind: c.kind, Subject: subject, Length: within(c.least, c.most)}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -6,12 +6,12 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"path/filepath"
+	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/pathhead/pathhead/internal/load"
 	"github.com/pathhead/pathhead/platform/platformtest"
 )
 
@@ -83,7 +83,7 @@
 	bounds  Bounds
 	dir     string
 	program string
-	ports   *ports
+	free    *addresses
 	store   *platformtest.Store
 	runs    *platformtest.RunLog
 	// steps are the faults under way.
@@ -100,8 +100,8 @@
 }
 
 // newSite starts the stand-ins and the nodes of an installation.
-func newSite(program, dir string, free *ports, bounds Bounds, size Size) (*site, error) {
-	s := &site{bounds: bounds, dir: dir, program: program, ports: free, store: platformtest.NewStore(), runs: new(platformtest.RunLog), engines: size.Engines}
+func newSite(program, dir string, free *addresses, bounds Bounds, size Size) (*site, error) {
+	s := &site{bounds: bounds, dir: dir, program: program, free: free, store: platformtest.NewStore(), runs: new(platformtest.RunLog), engines: size.Engines}
 	s.rec.Begun, s.rec.Bounds = time.Now(), bounds
 	if err := s.name(); err != nil {
 		return s, err
@@ -154,29 +154,33 @@
 	s.store.Close()
 }
 
-// ports gives out ports of the loopback address, each only once: one that is
-// chosen is not yet listened on while others are.
-type ports struct {
-	mu    sync.Mutex
-	given map[int]bool
+// addresses gives out addresses of one loopback IP number, which no other soak and
+// no outgoing connection uses: a port that was chosen can't be taken meanwhile.
+type addresses struct {
+	ip   netip.Addr
+	used atomic.Uint32
 }
 
-// addrs returns addresses that nothing listens on.
-func (p *ports) addrs(count int) ([]netip.AddrPort, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []netip.AddrPort
-	for len(out) < count {
-		free, err := load.FreePorts(1)
-		if err != nil {
-			return nil, err
-		}
-		if port := free[0]; !p.given[port] {
-			p.given[port] = true
-			out = append(out, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port)))
-		}
-	}
-	return out, nil
+// The loopback numbers that soaks use: 127.16.0.1 to 127.255.255.250, by their process
+// and the plans it plays; 127.0.0.1 is for what gets its port from the kernel.
+const (
+	firstNet = 16
+	nets     = 240
+	hosts    = 250
+)
+
+// newAddresses returns the addresses of the n-th plan that this process plays.
+func newAddresses(n uint32) *addresses {
+	pid := os.Getpid()
+	return &addresses{ip: netip.AddrFrom4([4]byte{127, byte(firstNet + pid/nets%nets), byte(pid % nets), byte(1 + n%hosts)})}
+}
+
+// firstPort is the first port that is used of a loopback number.
+const firstPort = 8000
+
+// next returns an address that was not given out.
+func (a *addresses) next() netip.AddrPort {
+	return netip.AddrPortFrom(a.ip, uint16(firstPort+a.used.Add(1)))
 }
 
 // prepareNode adds a node whose process does not run yet.
@@ -185,14 +189,9 @@
 	if err != nil {
 		return err
 	}
-	const doors = 5
-	addrs, err := s.ports.addrs(doors)
-	if err != nil {
-		return err
-	}
-	n := &node{name: fmt.Sprintf("node-%d", len(s.nodes)), program: s.program, dir: s.dir, door: door, link: NewProxy(addrs[0])}
+	n := &node{name: fmt.Sprintf("node-%d", len(s.nodes)), program: s.program, dir: s.dir, door: door, link: NewProxy(s.free.next())}
 	n.set = platformtest.Settings{
-		Node: n.name, Callers: addrs[1], Readiness: addrs[2], Peers: addrs[3], Metrics: addrs[4].Port(),
+		Node: n.name, Callers: s.free.next(), Readiness: s.free.next(), Peers: s.free.next(), Metrics: s.free.next().Port(),
 		Store: n.link.Addr, Bounds: s.bounds.Bounds,
 	}
 	s.mu.Lock()
@@ -251,11 +250,7 @@
 
 // addTarget starts a target of a service at a new place.
 func (s *site) addTarget(service string) (*slot, error) {
-	addrs, err := s.ports.addrs(1)
-	if err != nil {
-		return nil, err
-	}
-	sl := &slot{proxy: NewProxy(addrs[0])}
+	sl := &slot{proxy: NewProxy(s.free.next())}
 	s.mu.Lock()
 	weights := s.weights
 	s.mu.Unlock()
@@ -585,6 +580,3 @@
 	case <-time.After(d):
 	}
 }
-
-// file names a file of the soak's folder.
-func (s *site) file(name string) string { return filepath.Join(s.dir, name) }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -17,7 +19,7 @@
 	out      string
 	bounds   Bounds
 	log      *slog.Logger
-	ports    *ports
+	played   atomic.Uint32
 }
 
 // Option changes a [Soak] at its construction.
@@ -34,7 +36,7 @@
 
 // New returns a soak of the programs in a folder.
 func New(programs string, opts ...Option) *Soak {
-	s := &Soak{programs: programs, out: os.TempDir(), bounds: DefaultBounds, log: slog.New(slog.DiscardHandler), ports: &ports{given: make(map[int]bool)}}
+	s := &Soak{programs: programs, out: os.TempDir(), bounds: DefaultBounds, log: slog.New(slog.DiscardHandler)}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -64,7 +66,7 @@
 	if err != nil {
 		return Result{}, errs.Wrap(err)
 	}
-	st, err := newSite(s.programs+"/pathhead-node", dir, s.ports, s.bounds, plan.Size)
+	st, err := newSite(s.programs+"/pathhead-node", dir, newAddresses(s.played.Add(1)), s.bounds, plan.Size)
 	defer st.close()
 	if err != nil {
 		return Result{}, err
@@ -72,11 +74,17 @@
 	if err := st.awaitReady(ctx); err != nil {
 		return Result{}, errs.Errorf("%s: %w", dir, err)
 	}
-	s.drive(ctx, st, plan)
+	seen := s.drive(ctx, st, plan)
 	rec := st.snapshot()
 	rec.Over = ctx.Err() == nil
 	st.close()
 	res := Result{Plan: plan, Record: rec, Breaches: Judge(rec), Dir: dir}
+	// What broke a promise on the way may look whole at the end.
+	for _, b := range seen {
+		if !slices.ContainsFunc(res.Breaches, func(at Breach) bool { return at.Promise == b.Promise }) {
+			res.Breaches = append(res.Breaches, b)
+		}
+	}
 	return res, s.keep(&res)
 }
 
@@ -96,8 +104,9 @@
 	return nil
 }
 
-// drive has callers call while the plan's steps come, and for a while after them.
-func (s *Soak) drive(ctx context.Context, st *site, plan Plan) {
+// drive has callers call while the plan's steps come, and for a while after them. It
+// returns the first breach of each promise that was seen on the way.
+func (s *Soak) drive(ctx context.Context, st *site, plan Plan) []Breach {
 	calling, stop := context.WithCancel(ctx)
 	defer stop()
 	b := &balancer{site: st, missed: make(map[string]int)}
@@ -106,7 +115,8 @@
 	for n := range plan.Size.Callers {
 		running.Go(func() { newCaller(st, b, fmt.Sprintf("c%d", n)).run(calling) })
 	}
-	running.Go(func() { s.follow(calling, st, plan.Seed) })
+	var seen []Breach
+	running.Go(func() { seen = s.follow(calling, st, plan.Seed) })
 	begun := time.Now()
 	for _, step := range plan.Steps {
 		wait(ctx, time.Until(begun.Add(step.At)))
@@ -120,19 +130,22 @@
 	wait(ctx, plan.Tail)
 	stop()
 	running.Wait()
+	return seen
 }
 
-// follow judges while the plan is played and tells what is new.
-func (s *Soak) follow(ctx context.Context, st *site, seed uint64) {
-	told := make(map[Promise]bool)
+// follow judges while the plan is played, tells the first breach of each promise and returns them.
+func (s *Soak) follow(ctx context.Context, st *site, seed uint64) []Breach {
+	var seen []Breach
 	for ctx.Err() == nil {
 		wait(ctx, judgeEvery)
 		rec := st.snapshot()
 		for _, b := range Judge(rec) {
-			if !told[b.Promise] {
-				told[b.Promise] = true
-				s.log.Warn("a promise is broken", "seed", seed, "promise", b.Promise, "after", b.At.Sub(rec.Begun), "subject", b.Subject, "detail", b.Detail)
+			if slices.ContainsFunc(seen, func(at Breach) bool { return at.Promise == b.Promise }) {
+				continue
 			}
+			seen = append(seen, b)
+			s.log.Warn("a promise is broken", "seed", seed, "promise", b.Promise, "after", b.At.Sub(rec.Begun), "subject", b.Subject, "detail", b.Detail)
 		}
 	}
+	return seen
 }
