--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -59,8 +59,8 @@
 	taken bool
 }
 
-// take claims a place for a step that ends its target.
-func (s *site) take(sl *slot) bool {
+// claim takes a place for a step that ends its target.
+func (s *site) claim(sl *slot) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if sl.taken {
@@ -70,8 +70,8 @@
 	return true
 }
 
-// free ends the claim of a step.
-func (s *site) free(sl *slot) {
+// release ends the claim of a step.
+func (s *site) release(sl *slot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	sl.taken = false
@@ -390,10 +390,10 @@
 	case TargetLink:
 		s.impair(ctx, step, sl.proxy, "")
 	case TargetCrash, TargetDrain, TargetHide:
-		if !s.take(sl) {
+		if !s.claim(sl) {
 			return
 		}
-		defer s.free(sl)
+		defer s.release(sl)
 		if step.Kind == TargetCrash {
 			s.crash(ctx, step, sl)
 		} else {
