--- a/cmd/pathhead-soak/main.go
+++ b/cmd/pathhead-soak/main.go
@@ -27,7 +27,7 @@
 	For      time.Duration    `help:"How long faults come; calls go on for 16s after them." default:"40s"`
 	Nodes    int              `help:"Nodes, each a process of its own." default:"5"`
 	Engines  int              `help:"Targets that serve a model." default:"9"`
-	Callers  int              `help:"Callers, each with two calls under way." default:"6"`
+	Callers  int              `help:"Callers, each with two calls under way." default:"10"`
 	Plans    []string         `help:"Play plans from files instead of seeds." name:"plan" type:"existingfile"`
 	Draw     bool             `help:"Print the plans and end."`
 	Out      string           `help:"Folder for what failing plans leave." default:"out/soak"`
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -114,10 +114,10 @@
 	return &caller{site: s, name: name, keep: client(true), anew: client(false)}
 }
 
-// The pauses of a flow between two calls; a quarter of the flows begin by resting.
+// The pauses of a flow between two calls.
 const (
-	leastPause = 20 * time.Millisecond
-	mostPause  = 200 * time.Millisecond
+	leastPause = 10 * time.Millisecond
+	mostPause  = 100 * time.Millisecond
 )
 
 // run sends calls until ctx ends; the last is finished.
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,219 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/platform/platformtest"
+)
+
+// begun is when the records of these tests begin.
+var begun = time.Unix(1_000_000, 0)
+
+// at is a time of a record in seconds.
+func at(seconds float64) time.Time { return begun.Add(time.Duration(seconds * float64(time.Second))) }
+
+// sound is a record that keeps all promises: two nodes, a stream at an engine and a
+// call at a plain target, sent half a minute after configuration 1 and weights 1.
+func sound() Record {
+	r := Record{
+		Bounds: DefaultBounds, Begun: begun, Now: at(60),
+		Configs: []Declared{{configAt(1), at(0), at(0)}},
+		Named:   []Named{{1, at(0)}},
+		Targets: []Target{
+			{ID: "e1", Service: engineName, Begun: begun, Weights: 1}, {ID: "e2", Service: engineName, Begun: begun, Weights: 1},
+			{ID: "p1", Service: plainName, Begun: begun},
+		},
+	}
+	add(&r, Attempt{ID: "s.0", Call: "s", Kind: StreamCall, Path: "/stream/x", Key: openKey, Parts: "aa:1"}, 30, "e1")
+	add(&r, Attempt{ID: "o.0", Call: "o", Kind: OnceCall, Path: "/once/x", Key: openKey}, 31, "p1")
+	add(&r, Attempt{ID: "m.0", Call: "m", Kind: SafeCall, Path: "/safe/x", Key: openKey}, 32, "p1")
+	return r
+}
+
+// add adds an attempt that node a was sent at a time and a target answered well.
+func add(r *Record, a Attempt, second float64, target string) {
+	a.Node, a.Boot, a.Kept, a.Sent, a.Done = "a", 1, true, at(second), at(second+0.3)
+	a.Status, a.Seal, a.AnswerID, a.Answer = http.StatusOK, platformtest.Seal(a.ID), a.ID, a.wanted()
+	r.Attempts = append(r.Attempts, a)
+	service := map[byte]string{'e': engineName, 'p': plainName, 'z': spareName}[target[0]]
+	r.Runs = append(r.Runs, platformtest.Run{
+		ID: a.ID, Replica: target, Service: service, Method: http.MethodPost, URI: a.Path, Host: hostName, Body: a.Body,
+		Header: http.Header{"X-Prefix-Hash": {a.Parts}, "X-Tenant-Id": {handle(configAt(1), "/once/x", a.Key).organisation}}, Weights: 1, Begun: at(second + 0.1),
+	})
+}
+
+// order is an accepted order.
+func order(target, holder string, fence, weights int64, second float64) platformtest.OrderSeen {
+	return platformtest.OrderSeen{Replica: target, Holder: holder, Fence: fence, Version: weights, Status: http.StatusAccepted, Arrived: at(second), At: at(second)}
+}
+
+// trouble is a fault over a span of seconds.
+func trouble(scope Scope, kind Kind, subject string, from, until float64) Trouble {
+	return Trouble{Scope: scope, Kind: kind, Subject: subject, From: at(from), Until: at(until)}
+}
+
+// Every promise is seen to be broken by a record that breaks it and no other, and
+// what the promises excuse is excused.
+func TestJudge(t *testing.T) {
+	named := func(r *Record, second float64, more ...Trouble) {
+		r.Named = append(r.Named, Named{2, at(second)})
+		r.Troubles = more
+		r.Targets[1].Weights = 2
+	}
+	changed := func(r *Record, acked float64) {
+		r.Configs = append(r.Configs, Declared{configAt(2), at(acked), at(acked)})
+	}
+	cut := func(r *Record, more ...Trouble) {
+		r.Attempts[1].Status, r.Attempts[1].Err = 0, "EOF"
+		r.Troubles = append(more, trouble(OfNode, Stop, "a", 29, 37))
+	}
+	removed := Attempt{ID: "k.0", Call: "k", Kind: SafeCall, Path: "/safe/x", Key: keyOf(1)}
+	moved := Attempt{ID: "v.0", Call: "v", Kind: SafeCall, Path: movePath + "x", Key: openKey}
+	cases := map[string]struct {
+		change func(r *Record)
+		breaks Promise
+	}{
+		"all is well":                 {func(*Record) {}, ""},
+		"an answer of another":        {func(r *Record) { r.Attempts[1].AnswerID = "s.0" }, OwnAnswer},
+		"a half answer as whole":      {func(r *Record) { r.Attempts[1].Answer = "the" }, OwnAnswer},
+		"a half answer with an error": {func(r *Record) { r.Attempts[1].Answer, r.Attempts[1].Err = "the", "EOF" }, ""},
+		"an answer without a seal":    {func(r *Record) { r.Attempts[1].Seal = "" }, OwnAnswer},
+		"a stream with a gap": {func(r *Record) {
+			r.Attempts[0].Answer = platformtest.Event("s.0", 2)
+			r.Attempts[0].Err = "EOF"
+		}, WholeStream},
+		"a run that nobody sent":   {func(r *Record) { r.Runs[2].ID = "x" }, AsSent},
+		"a changed body":           {func(r *Record) { r.Runs[2].Body = "x" }, AsSent},
+		"another organisation":     {func(r *Record) { r.Runs[2].Header.Set("X-Tenant-Id", walledOrg) }, AsSent},
+		"another service":          {func(r *Record) { r.Runs[2].Service = strangeName }, AsSent},
+		"parts of other weights":   {func(r *Record) { r.Runs[0].Stale = true }, OwnParts},
+		"a second run":             {func(r *Record) { r.Runs = append(r.Runs, r.Runs[1]) }, OnceOnly},
+		"a second run that may be": {func(r *Record) { r.Runs = append(r.Runs, r.Runs[2]) }, ""},
+		"a refusal that ran":       {func(r *Record) { r.Attempts[1].Status, r.Attempts[1].Seal = 503, "" }, TrueRefusal},
+		"a refusal that may run":   {func(r *Record) { r.Attempts[2].Status, r.Attempts[2].Seal = 503, "" }, ""},
+		"a target that left":       {func(r *Record) { r.Targets[2].Leaving = at(28) }, LeftAlone},
+		"a target that leaves":     {func(r *Record) { r.Targets[2].Leaving = at(30.5) }, ""},
+		"a target that left unheard": {func(r *Record) {
+			r.Targets[2].Leaving, r.Troubles = at(28), []Trouble{trouble(OfNode, Pause, "a", 28, 30)}
+		}, ""},
+		"a removed route": {func(r *Record) {
+			add(r, moved, 40, "z1")
+			r.Runs[3].Service = spareName
+			changed(r, 35)
+		}, ConfigInTime},
+		"a route just removed": {func(r *Record) {
+			add(r, moved, 40, "z1")
+			changed(r, 39)
+		}, ""},
+		"a removed route, cut off": {func(r *Record) {
+			add(r, moved, 40, "z1")
+			changed(r, 35)
+			r.Troubles = []Trouble{trouble(OfLink, StoreLink, "a", 34, 38)}
+		}, ""},
+		"back to an older version": {func(r *Record) {
+			add(r, moved, 40, "p1")
+			changed(r, 39)
+			again := moved
+			again.ID, again.Call = "w.0", "w"
+			add(r, again, 40.9, "z1")
+		}, NeverBack},
+		"a removed key": {func(r *Record) {
+			add(r, removed, 50, "p1")
+			changed(r, 20)
+			r.Configs = append(r.Configs, Declared{configAt(3), at(44), at(44)})
+			r.Troubles = []Trouble{trouble(OfStore, StoreFails, "", 43, 60)}
+		}, KeysGone},
+		"a key just removed": {func(r *Record) {
+			add(r, removed, 48, "p1")
+			changed(r, 20)
+			r.Configs = append(r.Configs, Declared{configAt(3), at(44), at(44)})
+			r.Troubles = []Trouble{trouble(OfStore, StoreFails, "", 43, 60)}
+		}, ""},
+		"proper requests denied": {func(r *Record) {
+			for range 8 {
+				a := r.Attempts[2]
+				a.ID, a.AnswerID, a.Status, a.Seal = "d", "", 403, ""
+				r.Attempts = append(r.Attempts, a)
+			}
+		}, FewDenied},
+		"two holders with one fence": {func(r *Record) {
+			r.Orders = []platformtest.OrderSeen{order("e1", "a", 1, 2, 20), order("e2", "b", 1, 2, 30)}
+		}, OneHolder},
+		"a lower fence": {func(r *Record) {
+			r.Orders = []platformtest.OrderSeen{order("e1", "a", 2, 2, 20), order("e1", "b", 1, 3, 30)}
+		}, OneHolder},
+		"holders that take turns": {func(r *Record) {
+			r.Orders = []platformtest.OrderSeen{order("e1", "a", 1, 2, 20), order("e1", "b", 2, 3, 22)}
+		}, OneHolder},
+		"an older order after": {func(r *Record) {
+			r.Orders = []platformtest.OrderSeen{order("e1", "a", 1, 3, 20), order("e1", "a", 1, 2, 22)}
+		}, OneHolder},
+		"an order right after a pause": {func(r *Record) {
+			r.Orders = []platformtest.OrderSeen{order("e1", "b", 2, 2, 20), order("e1", "a", 1, 3, 22)}
+			r.Troubles = []Trouble{trouble(OfNode, Pause, "a", 10, 21.9)}
+		}, ""},
+		"old weights":                 {func(r *Record) { named(r, 19.5) }, WeightsBegin},
+		"weights just replaced":       {func(r *Record) { named(r, 20.5) }, ""},
+		"old weights after a pause":   {func(r *Record) { named(r, 10, trouble(OfNode, Pause, "a", 20, 28)) }, ""},
+		"old weights long after it":   {func(r *Record) { named(r, 10, trouble(OfNode, Pause, "a", 20, 26)) }, WeightsBegin},
+		"old weights at another node": {func(r *Record) { named(r, 10, trouble(OfNode, Kill, "b", 20, 28)) }, WeightsBegin},
+		"old weights after a cut":     {func(r *Record) { named(r, 10, trouble(OfLink, StoreLink, "b", 20, 22)) }, ""},
+		"a pool with old weights": {func(r *Record) {
+			r.Named = append(r.Named, Named{2, at(40)})
+			r.Troubles = []Trouble{trouble(OfOrders, OrdersLate, "e1", 40, 60)}
+		}, WeightsAll},
+		"a pool in time": {func(r *Record) {
+			r.Named = append(r.Named, Named{2, at(40)})
+			r.Troubles = []Trouble{trouble(OfLink, StoreLink, "b", 45, 52)}
+		}, ""},
+		"a stop that cuts":          {func(r *Record) { cut(r) }, StopsCutNone},
+		"a stop and a kill":         {func(r *Record) { cut(r, trouble(OfNode, Kill, "a", 31, 32)) }, ""},
+		"a stop and a crash":        {func(r *Record) { cut(r, trouble(OfTarget, TargetCrash, "p1", 31, 32)) }, ""},
+		"a stop and another crash":  {func(r *Record) { cut(r, trouble(OfTarget, TargetCrash, "e1", 31, 32)) }, StopsCutNone},
+		"a stop cut its own stream": {func(r *Record) { cut(r); r.Attempts[1].Left = true }, ""},
+		"lost on kept connections": {func(r *Record) {
+			for _, id := range []string{"1", "2", "3", "4"} {
+				add(r, Attempt{ID: id, Call: id, Kind: SafeCall, Path: "/safe/x", Key: openKey}, 40, "p1")
+				a := &r.Attempts[len(r.Attempts)-1]
+				a.Status, a.Err = 0, "EOF"
+			}
+		}, KeptAnswered},
+		"answers long after the route's time": {func(r *Record) {
+			for _, id := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+				add(r, Attempt{ID: id, Call: id, Kind: SafeCall, Path: "/safe/x", Key: openKey}, 40, "p1")
+				r.Attempts[len(r.Attempts)-1].Done = at(44)
+			}
+		}, AnswersInTime},
+		"no service at the end": {func(r *Record) { r.Calm, r.Over = at(40), true }, BackInTime},
+		"a process that ended":  {func(r *Record) { r.Ends = []Trouble{{Subject: "a", From: at(3)}} }, Runs},
+		"sent too often": {func(r *Record) {
+			for _, id := range []string{"1", "2", "3", "4"} {
+				add(r, Attempt{ID: id, Call: id, Kind: SafeCall, Path: "/safe/x", Key: openKey}, 40, "p1")
+				last := r.Runs[len(r.Runs)-1]
+				r.Runs = append(r.Runs, last, last)
+			}
+		}, FewSends},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r := sound()
+			c.change(&r)
+			var broken []Promise
+			for _, b := range Judge(r) {
+				broken = append(broken, b.Promise)
+			}
+			if c.breaks == "" {
+				require.Empty(t, broken, "%v", Judge(r))
+				return
+			}
+			require.NotEmpty(t, broken)
+			for _, p := range broken {
+				require.Equal(t, c.breaks, p, "%v", Judge(r))
+			}
+		})
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -77,7 +77,7 @@
 }
 
 // DefaultSize is a small fleet, of which some nodes can be down without the others being full.
-var DefaultSize = Size{Nodes: 5, Engines: 9, Plain: 3, Callers: 6}
+var DefaultSize = Size{Nodes: 5, Engines: 9, Plain: 3, Callers: 10}
 
 // DefaultTail is the time for recovery, and some to see that it came.
 const DefaultTail = 16 * time.Second
@@ -120,10 +120,10 @@
 	{StoreForgets, 0.15, 0, 0, 2},
 	{StoreLink, 0.25, 300 * time.Millisecond, 8 * time.Second, 4},
 	{TargetLink, 0.2, 300 * time.Millisecond, 4 * time.Second, 4},
-	{TargetCrash, 0.3, 300 * time.Millisecond, 4 * time.Second, 3},
+	{TargetCrash, 0.3, 300 * time.Millisecond, 4 * time.Second, 5},
 	{TargetDrain, 0.35, 3 * time.Second, 6 * time.Second, 3},
 	{TargetHide, 0.2, 3 * time.Second, 6 * time.Second, 2},
-	{TargetGrey, 0.25, time.Second, 6 * time.Second, 3},
+	{TargetGrey, 0.3, 2 * time.Second, 8 * time.Second, 5},
 	{OrdersLate, 0.5, 10 * time.Second, 30 * time.Second, 5},
 	{NameWeights, 0.7, 0, 0, 5},
 	{Reconfigure, 0.5, 0, 0, 5},
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -52,11 +52,14 @@
 	return errs.Wrap(os.WriteFile(n.settingsFile(), []byte(n.set.TOML()), 0o600))
 }
 
-// start starts the node's process, whose output goes to a file of its own; ended
-// hears of an end that the soak did not bring about.
+// start starts the node's process unless one runs. Its output goes to a file of its
+// own; ended hears of an end that the soak did not bring about.
 func (n *node) start(ended func(n *node, state string)) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.proc != nil {
+		return nil
+	}
 	n.boot++
 	out, err := os.Create(filepath.Join(n.dir, fmt.Sprintf("%s.%d.log", n.name, n.boot)))
 	if err != nil {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -48,7 +48,7 @@
 	mostLate  = 12 * time.Second
 	lateEvery = 300 * time.Millisecond
 	// greyPart is the part of its requests that a grey target fails.
-	greyPart = 0.3
+	greyPart = 0.5
 )
 
 // slot is the place of a target, with the one that is there now.
@@ -217,17 +217,17 @@
 	return append([]*node(nil), s.nodes...)
 }
 
-// startNode starts a node's process unless one runs.
+// startNode starts a node's process unless one runs or the soak is over.
 func (s *site) startNode(n *node) error {
-	s.mu.Lock()
-	over := s.over
-	s.mu.Unlock()
-	if over || n.running() != nil {
-		return nil
-	}
 	if err := n.writeSettings(s.seeds()); err != nil {
 		return err
 	}
+	// The lock is held so that no process is started that close does not see.
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.over {
+		return nil
+	}
 	return n.start(s.ended)
 }
 
