--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -18,7 +18,7 @@
 // How many of the routes and keys that come with each version stay.
 const (
 	routesStay = 3
-	keysStay   = 2
+	keysStay   = 1
 )
 
 // The names of what comes with a version.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -116,9 +116,9 @@
 	{Stop, 0.4, 50 * time.Millisecond, time.Second, 3},
 	{HangUp, 0.2, 0, 0, 3},
 	{Join, 0.25, 0, 0, 2},
-	{StoreFails, 0.25, 500 * time.Millisecond, 8 * time.Second, 3},
+	{StoreFails, 0.25, 500 * time.Millisecond, 12 * time.Second, 3},
 	{StoreForgets, 0.15, 0, 0, 2},
-	{StoreLink, 0.25, 300 * time.Millisecond, 8 * time.Second, 4},
+	{StoreLink, 0.25, 300 * time.Millisecond, 12 * time.Second, 4},
 	{TargetLink, 0.2, 300 * time.Millisecond, 4 * time.Second, 4},
 	{TargetCrash, 0.3, 300 * time.Millisecond, 4 * time.Second, 5},
 	{TargetDrain, 0.35, 3 * time.Second, 6 * time.Second, 3},
@@ -133,7 +133,7 @@
 var (
 	links   = []Link{Delayed, CutUp, CutDown, Silence, Reset}
 	outages = []platformtest.Outage{
-		platformtest.Busy, platformtest.Resetting, platformtest.Losing, platformtest.Late,
+		platformtest.Busy, platformtest.Busy, platformtest.Resetting, platformtest.Resetting, platformtest.Losing, platformtest.Late,
 		platformtest.Slow, platformtest.Limited, platformtest.Garbling,
 	}
 )
