--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -99,9 +99,12 @@
 	defer s.begin(Trouble{Scope: OfNode, Kind: step.Kind, Subject: n.name})()
 	switch step.Kind {
 	case Pause:
+		s.hold(p)
 		n.signal(p, syscall.SIGSTOP, false)
 		wait(ctx, step.Length)
-		n.signal(p, syscall.SIGCONT, false)
+		if s.last(p) {
+			n.signal(p, syscall.SIGCONT, false)
+		}
 		return
 	case Stop:
 		n.signal(p, syscall.SIGTERM, true)
@@ -126,20 +129,43 @@
 	}
 	defer s.begin(Trouble{Scope: OfStore, Kind: StoreFails, Subject: subject, Detail: fmt.Sprint(step.Outage)})()
 	for _, n := range hit {
+		s.hold(n.door)
 		n.door.Fail(step.Outage)
 	}
 	wait(ctx, step.Length)
 	for _, n := range hit {
-		n.door.Fail(platformtest.Serving)
+		if s.last(n.door) {
+			n.door.Fail(platformtest.Serving)
+		}
 	}
 }
 
+// hold counts a fault that holds what it hits, and last reports at its end whether no
+// other does, so that of faults that overlap the last one heals.
+func (s *site) hold(what any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[what]++
+}
+
+func (s *site) last(what any) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held[what]--
+	return s.held[what] == 0
+}
+
 // impair impairs a link. A reset and silence happen at one moment.
 func (s *site) impair(ctx context.Context, step Step, p *Proxy, subject string) {
 	defer s.begin(Trouble{Scope: OfLink, Kind: step.Kind, Subject: subject, Detail: string(step.Link)})()
+	if step.Link == Reset || step.Link == Silence {
+		p.Set(step.Link)
+		return
+	}
+	s.hold(p)
 	p.Set(step.Link)
-	if step.Link != Reset && step.Link != Silence {
-		wait(ctx, step.Length)
+	wait(ctx, step.Length)
+	if s.last(p) {
 		p.Set(Passing)
 	}
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -55,7 +55,9 @@
 	// steps are the faults under way.
 	steps sync.WaitGroup
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// held counts the faults that hold a door, a link or a process.
+	held    map[any]int
 	nodes   []*node
 	slots   []*slot
 	engines int
@@ -67,7 +69,7 @@
 
 // newSite starts the stand-ins and the nodes of an installation.
 func newSite(program, dir string, free *addresses, bounds Bounds, size Size) (*site, error) {
-	s := &site{bounds: bounds, dir: dir, program: program, free: free, store: platformtest.NewStore(), runs: new(platformtest.RunLog), engines: size.Engines}
+	s := &site{bounds: bounds, dir: dir, program: program, free: free, store: platformtest.NewStore(), runs: new(platformtest.RunLog), held: make(map[any]int), engines: size.Engines}
 	s.rec.Begun, s.rec.Bounds = time.Now(), bounds
 	if err := s.name(); err != nil {
 		return s, err
