--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -136,8 +136,6 @@
 // Bounds are the promises' bounds: those that nodes are told, and those that only checks use.
 type Bounds struct {
 	platformtest.Bounds
-	// Contact is how long a node must have been sound to be held to bounds of time.
-	Contact time.Duration
 	// AllWeights is within how much sound time all targets get the newest weights.
 	AllWeights time.Duration
 	// Back is how long after its effect was seen a process may still answer by an
@@ -157,10 +155,10 @@
 var DefaultBounds = Bounds{
 	Bounds: platformtest.Bounds{
 		Drain: 2 * time.Second, Grace: 8 * time.Second, Apply: 2 * time.Second, Revoke: 5 * time.Second,
-		Lease: 3 * time.Second, Weights: 10 * time.Second,
+		Lease: 3 * time.Second, Weights: 10 * time.Second, Contact: 3 * time.Second,
 		RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 52,
 	},
-	Contact: 3 * time.Second, AllWeights: 14 * time.Second, Back: 250 * time.Millisecond,
+	AllWeights: 14 * time.Second, Back: 250 * time.Millisecond,
 	Thaw: 300 * time.Millisecond, Loss: 200 * time.Millisecond, Recovery: 12 * time.Second,
 	Answer: 500 * time.Millisecond,
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -265,7 +265,7 @@
 	s.born++
 	id := fmt.Sprintf("%s-%d", service, s.born)
 	s.mu.Unlock()
-	opts := []platformtest.Option{platformtest.WithListed(sl.proxy.Addr)}
+	opts := []platformtest.Option{platformtest.WithFront(sl.proxy.Addr)}
 	if service == engineName {
 		opts = append(opts, platformtest.WithModel(modelName, weights), platformtest.WithEvents(streamEvents, eventGap))
 	}
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -9,11 +9,11 @@
 	"github.com/pathhead/pathhead/route"
 )
 
-// told notes the list as it is told to others.
+// told notes the list as it is told to others, unless a newer reading was.
 func (r *relays) told(at time.Time, list []route.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.large {
+	if !r.large || at.Before(r.listAt) {
 		return
 	}
 	r.listAt = at
@@ -45,13 +45,11 @@
 	own, word := n.relayState()
 	out := n.relays.answer(in, own)
 	out.Config = word
+	out.Newest = n.newestWords(time.Now())
 	n.Lock()
 	defer n.Unlock()
 	now := time.Now()
 	b := n.Board()
-	for model, named := range b.Namings() {
-		out.Named = append(out.Named, peer.Named{Model: model, Weights: named.Weights, Age: now.Sub(named.At)})
-	}
 	if out.News != nil {
 		after := int64(0)
 		if in.Known.Epoch == out.News.Cursor.Epoch {
--- a/route/board.go
+++ b/route/board.go
@@ -44,17 +44,21 @@
 	// moves bounds what moves over a store's link, in tokens.
 	moves   bucket
 	routers int
-	// begun is when the first configuration was adopted, rounding the part of one
-	// retry that this router's part of the reserve is rounded up by.
-	begun     time.Time
-	rounding  float64
+	// begun is when the first configuration was adopted.
+	begun time.Time
+	// crowd is how many routers may have spent retries lately, rounding the part of
+	// one retry that this router's part of the reserve is rounded up by.
+	crowd    crowd
+	rounding float64
+	// alone says that the settings name no other router.
+	alone     bool
 	peers     map[string]PeerState
 	closed    *Refusal
 	round     uint64
 	scratch   []candidate
 	staleness *Staleness
-	// named are the namings of each model's weights, the newest last.
-	named map[string][]naming
+	// named is what is known of each model's newest weights, now and before.
+	named map[string]spans
 	// placed hears at once of requests that take a target long.
 	placed func(Placed)
 	// filling are the blocks that targets read now.
@@ -114,6 +118,12 @@
 	return func(b *Board) { b.zone = zone }
 }
 
+// WithRouters sets how many routers there are as far as the settings tell, which holds
+// until peers are heard of.
+func WithRouters(n int) Option {
+	return func(b *Board) { b.routers = max(1, n) }
+}
+
 // WithOwnRoom sets the prefill that this router may have waiting at one engine,
 // where callers are spread too unevenly over routers for an even part to do.
 func WithOwnRoom(d time.Duration) Option {
@@ -157,9 +167,10 @@
 		firstParts:  newGenerations[Block, meter](homeKept),
 		kept:        newGenerations[Block, keptPrefix](keptEntries),
 		routers:     1,
+		crowd:       crowd{most: 1},
 		peers:       make(map[string]PeerState),
 		serving:     make(map[serversKey]*serversList),
-		named:       make(map[string][]naming),
+		named:       make(map[string]spans),
 
 		minRetryAfter: defaultMinRetryAfter,
 		placed:        func(Placed) {},
@@ -169,6 +180,7 @@
 		opt(b)
 	}
 	b.rounding = b.rng.Float64()
+	b.alone = b.routers == 1
 	return b
 }
 
@@ -199,7 +211,7 @@
 	for _, cp := range b.snap.Pools() {
 		p, ok := b.pools[cp.Name]
 		if !ok {
-			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget()}
+			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget(now)}
 			p.drained.at, p.offered.at = now, now
 			b.pools[cp.Name] = p
 		}
@@ -284,6 +296,7 @@
 	}
 	for _, t := range b.targets {
 		out = append(out, b.cancelStalled(now, t)...)
+		out = append(out, b.withdrawOutdated(now, t)...)
 	}
 	return append(out, b.dispatch(now)...)
 }
@@ -321,7 +334,7 @@
 	out := make([]TargetView, 0, len(all))
 	for _, t := range all {
 		v := TargetView{
-			Addr: t.addr, Name: t.name(), Incarnation: t.incarnation, Weights: t.report.Weights,
+			Addr: t.addr, Name: t.name(), Incarnation: t.incarnation, Weights: t.weights(),
 			Leaving: t.leaving, Failing: t.failing, InFlight: len(t.attempts), Horizon: t.horizon.age,
 		}
 		for _, p := range t.pools {
--- a/route/retry.go
+++ b/route/retry.go
@@ -13,6 +13,8 @@
 
 	sent  window
 	spent window
+	// begun is when the counting began.
+	begun time.Time
 }
 
 // defaultRetryReserve is the number of retries that a pool may make at one
@@ -20,19 +22,28 @@
 // for all routers; a pool that has seen no request yet starts with it.
 const defaultRetryReserve = 10
 
-// The parts of a stated bound that a router uses. A router that was restarted has
-// forgotten what it spent: until it has lived for a window it uses startPart of
-// its part of the reserve, and reservePart leaves room for that. ratioPart leaves
-// room for requests that the installation counts elsewhere than here. A router's
-// part of a large fleet's reserve may be below one: each rounds up by a part that
-// it draws at its start, so that all together spend what they may.
+// The parts of a stated bound that a router uses. ratioPart leaves room for requests
+// that the installation counts elsewhere than here, reservePart for what the last
+// process of the same router spent, which this one does not know. A router's part of a
+// large fleet's reserve may be below one: each rounds up by a part that it draws at
+// its start, so that all together spend what they may.
+//
+// Until it has counted for a window a router uses only startPart of its part of the
+// reserve, and before meetPart of a window nothing, since it may not know yet how many
+// share it; one whose settings name no other, and that heard of none, is alone. So at
+// most 1/meetPart starts of a router spend startPart in one window, which is what
+// reservePart leaves, however often it is started anew. One that is alone may break
+// that with more starts.
 const (
 	reservePart = 0.65
-	startPart   = 0.3
+	meetPart    = 0.25
+	startPart   = (1 - reservePart) * meetPart
 	ratioPart   = 0.8
 )
 
-func newRetryBudget() retryBudget { return retryBudget{tokens: defaultRetryReserve} }
+func newRetryBudget(now time.Time) retryBudget {
+	return retryBudget{tokens: defaultRetryReserve, begun: now}
+}
 
 // earnRetry counts a request that is sent for the first time.
 func (b *Board) earnRetry(now time.Time, k *retryBudget) {
@@ -52,11 +63,14 @@
 		return true
 	}
 	over := time.Duration(q.RetryWindow)
-	part := reservePart
-	if now.Sub(b.begun) < over {
+	part := 0.0
+	switch age := now.Sub(k.begun); {
+	case age >= over:
+		part = reservePart
+	case b.alone && b.crowd.most == 1, float64(age) >= meetPart*float64(over):
 		part = startPart
 	}
-	most := ratioPart*q.RetryBudget*float64(k.sent.count(now, over)) + part*q.RetryReserve/float64(b.routers)
+	most := ratioPart*q.RetryBudget*float64(k.sent.count(now, over)) + part*q.RetryReserve/float64(b.crowd.most)
 	if float64(k.spent.count(now, over)+1) > most+b.rounding {
 		return false
 	}
@@ -70,19 +84,52 @@
 	return o.Kind == OutcomeUnsent && b.snap.Config.Requests.RetryReserve > 0
 }
 
+// crowd is how many routers there were. Fewer count only once no more were seen for
+// a window: those that are gone may have spent their part in it, and a router that
+// was frozen or cut off has forgotten for a moment who else lives.
+type crowd struct {
+	most int
+	// fewer is the most that were seen since a time, all below most; zero if none were.
+	fewer int
+	since time.Time
+}
+
+// see takes the number of routers known at a time.
+func (c *crowd) see(now time.Time, n int, over time.Duration) {
+	switch {
+	case n >= c.most:
+		c.most, c.fewer = n, 0
+	case c.fewer == 0:
+		c.fewer, c.since = n, now
+	case now.Sub(c.since) >= over:
+		c.most, c.fewer = max(c.fewer, n), 0
+	default:
+		c.fewer = max(c.fewer, n)
+	}
+}
+
 // windowSlots is the resolution of a sliding window.
 const windowSlots = 20
 
 // window counts events over a sliding time.
 type window struct {
 	slots [windowSlots]int
-	// at is the number of the newest slot since the epoch of time.
+	// width is the length of one slot. Slots are numbered from begun, by the process's
+	// own clock: the time of day may be set forward or back.
+	width time.Duration
+	begun time.Time
+	// at is the number of the newest slot.
 	at int64
 }
 
 func (w *window) slide(now time.Time, over time.Duration) {
-	width := max(over, time.Second) / windowSlots
-	at := now.UnixNano() / int64(width)
+	if width := max(over, time.Second) / windowSlots; width != w.width {
+		// What was counted over another length counts as if it were new.
+		n := w.sum()
+		*w = window{width: width, begun: now}
+		w.slots[0] = n
+	}
+	at := int64(now.Sub(w.begun) / w.width)
 	for n := min(at-w.at, windowSlots); n > 0; n-- {
 		w.slots[(at-n+1)%windowSlots] = 0
 	}
@@ -96,6 +143,10 @@
 
 func (w *window) count(now time.Time, over time.Duration) int {
 	w.slide(now, over)
+	return w.sum()
+}
+
+func (w *window) sum() int {
 	n := 0
 	for _, s := range w.slots {
 		n += s
