--- a/fleet/roll_test.go
+++ b/fleet/roll_test.go
@@ -205,3 +205,37 @@
 		require.Equal(t, "m", steps.Orders[0].Target.Model)
 	}
 }
+
+// An order that was conditional on a count of orders read too early has no effect; once
+// the target is read with a higher count, the next order goes out at once, and to the
+// newest weights. Waiting for the first to take effect stood the pool still for seconds.
+func TestRollCountReadTooEarly(t *testing.T) {
+	s := DefaultRollSettings()
+	r := NewRoll(s)
+	now := time.Unix(100, 0)
+	target := rollTarget(1, "3", 0)
+	target.Orders = 1
+	next := func() RollSteps {
+		now = now.Add(s.LookEvery)
+		return r.Next(now, map[string]string{"m": "4"}, []RollTarget{target}, shorter)
+	}
+	var first RollSteps
+	for range 5 {
+		if first = next(); len(first.Orders) > 0 {
+			break
+		}
+	}
+	require.Len(t, first.Orders, 1)
+	require.EqualValues(t, 1, first.Orders[0].Target.Orders)
+
+	target.Orders = 2
+	ordered := now
+	for now.Sub(ordered) < s.GiveUp {
+		if steps := next(); len(steps.Orders) > 0 {
+			require.EqualValues(t, 2, steps.Orders[0].Target.Orders)
+			require.Less(t, now.Sub(ordered), time.Second)
+			return
+		}
+	}
+	require.Fail(t, "the target was not ordered again")
+}
