platformtest, soak: what a caller's header says stands once, beside the stand-ins

Cause: the soak's callers wrote the platform's header names outside the platform's folder, and the harness of the tests wrote the same once more. No check changes. Conclusion: names of the wire stand in platform/ alone again.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -232,7 +232,7 @@
 			return
 		}
 		defer resp.Body.Close()
-		r.Status, r.Seal, r.AnswerID = resp.StatusCode, resp.Header.Get("X-Response-Seal"), resp.Header.Get("X-Request-Id")
+		r.Status, r.Seal, r.AnswerID = resp.StatusCode, platformtest.AnswerSeal(resp.Header), platformtest.AnswerID(resp.Header)
 		data, err := io.ReadAll(resp.Body)
 		if err != nil {
 			r.Err = err.Error()
@@ -273,6 +273,12 @@
 	return false
 }
 
+// The lengths of a stream's prompt and answer, in tokens.
+const (
+	promptTokens = 490
+	answerTokens = 20
+)
+
 // request builds an attempt's request.
 func request(ctx context.Context, a Attempt, left time.Duration) *http.Request {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostName+a.Path, strings.NewReader(a.Body))
@@ -280,14 +286,11 @@
 		panic("soak: a path of its own does not parse")
 	}
 	// A POST is never sent again by the client itself once bytes of it were written.
-	req.Header.Set("X-Request-Id", a.ID)
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
-	req.Header.Set("X-Credential", a.Key)
+	said := platformtest.Ask{ID: a.ID, Key: a.Key, Patience: left}
 	if a.Parts != "" {
-		req.Header.Set("X-Model", modelName)
-		req.Header.Set("X-Token-Count", "490,20")
-		req.Header.Set("X-Prefix-Hash", a.Parts)
+		said.Model, said.Parts, said.PromptTokens, said.AnswerTokens = modelName, a.Parts, promptTokens, answerTokens
 	}
+	said.Set(req.Header)
 	return req
 }
 
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -139,7 +139,7 @@
 			continue
 		}
 		switch {
-		case r.Method != http.MethodPost, r.URI != a.Path, r.Host != hostName, r.Body != a.Body, r.Header.Get("X-Prefix-Hash") != a.Parts:
+		case r.Method != http.MethodPost, r.URI != a.Path, r.Host != hostName, r.Body != a.Body, r.Parts() != a.Parts:
 			j.breach(AsSent, r.Begun, r.ID, "%s ran %s %s at %s with %d bytes", r.Replica, r.Method, r.URI, r.Host, len(r.Body))
 		case r.Stale, r.Foreign:
 			j.breach(OwnParts, r.Begun, r.ID, "parts of other weights: %t, of another organisation: %t", r.Stale, r.Foreign)
@@ -209,7 +209,7 @@
 	for i := range j.Attempts {
 		a := &j.Attempts[i]
 		for _, r := range j.runsOf[a.ID] {
-			add(a, r.Begun, true, handling{service: r.Service, organisation: r.Header.Get("X-Tenant-Id")})
+			add(a, r.Begun, true, handling{service: r.Service, organisation: r.Organisation()})
 		}
 		if a.Seal == "" && !a.Done.IsZero() {
 			switch a.Status {
