node, fleet: a node that starts knows how large the fleet was

Ruled out: a row of its own, a call more for each node and start; an entry among the recorded weights, which the landed version would read as weights.

Change: the lease's row says how many processes the holder's fleet had. Each node reads that row at its start anyway; for four seconds it counts for at least as much as what the node knows itself. Older versions pass the field over.

Not mended: a fleet in which no weights were changed yet has no record, and the first start has none.

--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -21,6 +21,8 @@
 	Freed  bool          `json:"freed,omitempty"`
 	// Note is what the holder leaves for whoever reads the lease.
 	Note json.RawMessage `json:"note,omitempty"`
+	// Processes is how many processes the holder's fleet had, as far as it knew.
+	Processes int `json:"processes,omitempty"`
 }
 
 // Lease is one process's side of a lease: whether it holds it, until when, and
@@ -45,6 +47,8 @@
 	fence   int64
 	pending *renewal
 	note    json.RawMessage
+
+	processes int
 }
 
 // renewal is a write whose answer is not known yet.
@@ -75,6 +79,13 @@
 // Note returns what the lease's last writer left, as it was last read or written.
 func (l *Lease) Note() json.RawMessage { return l.seen.Note }
 
+// SetProcesses sets how many processes the next write of the lease says that the fleet has.
+func (l *Lease) SetProcesses(n int) { l.processes = n }
+
+// Processes returns how many processes the fleet had by the lease's last writer, zero
+// where it did not say.
+func (l *Lease) Processes() int { return l.seen.Processes }
+
 // Read takes a read of the lease's row; ok is false where there is none.
 func (l *Lease) Read(now time.Time, row Row, ok bool) error {
 	var r leaseRow
@@ -133,7 +144,7 @@
 }
 
 func (l *Lease) nextRow(now time.Time) (leaseRow, bool) {
-	r := leaseRow{Holder: l.self, Fence: l.seen.Fence, Beat: l.seen.Beat + 1, Length: l.length, Note: l.note}
+	r := leaseRow{Holder: l.self, Fence: l.seen.Fence, Beat: l.seen.Beat + 1, Length: l.length, Note: l.note, Processes: l.processes}
 	if l.held && l.seen.Holder == l.self {
 		// Also a lease that ran out is renewed: while its row stands as this
 		// process wrote it, no other has held the lease since.
--- a/node/duty.go
+++ b/node/duty.go
@@ -266,13 +266,14 @@
 	if err == nil {
 		err = d.lease.Read(time.Now(), row, ok)
 	}
-	note := d.lease.Note()
+	note, nodes := d.lease.Note(), d.lease.Processes()
 	d.mu.Unlock()
 	if err != nil {
 		d.n.log.Debug("the lease was not read", "error", err)
 		return false
 	}
 	d.takeRecord(note)
+	d.n.takeRecordedSize(nodes)
 	return true
 }
 
@@ -286,11 +287,12 @@
 			return false
 		}
 	}
-	record := d.record()
+	record, nodes := d.record(), d.n.fleetSize()
 	d.mu.Lock()
 	begun := time.Now()
 	token := rand.Text()
 	d.lease.SetNote(record)
+	d.lease.SetProcesses(nodes)
 	w, ok := d.lease.Next(begun, token)
 	d.mu.Unlock()
 	if ok {
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,10 @@
 	reaching reaching
 	stopping atomic.Bool
 	loops    sync.WaitGroup
+	// began is when the process started, recorded the size of the fleet that the
+	// holder of the lease recorded.
+	began    time.Time
+	recorded atomic.Int64
 
 	// Driver's lock guards what follows besides the board.
 	*dispatch.Driver
@@ -137,6 +141,7 @@
 
 		smallFleet: DefaultSmallFleet,
 		placed:     make(chan route.Placed, placedHeld),
+		began:      time.Now(),
 	}
 	n.set.Store(&s)
 	n.adoption.Strict()
--- a/node/peers.go
+++ b/node/peers.go
@@ -115,9 +115,30 @@
 
 // fleetSize is how many nodes share what is bounded for all: those that are known, and
 // at least as many as the settings name, since a node that starts knows nobody yet.
+// Until it may know all of them it also takes the number that the holder of the lease
+// recorded. Nodes that are started together would otherwise each take a third of the
+// limits, of the reserve of repeats and of the targets' connections, where three seeds
+// are named: 65 times their part among 195, for some three seconds.
 func (n *Node) fleetSize() int {
 	nodes, _ := n.relays.size()
-	return max(nodes, len(n.settings().Seeds))
+	nodes = max(nodes, len(n.settings().Seeds))
+	if time.Since(n.began) < recordedFor {
+		nodes = max(nodes, int(n.recorded.Load()))
+	}
+	return nodes
+}
+
+// recordedFor is how long after its start a node takes the fleet for as large as was
+// recorded, unless it knows of more: 195 nodes that start together all know each other
+// after three seconds.
+const recordedFor = 4 * time.Second
+
+// takeRecordedSize takes the size of the fleet that the holder of the lease recorded;
+// zero says that it recorded none.
+func (n *Node) takeRecordedSize(nodes int) {
+	if nodes > 0 && n.recorded.Swap(int64(nodes)) != int64(nodes) {
+		n.tellBoard()
+	}
 }
 
 // allOthers names the joined state of all other nodes among those of single ones.
--- a/node/start_test.go
+++ b/node/start_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -28,3 +30,28 @@
 	n.shareConns([]route.Entry{e})
 	require.Equal(t, 30, n.list.maxConns(e.Seen.Addr))
 }
+
+// A node that starts takes the fleet for as large as the holder of the lease recorded,
+// until it may know of all nodes itself.
+func TestFleetSizeRecorded(t *testing.T) {
+	const nodes, seeds = 195, 3
+	synctest.Test(t, func(t *testing.T) {
+		s := validSettings()
+		for i := range seeds {
+			s.Seeds = append(s.Seeds, simNodeAddr(i))
+		}
+		store := newSimStore(1)
+		holder, err := New(s, store, nil, store)
+		require.NoError(t, err)
+		holder.recorded.Store(nodes)
+		require.True(t, holder.duty.takeLease(t.Context()))
+
+		n, err := New(s, store, nil, store)
+		require.NoError(t, err)
+		require.Equal(t, seeds, n.fleetSize())
+		require.True(t, n.duty.read(t.Context()))
+		require.Equal(t, nodes, n.fleetSize())
+		time.Sleep(recordedFor)
+		require.Equal(t, seeds, n.fleetSize(), "by now it would have heard of the others")
+	})
+}
