route, platform: all stores of KV cache are used, not the last one alone

Ruled out: a kept pool for each store with a list of pools on the model; the policy would have to choose between pools that differ in nothing.

Change: all stores are targets of one pool, which has the room and the link of the least. A prompt is saved to one store, by rendezvous on its last shared part, and fetched from the one that holds most of it. Room and link are bounded for each store. What the home holds already is not charged again.

--- a/route/attempt.go
+++ b/route/attempt.go
@@ -181,8 +181,8 @@
 		a.uncached = c.uncached(r)
 		a.fetched = c.fetched > 0 || c.assumed
 		a.Import = c.imported
-		if c.fetchFrom.IsValid() && c.fetchFrom == storeAddr(b.directStore(now, r.Model)) {
-			b.moves.level -= float64(c.fetched - c.trusted)
+		if c.store != nil {
+			c.store.moves.level -= float64(c.fetched - c.trusted)
 		}
 		a.Save = b.considerSave(now, c, r)
 		b.countShared(now, r)
--- a/route/board.go
+++ b/route/board.go
@@ -39,11 +39,7 @@
 	kept      *generations[Block, keptPrefix]
 	newlyKept []Kept
 	exporting int
-	// saves bounds what this router has engines save to a store.
-	saves bucket
-	// moves bounds what moves over a store's link, in tokens.
-	moves   bucket
-	routers int
+	routers   int
 	// begun is when the first configuration was adopted.
 	begun time.Time
 	// crowd is how many routers may have spent retries lately, rounding the part of
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"net/netip"
 	"time"
 )
 
@@ -42,7 +41,7 @@
 	if !p.compiled.Fetches || len(cs) == 0 || b.off.Has(Fetching) {
 		return
 	}
-	store := b.directStore(now, r.Model)
+	stores := b.directStores(now, r.Model)
 	if b.routers > p.compiled.CacheReaders {
 		b.assumeHolders(now, cs)
 	}
@@ -54,10 +53,10 @@
 				c.far = !c.target.near(o.target)
 			}
 		}
-		if store != nil {
+		for _, store := range stores {
 			b.considerStore(now, c, store, p)
 		}
-		if c.fetched > 0 && c.fetchFrom != storeAddr(store) {
+		if c.fetched > 0 && c.store == nil {
 			fetched := float64(c.fetched - c.trusted)
 			c.transfer = c.unread.left(now) + fetchSetup + seconds(c.linkTimes()*fetched/max(1, p.compiled.LinkRate))
 		}
@@ -124,13 +123,6 @@
 	}
 }
 
-func storeAddr(store *target) netip.AddrPort {
-	if store == nil {
-		return netip.AddrPort{}
-	}
-	return store.addr
-}
-
 // storePart is the part of the store's link that its moves may take: one that
 // waits behind others costs more than what it brings.
 const storePart = 0.7
@@ -139,21 +131,21 @@
 // the store's link has room.
 func (b *Board) considerStore(now time.Time, c *candidate, store *target, p *pool) {
 	held := store.parts.leading(c.chain)
-	if held < max(c.trusted, c.fetched)+fetchLeast || !b.storeHasRoom(now, p) {
+	if held < max(c.trusted, c.fetched)+fetchLeast || !b.storeHasRoom(now, store, p) {
 		return
 	}
-	c.fetchFrom, c.fetched, c.unread = store.addr, held, fill{}
+	c.store, c.fetchFrom, c.fetched, c.unread = store, store.addr, held, fill{}
 	c.far = !c.target.near(store)
 	moved := float64(held - c.trusted)
 	c.transfer = fetchSetup + seconds(c.linkTimes()*moved/b.storeRate(p))
 }
 
-// storeRate is the rate of the link of the store that a pool's engines use, in tokens per second.
+// storeRate is the rate of the link of each store that a pool's engines use, in tokens per second.
 func (b *Board) storeRate(p *pool) float64 { return max(1, p.compiled.StoreRate) }
 
-// storeHasRoom reports whether this router's part of the store's link has room.
-func (b *Board) storeHasRoom(now time.Time, p *pool) bool {
+// storeHasRoom reports whether this router's part of a store's link has room.
+func (b *Board) storeHasRoom(now time.Time, store *target, p *pool) bool {
 	rate := storePart * b.storeRate(p) / float64(b.routers)
-	b.moves.refill(now, rate)
-	return b.moves.level > 0
+	store.moves.refill(now, rate)
+	return store.moves.level > 0
 }
--- a/route/kept.go
+++ b/route/kept.go
@@ -75,44 +75,58 @@
 	return "", false
 }
 
-// directStore returns the store that a model's engines save to and fetch from by
-// themselves, or nil if there is none that answers.
-func (b *Board) directStore(now time.Time, m *policy.Model) *target {
+// directStores returns the stores that a model's engines save to and fetch from by
+// themselves and that answer. An installation may have several, each with a link and
+// room of its own: with one of two or three in use, a half to two thirds of what
+// engines read again could have been fetched.
+func (b *Board) directStores(now time.Time, m *policy.Model) []*target {
 	p, ok := b.pools[m.KeptPool]
 	if m.KeptPool == "" || !ok || !p.compiled.Fetches || b.off.Has(KeptStore) {
 		return nil
 	}
+	var out []*target
 	for _, t := range p.members {
 		if t.usable() && t.parts.known(now) {
-			return t
+			out = append(out, t)
 		}
 	}
-	return nil
+	return out
 }
 
 // saveLeast is the number of shared tokens that an engine must read anew for a
 // prompt to be worth saving: less is sooner read again than moved.
 const saveLeast = 512
 
-// considerSave decides whether the engine sends the prompt's parts to the store.
-// All routers together save no more in the time of a part's last use than the
-// store holds: else it would drop each part before it is asked for again.
+// considerSave decides whether the engine sends the prompt's parts to the store that is
+// their home. All routers together save no more in the time of a part's last use than
+// a store holds: else it would drop each part before it is asked for again.
 func (b *Board) considerSave(now time.Time, c *candidate, r *request) netip.AddrPort {
-	store := b.directStore(now, r.Model)
-	if store == nil || len(c.chain.tokens) < 2 {
+	stores := b.directStores(now, r.Model)
+	if len(stores) == 0 || len(c.chain.tokens) < 2 {
 		return netip.AddrPort{}
 	}
 	shared := c.chain.tokens[len(c.chain.tokens)-2]
-	if shared-max(c.trusted, c.fetched) < saveLeast || store.parts.leading(c.chain) >= shared {
+	if shared-max(c.trusted, c.fetched) < saveLeast {
 		return netip.AddrPort{}
 	}
+	home := stores[0]
+	for _, t := range stores {
+		if t.parts.leading(c.chain) >= shared {
+			return netip.AddrPort{}
+		}
+		if mix(r.homes.part^t.hash) > mix(r.homes.part^home.hash) {
+			home = t
+		}
+	}
+	// What the store has is not sent to it again.
+	moved := float64(r.promptTokens() - home.parts.leading(c.chain))
 	p := b.pools[r.Model.KeptPool]
 	rate := float64(p.compiled.CacheTokens) / time.Duration(b.snap.Config.Placement.Horizon).Seconds() / float64(b.routers)
-	if !b.storeHasRoom(now, b.pools[r.Pool]) || !take(now, &b.saves, rate, float64(r.promptTokens())) {
+	if !b.storeHasRoom(now, home, b.pools[r.Pool]) || !take(now, &home.saves, rate, moved) {
 		return netip.AddrPort{}
 	}
-	b.moves.level -= float64(r.promptTokens())
-	return store.addr
+	home.moves.level -= moved
+	return home.addr
 }
 
 // keptOf returns what is known of a prefix with so many tokens.
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -200,6 +200,62 @@
 	require.LessOrEqual(t, float64(moved), 2*storeLink, "its link is bounded")
 }
 
+// An installation with two stores has twice the room and twice the link: prompts are
+// saved to either, each to one of them, and fetched from the one that holds them. The
+// load is that of engines whose own caches hold what they read for some seconds only,
+// so that most shared parts are read anew.
+func TestPartsTwoStores(t *testing.T) {
+	second := testAddr(998)
+	p := newPartsBoard(t, 2)
+	seen := []Seen{{Addr: storeTestAddr, Labels: map[string]string{"s": "k"}}, {Addr: second, Labels: map[string]string{"s": "k"}}}
+	for i := range 2 {
+		seen = append(seen, Seen{Addr: testAddr(i), Labels: map[string]string{"s": "e"}})
+	}
+	p.b.Targets(p.now, seen)
+	p.b.Report(p.now, second, Report{Incarnation: "second"})
+	salt := p.request("a", shared...).saltOf("1")
+	stores := []netip.AddrPort{storeTestAddr, second}
+	read := func() {
+		for i := range 2 {
+			p.b.PartChanges(p.now, testAddr(i), true, nil)
+		}
+		for _, addr := range stores {
+			p.b.PartChanges(p.now, addr, false, nil)
+		}
+	}
+	saved := make(map[netip.AddrPort]int)
+	homes := make(map[string]netip.AddrPort)
+	for i := range 100 {
+		read()
+		part := fmt.Sprint("part", i%50)
+		a := p.ask(p.request("a", Part{part, 6000}, Part{fmt.Sprint("own", i), 500}))
+		if a.Save.IsValid() {
+			saved[a.Save] += 6500
+			if home, ok := homes[part]; ok {
+				require.Equal(t, home, a.Save, "one home for each part")
+			}
+			homes[part] = a.Save
+		}
+		p.done(a)
+		p.now = p.now.Add(200 * time.Millisecond)
+	}
+	for _, addr := range stores {
+		// 200,000 tokens of room, for parts that are wanted for 10 s: 20,000 a second.
+		require.Greater(t, saved[addr], 80_000)
+		require.LessOrEqual(t, saved[addr], 20*20_000+26_500)
+	}
+	p.now = p.now.Add(2 * eventsLag)
+	for part, home := range homes {
+		read()
+		p.b.PartChanges(p.now, home, false, []PartChange{{salt, part, 6000}})
+		a := p.ask(p.request("a", Part{part, 6000}, Part{"last" + part, 500}))
+		require.Equal(t, home, a.Fetch)
+		require.False(t, a.Save.IsValid())
+		p.done(a)
+		p.now = p.now.Add(200 * time.Millisecond)
+	}
+}
+
 // Running requests leave three tenths of an engine's memory to what is shared.
 func TestPartsMemory(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/route/place.go
+++ b/route/place.go
@@ -37,6 +37,8 @@
 	// fetchFrom is a target that holds more of the prompt, and fetched how far, in tokens.
 	fetchFrom netip.AddrPort
 	fetched   int
+	// store is that target where it is a store of KV cache.
+	store *target
 	// far says that it stands in another failure domain.
 	far bool
 	// assumed says that what the candidate holds was not told by events.
--- a/route/target.go
+++ b/route/target.go
@@ -108,6 +108,9 @@
 	peersAt     time.Time
 	// recent are requests that peers told of besides.
 	recent []recentSend
+	// saves bounds what this router has engines save to a store, moves what moves over
+	// the store's link, both in tokens.
+	saves, moves bucket
 }
 
 // name is the target as events and operators see it.
