peer, node: bytes between nodes by call and domain, and how old a view is

Change: the client's side of net/rpc counts each message's bytes by call (its own gob codec with a counter, the same on the wire; TestPeers holds that each byte on the connection is some call's). The node adds the failure domain and serves pathhead_peer_bytes_total, pathhead_view_age_seconds for list, relay and configuration, and the requests that came without a relay's word. TestFleetStart now also bounds those ages on every node after a common start.

--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -278,6 +278,17 @@
 	return w, states
 }
 
+// Heard returns when a relay was heard of last, zero if none was.
+func (r *Roster[S]) Heard() time.Time {
+	var at time.Time
+	for _, h := range r.answers {
+		if h.word.Relay && h.at.After(at) {
+			at = h.at
+		}
+	}
+	return at
+}
+
 // Reporters returns the processes that report here.
 func (r *Roster[S]) Reporters() []Member {
 	out := make([]Member, 0, len(r.reporters))
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -506,6 +506,15 @@
 				require.Equal(t, c.site.nodes, whole, "nodes that know all others")
 				require.Equal(t, c.site.nodes, listed, "nodes that know the targets")
 				time.Sleep(time.Second)
+				for _, n := range f.nodes {
+					ages := n.viewAges(time.Now())
+					require.Less(t, ages.list, 2*time.Second, "the list as %s knows it", n.settings().Name)
+					require.Less(t, ages.confirmed, 2*time.Second, "the configuration as %s knows it", n.settings().Name)
+					require.Equal(t, c.site.nodes > DefaultSmallFleet, ages.told)
+					if ages.told {
+						require.Less(t, ages.relay, time.Second, "what others said as %s knows it", n.settings().Name)
+					}
+				}
 				most, sum := f.sizes.of("answer")
 				t.Logf("answers: %d bytes at the most, %d in all", most, sum)
 				require.LessOrEqual(t, most, c.answer)
--- a/node/forward.go
+++ b/node/forward.go
@@ -47,6 +47,7 @@
 // forward carries an admitted request to its end.
 func (n *Node) forward(v *visit) {
 	f := &forwarding{n: n, v: v, req: n.request(v), head: callerHeader(v.r.Header)}
+	n.noteAges(time.Now())
 	n.askHolders(v.r.Context(), f.req)
 	c := dispatch.NamedCall(v.ask.ID)
 	refusal := n.Serve(v.r.Context(), f.req, c, f.send)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,6 +20,11 @@
 	unasked *metrics.Counter
 	first   *metrics.Histogram
 	total   *metrics.Histogram
+	// listAge, newsAge and confirmedAge are how old what decided was when prompts came.
+	listAge, newsAge, confirmedAge *metrics.Histogram
+	// alone counts the prompts that came while this node of a large fleet knew nothing
+	// of the others' loads.
+	alone *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -32,6 +37,11 @@
 		unasked: set.NewCounter("pathhead_holders_unanswered_total"),
 		first:   set.NewHistogram("pathhead_first_part_seconds"),
 		total:   set.NewHistogram("pathhead_answer_seconds"),
+
+		listAge:      set.NewHistogram(`pathhead_view_age_seconds{of="list"}`),
+		newsAge:      set.NewHistogram(`pathhead_view_age_seconds{of="relay"}`),
+		confirmedAge: set.NewHistogram(`pathhead_view_age_seconds{of="configuration"}`),
+		alone:        set.NewCounter("pathhead_prompts_without_relay_total"),
 	}
 }
 
@@ -45,6 +55,17 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_requests_total{end=%q,verdict=%q}", f.Cause, f.Verdict)).Inc()
 }
 
+// told counts the bytes of a message to or from another node.
+func (c counters) told(call, domain string, sent, read int) {
+	count := func(way string, n int) {
+		if n > 0 {
+			c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_peer_bytes_total{call=%q,domain=%q,way=%q}", call, domain, way)).Add(n)
+		}
+	}
+	count("sent", sent)
+	count("read", read)
+}
+
 // finished counts a request by its end.
 func (c counters) finished(took time.Duration, refusal *route.Refusal) {
 	if refusal != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	gossip   *peer.Gossip
 	callers  callerConns
 	reaching reaching
+	domains  domains
 	stopping atomic.Bool
 	loops    sync.WaitGroup
 	// began is when the process started, recorded the size of the fleet that the
@@ -133,7 +134,6 @@
 		store: store, protocol: protocol, engines: engines,
 		log:       slog.New(slog.DiscardHandler),
 		metrics:   metrics.NewSet(),
-		peers:     peer.NewClient(peerCallTime, nil),
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		adoption:  fleet.NewAdoption(part(s.Bounds.Revoke, revokePart), false),
 		placement: route.Predict,
@@ -150,6 +150,9 @@
 	}
 	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventsKept), event.WithSample(sampleOne))
 	n.counters = newCounters(n.metrics)
+	if n.peers == nil {
+		n.peers = peer.NewClient(peerCallTime, nil, peer.WithTold(n.countTold))
+	}
 	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns))
 	board := route.NewBoard(
 		route.WithSeed(seed),
--- a/node/peers.go
+++ b/node/peers.go
@@ -86,6 +86,7 @@
 	held := make(map[route.Mark]bool)
 	var loaded []route.WeightsWord
 	for _, e := range n.gossip.Live() {
+		n.domains.note(e.Addr, e.Payload.Zone)
 		if !large {
 			states[e.ID] = e.Payload.State
 		}
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -42,6 +42,7 @@
 	}
 	// What a reporter says of newer configuration is unconfirmed, since its clock for it is not ours.
 	n.heard(time.Time{}, fleet.PeerWord{Revision: in.Config.Revision, ConfirmedAge: -1})
+	n.domains.note(in.Word.From.Addr, in.Word.From.Zone)
 	n.Lock()
 	// A relay tells the other relays itself.
 	n.Board().TakeShared(time.Now(), in.Word.State.Shared, !in.Word.Relay)
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -110,6 +110,7 @@
 		return
 	}
 	r.n.events.Clock().Observe(answer.Stamp)
+	r.n.domains.note(to.Addr, answer.Word.From.Zone)
 	r.mu.Lock()
 	r.sharedTold[to.ID] = told
 	r.mu.Unlock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -37,7 +38,12 @@
 		defer close(done)
 		_ = Serve(l, fakePeer{half})
 	}()
-	p := NewClient(time.Second, nil)
+	told := make(map[string][2]int)
+	p := NewClient(time.Second, nil, WithTold(func(to netip.AddrPort, method string, sent, read int) {
+		require.Equal(t, addr, to)
+		was := told[method]
+		told[method] = [2]int{was[0] + sent, was[1] + read}
+	}))
 	got, err := p.Exchange(t.Context(), addr, Exchange{From: "q"})
 	require.NoError(t, err)
 	require.Equal(t, half, got)
@@ -48,6 +54,8 @@
 	require.Positive(t, sent)
 	require.Positive(t, read)
 	p.Close()
+	require.Equal(t, sent, int64(told["Exchange"][0]+told["Config"][0]), "each byte is some call's")
+	require.Equal(t, read, int64(told["Exchange"][1]+told["Config"][1]))
 	require.NoError(t, l.Close())
 	<-done
 	_, err = p.Exchange(t.Context(), addr, Exchange{})
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"net/rpc"
+	"strings"
 	"sync"
 	"time"
 
@@ -191,6 +192,7 @@
 type Client struct {
 	timeout time.Duration
 	dial    Dial
+	told    Told
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*rpc.Client
@@ -210,11 +212,17 @@
 	return func(p *Client) { p.dial = d }
 }
 
+// WithTold sets the function that hears of the bytes of each message; it must not block.
+func WithTold(t Told) ClientOption {
+	return func(p *Client) { p.told = t }
+}
+
 // NewClient returns a caller whose calls each end within timeout; cfg is nil for plain TCP.
 func NewClient(timeout time.Duration, cfg *tls.Config, opts ...ClientOption) *Client {
 	p := &Client{
 		timeout: timeout,
 		dial:    dialer(cfg),
+		told:    func(netip.AddrPort, string, int, int) {},
 		clients: make(map[netip.AddrPort]*rpc.Client),
 		counts:  make(map[netip.AddrPort]*countingConn),
 	}
@@ -301,7 +309,9 @@
 		return nil, errs.Errorf("peer %s: %w", addr, err)
 	}
 	counted := &countingConn{Conn: conn}
-	c = rpc.NewClient(counted)
+	c = rpc.NewClientWithCodec(newCountingCodec(counted, func(method string, sent, read int) {
+		p.told(addr, strings.TrimPrefix(method, peerName+"."), sent, read)
+	}))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other, ok := p.clients[addr]; ok {
