--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -764,6 +764,23 @@
 	}
 }
 
+// Every target of a large pool that has loaded new weights is told of: nodes that do not
+// hear of it go on to prefer others, or send it what it refuses, until the list says so.
+func TestLoadedTold(t *testing.T) {
+	const engines = 117
+	synctest.Test(t, func(t *testing.T) {
+		store := newSimStore(engines)
+		n, err := New(validSettings(), store, nil, store)
+		require.NoError(t, err)
+		for i := range engines {
+			store.loaded[simEngineAddr(i)] = &simEngine{weights: "2"}
+			n.duty.look(t.Context(), fleet.RollTarget{Addr: simEngineAddr(i), Incarnation: "i", Model: simModel, Weights: "1"})
+		}
+		_, words := n.duty.told()
+		require.Len(t, words, engines)
+	})
+}
+
 // callsText tells how often the store was called, by kind.
 func (s *simStore) callsText() string {
 	s.mu.Lock()
