fleet: at most a fifth of a pool changes weights at once, rounded down

Cause: 24 of 117 targets were changed at once, one more than the installation loads in its usual time ("longer while over 23 do so").

TestRollInTime with 117 targets failed before (24 at once).

--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -85,11 +84,16 @@
 	}
 }
 
-// atOnce is the number of targets that change at the same time among n.
+// atOnce is the number of targets that change at the same time among n. It is rounded
+// down: one more than the part, 24 of 117, made each of them load for longer on an
+// installation that loads a fifth at once in its usual time.
 func (s RollSettings) atOnce(n int) int {
-	return max(s.AtOnce, int(math.Ceil(s.AtOncePart*float64(n))))
+	return max(s.AtOnce, int(s.AtOncePart*float64(n)+roundingSlack))
 }
 
+// roundingSlack keeps a product that is whole but for rounding from being rounded down.
+const roundingSlack = 1e-9
+
 // RollOrder asks a target to load weights. It is conditional on the number of
 // orders that the incarnation has taken, so that a late or repeated one has no effect.
 type RollOrder struct {
--- a/fleet/roll_late_test.go
+++ b/fleet/roll_late_test.go
@@ -211,7 +211,7 @@
 // Where orders are in time, the whole pool comes to the newest weights well within
 // the bound, and no more targets load at once than may.
 func TestRollInTime(t *testing.T) {
-	for n, atOnce := range map[int]int{9: 2, 140: 28} {
+	for n, atOnce := range map[int]int{9: 2, 117: 23, 140: 28} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			p := newLatePool(1, n, 0)
 			p.named = append(p.named, p.now)
