peer: nothing of an answer is returned that came too late

A caller that gives a call up returned the answer's place by value while net/rpc could still be reading the answer into it.

Change: a call returns a value of its own, and the empty one with an error.

TestRollWithSilentNodes and the other simulations run beside each other now.

Ruled out: the simulation's own state as the race (both sides of the report are product code).

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -618,6 +618,7 @@
 // the parts that prompts share. A day with such a start of 195 nodes took more than the
 // processor time that a whole day may take, most of it for answers of relays.
 func TestFleetStart(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		site simSite
 		// settled is the time until every node knows all others and the list of targets.
@@ -668,6 +669,7 @@
 // tells is too old to go by, so that none of its reporters turns to the store. With 195
 // nodes some 28 report to each relay, and each of their calls is priced.
 func TestRelayWithoutStore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimFleet(t, simSite{nodes: 30, engines: 10, perSecond: 30})
 		f.start()
@@ -701,6 +703,7 @@
 // find out when it is back, and know what it says a moment after the relays do. Each
 // call to it is priced, also one that fails.
 func TestStoreAway(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimFleet(t, simSite{nodes: 30, engines: 10, perSecond: 30})
 		f.start()
@@ -733,6 +736,7 @@
 // the engines load them, also while a third of the nodes is cut off and answers nothing:
 // requests that begin on older weights lose a part of their benefit meanwhile.
 func TestRollWithSilentNodes(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		silent int
 		within time.Duration
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -100,3 +100,37 @@
 	require.NoError(t, l.Close())
 	require.NoError(t, <-done)
 }
+
+// lateMembers is how many relays a late answer tells of: enough for reading it to take
+// about as long as the way of a call.
+const lateMembers = 2000
+
+// TestPeersLateAnswer checks that a caller who gives a call up gets nothing of an answer
+// that is read at that moment.
+func TestPeersLateAnswer(t *testing.T) {
+	half := Exchange{From: "p", Relays: make([]fleet.Member, lateMembers)}
+	for i := range half.Relays {
+		half.Relays[i] = fleet.Member{ID: "some member", Epoch: int64(i + 1)}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().(*net.TCPAddr).AddrPort()
+	done := make(chan error, 1)
+	go func() { done <- Serve(l, fakePeer{half}) }()
+	p := NewClient(time.Minute, nil)
+	begun := time.Now()
+	_, err = p.Exchange(t.Context(), addr, Exchange{From: "q"})
+	require.NoError(t, err)
+	took := time.Since(begun)
+	for i := range 100 {
+		ctx, cancel := context.WithTimeout(t.Context(), took*time.Duration(i+1)/100)
+		got, err := p.Exchange(ctx, addr, Exchange{From: "q"})
+		cancel()
+		if err != nil {
+			require.Zero(t, len(got.Relays), "part of an answer that came too late")
+		}
+	}
+	p.Close()
+	require.NoError(t, l.Close())
+	require.NoError(t, <-done)
+}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -85,8 +85,8 @@
 
 // Placed tells the process at addr of a request.
 func (p *Client) Placed(ctx context.Context, addr netip.AddrPort, w PlacedWord) error {
-	var out bool
-	return p.call(ctx, addr, "Placed", &w, &out)
+	_, err := answerOf[bool](ctx, p, addr, "Placed", &w)
+	return err
 }
 
 // HoldersQuery asks for the targets that lately were sent some blocks.
@@ -110,9 +110,7 @@
 
 // Holders asks the process at addr for the holders of blocks.
 func (p *Client) Holders(ctx context.Context, addr netip.AddrPort, q HoldersQuery) (HoldersAnswer, error) {
-	var out HoldersAnswer
-	err := p.call(ctx, addr, "Holders", &q, &out)
-	return out, err
+	return answerOf[HoldersAnswer](ctx, p, addr, "Holders", &q)
 }
 
 // peerName is the service's name in net/rpc.
@@ -234,16 +232,12 @@
 
 // Exchange gossips with the process at addr.
 func (p *Client) Exchange(ctx context.Context, addr netip.AddrPort, in Exchange) (Exchange, error) {
-	var out Exchange
-	err := p.call(ctx, addr, "Exchange", &in, &out)
-	return out, err
+	return answerOf[Exchange](ctx, p, addr, "Exchange", &in)
 }
 
 // Config fetches the document in force at addr.
 func (p *Client) Config(ctx context.Context, addr netip.AddrPort, from string) (fleet.Document, error) {
-	var out fleet.Document
-	err := p.call(ctx, addr, "Config", &ConfigQuery{From: from}, &out)
-	return out, err
+	return answerOf[fleet.Document](ctx, p, addr, "Config", &ConfigQuery{From: from})
 }
 
 // Close ends all connections.
@@ -269,6 +263,17 @@
 	return sent, read
 }
 
+// answerOf makes one call and returns its answer. The answer to a call that was given
+// up may still be read into its place, which is nobody's then.
+func answerOf[T any](ctx context.Context, p *Client, addr netip.AddrPort, method string, in any) (T, error) {
+	out := new(T)
+	if err := p.call(ctx, addr, method, in, out); err != nil {
+		var none T
+		return none, err
+	}
+	return *out, nil
+}
+
 // call makes one call; after a failure the connection is not used again, since it
 // may have gone silent. A caller that waits for less than the client's time says
 // nothing of the connection: its late answer is dropped.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -83,8 +83,8 @@
 
 // Recent tells the process at addr of requests that were placed just now.
 func (p *Client) Recent(ctx context.Context, addr netip.AddrPort, w RecentWord) error {
-	var out bool
-	return p.call(ctx, addr, "Recent", &w, &out)
+	_, err := answerOf[bool](ctx, p, addr, "Recent", &w)
+	return err
 }
 
 // RelayHandler answers the reports of a large fleet's processes; a [Handler] may be one.
@@ -104,7 +104,5 @@
 
 // Relay reports to the process at addr.
 func (p *Client) Relay(ctx context.Context, addr netip.AddrPort, in RelayReport) (RelayAnswer, error) {
-	var out RelayAnswer
-	err := p.call(ctx, addr, "Relay", &in, &out)
-	return out, err
+	return answerOf[RelayAnswer](ctx, p, addr, "Relay", &in)
 }
