--- /dev/null
+++ b/node/fleet_sim_test.go
@@ -0,0 +1,208 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/dispatch"
+	"github.com/pathhead/pathhead/peer"
+	"github.com/pathhead/pathhead/route"
+)
+
+// simSite is what a simulated fleet is made of. The figures that it does not name are
+// those of an installation in the hundreds of VMs: six failure domains, one VM in eleven
+// with 0.8 of a core and 200 Mbit/s and the others with 0.192 and 20 Mbit/s, and engines
+// that hold some 60 parts of prompts each of the 3,200 that prompts share.
+type simSite struct {
+	nodes, engines int
+	// perSecond is how many prompts come in a second to all nodes together.
+	perSecond int
+}
+
+// The figures of a simulated fleet.
+const (
+	simZones     = 6
+	simLargeOne  = 11
+	simParts     = 3200
+	simHeld      = 60
+	simBeat      = 1200 * time.Millisecond
+	simRequests  = 100 * time.Millisecond
+	simChanges   = 3
+	simModel     = "m"
+	simPool      = "engines"
+	simStoreCall = 4 * time.Millisecond
+	simCutCall   = 600 * time.Millisecond
+)
+
+// simFleet is a fleet of real nodes in one process and in simulated time.
+type simFleet struct {
+	simSite
+	t     *testing.T
+	net   *simNetwork
+	store *simStore
+	nodes []*Node
+	// doors are the nodes' ways to the store, in the order of the nodes.
+	doors []*simDoor
+	seeds []netip.AddrPort
+	stop  context.CancelFunc
+	work  context.Context
+	loops sync.WaitGroup
+	sizes simSizes
+}
+
+func newSimFleet(t *testing.T, s simSite) *simFleet {
+	f := &simFleet{simSite: s, t: t, net: newSimNetwork(), store: newSimStore(s.engines)}
+	f.work, f.stop = context.WithCancel(t.Context())
+	for i := range s.nodes {
+		addr := simNodeAddr(i)
+		if i < 3 {
+			f.seeds = append(f.seeds, addr)
+		}
+	}
+	return f
+}
+
+func simNodeAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 80)
+}
+
+func simEngineAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 80)
+}
+
+func simZone(i int) string { return fmt.Sprint("zone-", i%simZones) }
+
+// start starts all nodes within 0.3 s, as a fleet does whose VMs get power again.
+func (f *simFleet) start() {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range f.simSite.nodes {
+		power, mbps := 0.192, 20.0
+		if i%simLargeOne == 0 {
+			power, mbps = 0.8, 200
+		}
+		f.net.add(simNodeAddr(i).Addr(), simZone(i), mbps)
+		n := f.node(i, power)
+		f.nodes = append(f.nodes, n)
+		after := time.Duration(rng.Int64N(int64(300 * time.Millisecond)))
+		f.loops.Go(func() {
+			if pause(f.work, after) {
+				f.run(n)
+			}
+		})
+	}
+}
+
+func (f *simFleet) node(i int, power float64) *Node {
+	s := validSettings()
+	addr := simNodeAddr(i)
+	s.Name, s.Zone = fmt.Sprintf("node-%03d", i), simZone(i)
+	s.Callers, s.Readiness, s.Peers, s.Operators = addr, addr, addr, addr
+	s.Seeds, s.Power, s.Heartbeat = f.seeds, power, simBeat
+	s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Weights, s.Bounds.Contact = 4*time.Second, 4*time.Second, 12*time.Second, 5*time.Second
+	door := &simDoor{simStore: f.store}
+	f.doors = append(f.doors, door)
+	n, err := New(s, door, nil, f.store, WithPeers(peer.NewClient(peerCallTime, nil, peer.WithDial(f.net.dial(addr.Addr())))))
+	require.NoError(f.t, err)
+	return n
+}
+
+// run runs a node's loops until the fleet stops.
+func (f *simFleet) run(n *Node) {
+	l := f.net.listen(n.settings().Peers)
+	f.loops.Go(func() { _ = peer.Serve(l, &simHandler{Node: n, sizes: &f.sizes}) })
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.placedLoop, n.recentLoop} {
+		f.loops.Go(func() { loop(f.work) })
+	}
+	f.loops.Go(func() { n.Tick(f.work, tickEvery) })
+	f.loops.Go(func() { f.callers(n) })
+	<-f.work.Done()
+	l.Close()
+	n.loops.Wait()
+	n.peers.Close()
+}
+
+// callers sends a node prompts, each of which shares two parts with others.
+func (f *simFleet) callers(n *Node) {
+	rng := rand.New(rand.NewPCG(uint64(n.settings().Peers.Addr().As4()[3]), 7))
+	pauseOf := func() time.Duration {
+		mean := float64(f.simSite.nodes) / float64(f.perSecond) * float64(time.Second)
+		return time.Duration(rng.ExpFloat64() * mean)
+	}
+	for id := 0; pause(f.work, pauseOf()); id++ {
+		snap := n.snapshot()
+		if snap == nil {
+			continue
+		}
+		m, _, _ := snap.Model(simModel)
+		own := rng.IntN(simParts-4) + 4
+		req := route.Request{
+			Revision: 1, Pool: simPool, Model: m, Deadline: time.Now().Add(4 * time.Second), Aim: 600 * time.Millisecond,
+			Repeatable: true, MaxTries: 1, MaxTokens: 9, Bytes: 1000, SharesCache: true,
+			Parts: []route.Part{
+				{ID: fmt.Sprint("part-", own%4), Tokens: 2520}, {ID: fmt.Sprint("part-", own), Tokens: 3780},
+				{ID: fmt.Sprint("own-", n.settings().Name, id), Tokens: 2890},
+			},
+		}
+		f.loops.Go(func() {
+			n.askHolders(f.work, req)
+			n.Serve(f.work, req, dispatch.NewCall(), func(ctx context.Context, a route.Attempt) route.Outcome {
+				pause(ctx, simRequests)
+				return route.Outcome{Request: a.Request, Attempt: a.ID, Kind: route.OutcomeDone}
+			})
+		})
+	}
+}
+
+// end stops all nodes.
+func (f *simFleet) end() {
+	f.stop()
+	f.net.close()
+	f.loops.Wait()
+	// What is on its way on a closed connection still arrives.
+	time.Sleep(time.Minute)
+}
+
+// traffic is what went over the links of a simulated fleet so far.
+type traffic struct {
+	sent, between int64
+	most          int64
+	held          int64
+	dials         int64
+}
+
+func (f *simFleet) traffic() traffic {
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	var out traffic
+	for _, vm := range f.net.vms {
+		out.sent += vm.sent
+		out.between += vm.between
+		out.dials += vm.dials
+		out.most = max(out.most, vm.sent)
+		out.held = max(out.held, vm.mostHeld)
+	}
+	return out
+}
+
+// views returns how many nodes know all others, and how many know the list of targets.
+func (f *simFleet) views() (whole, listed, relays int) {
+	for _, n := range f.nodes {
+		if nodes, _ := n.relays.size(); nodes == f.simSite.nodes {
+			whole++
+		}
+		if len(n.list.get()) >= f.engines {
+			listed++
+		}
+		if n.relays.leads() {
+			relays++
+		}
+	}
+	return whole, listed, relays
+}
--- /dev/null
+++ b/node/fleet_sizes_test.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/pathhead/pathhead/peer"
+)
+
+// simSizes are the bytes of messages by what they tell, as they encode by themselves.
+type simSizes struct {
+	mu    sync.Mutex
+	bytes map[string]int64
+	count map[string]int64
+	most  map[string]int64
+}
+
+func (s *simSizes) add(what string, v any) {
+	n := encodedSize(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bytes == nil {
+		s.bytes, s.count, s.most = make(map[string]int64), make(map[string]int64), make(map[string]int64)
+	}
+	s.bytes[what] += n
+	s.count[what]++
+	s.most[what] = max(s.most[what], n)
+}
+
+// of returns the most that one message of a kind took, and all of them together.
+func (s *simSizes) of(what string) (most, sum int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.most[what], s.bytes[what]
+}
+
+// String tells the sizes by kind.
+func (s *simSizes) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(s.bytes)) {
+		out = append(out, fmt.Sprintf("%s %d x %d B (most %d) = %.2f MB", k, s.count[k], s.bytes[k]/s.count[k], s.most[k], float64(s.bytes[k])/1e6))
+	}
+	return strings.Join(out, "\n")
+}
+
+// simHandler notes the sizes of what a node is told and answers.
+type simHandler struct {
+	*Node
+	sizes *simSizes
+}
+
+// Relay implements [peer.RelayHandler].
+func (h *simHandler) Relay(in peer.RelayReport) peer.RelayAnswer {
+	out := h.Node.Relay(in)
+	h.sizes.add("report", in)
+	h.sizes.add("report state", in.Word.State)
+	h.sizes.add("answer", out)
+	h.sizes.add("answer members", out.Word.Members)
+	h.sizes.add("answer relays", out.Word.Relays)
+	h.sizes.add("answer state", out.Word.State)
+	h.sizes.add("answer state loads", out.Word.State.Loads)
+	h.sizes.add("answer state shared", out.Word.State.Shared)
+	h.sizes.add("answer state hot", out.Word.State.Hot)
+	if out.News != nil {
+		h.sizes.add("news entries", out.News.Entries)
+		h.sizes.add("news beats", out.News.Beats)
+		h.sizes.add("news parts", out.News.Parts)
+	}
+	return out
+}
+
+// Exchange implements [peer.Handler].
+func (h *simHandler) Exchange(in peer.Exchange) peer.Exchange {
+	out := h.Node.Exchange(in)
+	h.sizes.add("exchange", in)
+	h.sizes.add("exchange answer", out)
+	return out
+}
+
+// Recent implements [peer.RecentHandler].
+func (h *simHandler) Recent(w peer.RecentWord) {
+	h.sizes.add("recent", w)
+	h.Node.Recent(w)
+}
+
+// Placed implements [peer.PlacedHandler].
+func (h *simHandler) Placed(w peer.PlacedWord) {
+	h.sizes.add("placed", w)
+	h.Node.Placed(w)
+}
+
+// Holders implements [peer.HoldersHandler].
+func (h *simHandler) Holders(q peer.HoldersQuery) peer.HoldersAnswer {
+	out := h.Node.Holders(q)
+	h.sizes.add("holders", q)
+	h.sizes.add("holders answer", out)
+	return out
+}
+
+// encodedSize is the size of a value on a connection that has carried its type before.
+func encodedSize(v any) int64 {
+	var b bytes.Buffer
+	enc := gob.NewEncoder(&b)
+	if err := enc.Encode(v); err != nil {
+		panic(err)
+	}
+	first := b.Len()
+	if err := enc.Encode(v); err != nil {
+		panic(err)
+	}
+	return int64(b.Len() - first)
+}
--- /dev/null
+++ b/node/fleet_store_test.go
@@ -0,0 +1,286 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// simStore stands for the installation's store and engines.
+type simStore struct {
+	engines int
+	began   time.Time
+
+	mu    sync.Mutex
+	rows  map[[2]string]fleet.Row
+	calls map[string]int
+	// named are the newest weights, loaded what engines have.
+	named  string
+	loaded map[netip.AddrPort]*simEngine
+}
+
+func newSimStore(engines int) *simStore {
+	return &simStore{
+		engines: engines, began: time.Now(), rows: make(map[[2]string]fleet.Row), calls: make(map[string]int),
+		named: "1", loaded: make(map[netip.AddrPort]*simEngine),
+	}
+}
+
+func (s *simStore) call(name string) {
+	s.mu.Lock()
+	s.calls[name]++
+	s.mu.Unlock()
+	time.Sleep(simStoreCall)
+}
+
+// simDoor is one node's way to the store, which may be cut.
+type simDoor struct {
+	*simStore
+	down  atomic.Bool
+	asked atomic.Int64
+}
+
+// pass counts a call and fails it after a while if the way is cut.
+func (d *simDoor) pass(ctx context.Context) error {
+	d.asked.Add(1)
+	if !d.down.Load() {
+		return nil
+	}
+	pause(ctx, simCutCall)
+	return errors.New("no answer")
+}
+
+// Get implements [fleet.Table].
+func (d *simDoor) Get(ctx context.Context, part, sort string) (fleet.Row, bool, error) {
+	if err := d.pass(ctx); err != nil {
+		return fleet.Row{}, false, err
+	}
+	return d.simStore.Get(ctx, part, sort)
+}
+
+// Watch implements [Store].
+func (d *simDoor) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+	if err := d.pass(ctx); err != nil {
+		return Changes{}, err
+	}
+	return d.simStore.Watch(ctx, after, wait)
+}
+
+// Targets implements [Store].
+func (d *simDoor) Targets(ctx context.Context) ([]route.Entry, error) {
+	if err := d.pass(ctx); err != nil {
+		return nil, err
+	}
+	return d.simStore.Targets(ctx)
+}
+
+// Get implements [fleet.Table].
+func (s *simStore) Get(_ context.Context, part, sort string) (fleet.Row, bool, error) {
+	s.call("get")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.rows[[2]string{part, sort}]
+	return r, ok, nil
+}
+
+// Range implements [fleet.Table].
+func (s *simStore) Range(context.Context, string, string, int) ([]fleet.Row, error) { return nil, nil }
+
+// Commit implements [fleet.Table].
+func (s *simStore) Commit(_ context.Context, _ string, writes ...fleet.Write) (int64, error) {
+	s.call("commit")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range writes {
+		if s.rows[[2]string{w.Part, w.Sort}].Rev != w.If {
+			return 0, fleet.ErrConflict.Errorf("%s", w.Sort)
+		}
+	}
+	for _, w := range writes {
+		s.rows[[2]string{w.Part, w.Sort}] = fleet.Row{Part: w.Part, Sort: w.Sort, Data: w.Data, Rev: w.If + 1}
+	}
+	return writes[0].If + 1, nil
+}
+
+// Watch implements [Store].
+func (s *simStore) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
+	s.call("watch")
+	version := func() int64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		n, err := strconv.ParseInt(s.named, 10, 64)
+		if err != nil {
+			panic(err)
+		}
+		return n
+	}
+	for end := time.Now().Add(wait); after > 0 && version() <= after && time.Now().Before(end); {
+		if !pause(ctx, simFar) {
+			return Changes{}, ctx.Err()
+		}
+	}
+	out := Changes{Cursor: version()}
+	if out.Cursor > after {
+		out.Named = []Naming{{Model: simModel, Weights: strconv.FormatInt(out.Cursor, 10), Revision: out.Cursor}}
+	}
+	var err error
+	if after == 0 {
+		out.Declared, err = s.Parse(1, "")
+	}
+	return out, err
+}
+
+// Parse implements [Store].
+func (s *simStore) Parse(revision int64, _ string) (*Declared, error) {
+	return &Declared{Revision: revision, Text: "one", Config: &policy.Config{
+		Version: policy.Version,
+		Pools: []policy.Pool{{
+			Name: simPool, Kind: policy.KindEngine, Selector: LabelPool + "=" + simPool, Window: 24, Fetches: true,
+			LinkRate: 3.7e6, CacheTokens: 93066, CacheReaders: 8, MaxConns: 1300, TrustRefusals: true,
+		}},
+		Models: []policy.Model{{Name: simModel, Pool: simPool, Weights: "1", MaxPromptTokens: 1 << 20, Floor: 1}},
+	}}, nil
+}
+
+// Targets implements [Store].
+func (s *simStore) Targets(context.Context) ([]route.Entry, error) {
+	s.call("list")
+	beat := int64(time.Since(s.began)/simBeat) + 1
+	var out []route.Entry
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.engines {
+		out = append(out, route.Entry{
+			Seen:     route.Seen{Addr: simEngineAddr(i), Labels: map[string]string{LabelPool: simPool, route.LabelZone: simZone(i)}},
+			Report:   route.Report{Incarnation: fmt.Sprintf("i-%08x", i), Weights: map[string]string{simModel: s.engine(simEngineAddr(i)).weights}, Slots: 24},
+			Revision: beat,
+		})
+	}
+	return out, nil
+}
+
+// Clock implements [Store].
+func (s *simStore) Clock() StoreClock { return StoreClock{} }
+
+// LastBefore implements [Store].
+func (s *simStore) LastBefore(int64) (time.Duration, bool) { return 0, false }
+
+// simLoad is how long an engine takes to load weights.
+const simLoad = 760 * time.Millisecond
+
+// simEngine is an engine's weights.
+type simEngine struct {
+	weights, next string
+	orders        int64
+	// until is when it has loaded next.
+	until time.Time
+}
+
+// engine returns an engine as it is now; the caller holds the lock.
+func (s *simStore) engine(addr netip.AddrPort) *simEngine {
+	e, ok := s.loaded[addr]
+	if !ok {
+		e = &simEngine{weights: "1"}
+		s.loaded[addr] = e
+	}
+	if e.next != "" && !time.Now().Before(e.until) {
+		e.weights, e.next = e.next, ""
+	}
+	return e
+}
+
+// name names new weights.
+func (s *simStore) name(weights string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.named = weights
+}
+
+// older returns how many engines have other weights than the named ones.
+func (s *simStore) older() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.engines {
+		if s.engine(simEngineAddr(i)).weights != s.named {
+			n++
+		}
+	}
+	return n
+}
+
+// State implements [Engines].
+func (s *simStore) State(_ context.Context, target netip.AddrPort) (TargetState, error) {
+	time.Sleep(simFar)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.engine(target)
+	return TargetState{Weights: map[string]string{simModel: e.weights}, Orders: e.orders, Busy: e.next != ""}, nil
+}
+
+// Order implements [Engines].
+func (s *simStore) Order(_ context.Context, o Order) (OrderAnswer, error) {
+	time.Sleep(simFar)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.engine(o.Target.Target)
+	switch {
+	case e.orders != o.Orders || e.next != "":
+		return OrderRefused, nil
+	case e.weights == o.Weights:
+		return OrderHeld, nil
+	}
+	e.next, e.until = o.Weights, time.Now().Add(simLoad)
+	e.orders++
+	return OrderTaken, nil
+}
+
+// CacheEvents implements [Engines]: an engine holds the parts that its number gives it,
+// and some give way to others each second.
+func (s *simStore) CacheEvents(ctx context.Context, target netip.AddrPort, since int64, wait time.Duration) (CachePage, error) {
+	time.Sleep(simNear)
+	addr := target.Addr().As4()
+	engine := int64(addr[2])<<8 + int64(addr[3])
+	part := func(k int64) string { return fmt.Sprint("part-", int64(unit(fmt.Sprint(engine, "/", k))*simParts)) }
+	next := int64(time.Since(s.began).Seconds()*simChanges) + simHeld
+	if since > 0 && next <= since {
+		pause(ctx, wait)
+		return CachePage{Epoch: 1, Next: since}, ctx.Err()
+	}
+	page := CachePage{Epoch: 1, Next: next}
+	held := make(map[string]bool)
+	for k := next - simHeld; k < next; k++ {
+		held[part(k)] = true
+	}
+	for k := max(since, next-simHeld); k < next; k++ {
+		page.Changes = append(page.Changes, route.PartChange{Salt: "s", ID: part(k), Tokens: 3780})
+	}
+	for k := max(0, since-simHeld); since > 0 && k < next-simHeld; k++ {
+		if !held[part(k)] {
+			page.Changes = append(page.Changes, route.PartChange{Salt: "s", ID: part(k)})
+		}
+	}
+	return page, nil
+}
+
+// callsText tells how often the store was called, by kind.
+func (s *simStore) callsText() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, k := range slices.Sorted(maps.Keys(s.calls)) {
+		out = append(out, fmt.Sprint(k, " ", s.calls[k]))
+	}
+	return strings.Join(out, ", ")
+}
