ctl: pathheadctl view prints how nodes see the fleet

Cause: no command said whether the nodes of a large fleet hold the same view.

Change: `pathheadctl view ADDR...` reads the counters of the nodes at the addresses, with the registry's parser of the text form (prometheus/common), and prints a line each: revision, nodes, relays, targets, median and 99th percentile of the ages of list, relay's word and confirmation, requests that came without one, bytes by failure domain. Below it says on what they differ and how many did not answer.

Ruled out: a parser of our own.

--- a/cmd/pathheadctl/main.go
+++ b/cmd/pathheadctl/main.go
@@ -42,6 +42,7 @@
 	Explain  explainCmd  `cmd:"" help:"Show why a request went where it did."`
 	Timeline timelineCmd `cmd:"" help:"Show the events of all processes in causal order."`
 	Losses   lossesCmd   `cmd:"" help:"Count from logs the requests that were not answered in time, by cause."`
+	View     viewCmd     `cmd:"" help:"Show how nodes see the fleet, how old their views are and where they differ."`
 	Hash     hashCmd     `cmd:"" help:"Print the hash of an API key read from standard input."`
 }
 
@@ -137,6 +138,13 @@
 
 func (c *lossesCmd) Run(t *ctl.Tool) error { return t.Losses(c.Logs, c.By) }
 
+type viewCmd struct {
+	Nodes []netip.AddrPort `arg:"" help:"Addresses of the nodes' counters."`
+	Path  string           `help:"Path of the counters." default:"/metrics"`
+}
+
+func (c *viewCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.View(ctx, c.Nodes, c.Path) }
+
 type hashCmd struct{}
 
 func (hashCmd) Run() error {
--- /dev/null
+++ b/ctl/view.go
@@ -0,0 +1,242 @@
+package ctl
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/zeebo/errs/v2"
+)
+
+// NodeView is what a node's counters say of its view of the fleet.
+type NodeView struct {
+	Addr netip.AddrPort `json:"addr"`
+	// Fault says why the node's counters were not read.
+	Fault    string `json:"fault,omitempty"`
+	Revision int    `json:"revision"`
+	Nodes    int    `json:"nodes"`
+	Relays   bool   `json:"relays"`
+	Targets  int    `json:"targets"`
+	// List, Relay and Confirmed are how old the list of targets, the newest word of a
+	// relay and the configuration's confirmation were when requests came.
+	List      Age `json:"list"`
+	Relay     Age `json:"relay"`
+	Confirmed Age `json:"confirmed"`
+	// Alone is how many requests came while no relay had told anything.
+	Alone int `json:"alone"`
+	// OwnBytes and OtherBytes went to and came from nodes of the own failure domain and of others.
+	OwnBytes   int64 `json:"ownBytes"`
+	OtherBytes int64 `json:"otherBytes"`
+}
+
+// Age is the median and the ninety-ninth percentile of an age; both are zero where
+// nothing was measured.
+type Age struct {
+	Median time.Duration `json:"medianNs"`
+	Worst  time.Duration `json:"p99Ns"`
+}
+
+// View prints how the nodes with counters at the addresses see the fleet, a line each,
+// and where they differ.
+func (t *Tool) View(ctx context.Context, addrs []netip.AddrPort, path string) error {
+	views := make([]NodeView, len(addrs))
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		wg.Go(func() { views[i] = readView(ctx, addr, path) })
+	}
+	wg.Wait()
+	slices.SortFunc(views, func(a, b NodeView) int { return a.Addr.Compare(b.Addr) })
+	if t.form == OutputJSON {
+		t.json(views)
+		return nil
+	}
+	if err := t.table("NODE\tREVISION\tNODES\tRELAYS\tTARGETS\tLIST\tRELAY\tCONFIRMED\tALONE\tOWN MB\tOTHER MB", func(row func(string, ...any)) {
+		for _, v := range views {
+			if v.Fault != "" {
+				row("%s\t%s", v.Addr, v.Fault)
+				continue
+			}
+			row("%s\t%d\t%d\t%t\t%d\t%s\t%s\t%s\t%d\t%.1f\t%.1f", v.Addr, v.Revision, v.Nodes, v.Relays, v.Targets,
+				v.List, v.Relay, v.Confirmed, v.Alone, float64(v.OwnBytes)/1e6, float64(v.OtherBytes)/1e6)
+		}
+	}); err != nil {
+		return err
+	}
+	for _, line := range disagreements(views) {
+		fmt.Fprintln(t.out, line)
+	}
+	return nil
+}
+
+// String returns the age as a table shows it.
+func (a Age) String() string {
+	if a.Worst == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%s/%s", a.Median.Round(time.Millisecond), a.Worst.Round(time.Millisecond))
+}
+
+// disagreements says on what the nodes that answered do not agree, and how many did not.
+func disagreements(views []NodeView) []string {
+	var out []string
+	silent := 0
+	counts := map[string]map[int]int{"revision": {}, "nodes": {}, "targets": {}}
+	relays := 0
+	for _, v := range views {
+		if v.Fault != "" {
+			silent++
+			continue
+		}
+		counts["revision"][v.Revision]++
+		counts["nodes"][v.Nodes]++
+		counts["targets"][v.Targets]++
+		if v.Relays {
+			relays++
+		}
+	}
+	out = append(out, fmt.Sprintf("%d asked, %d did not answer, %d relay", len(views), silent, relays))
+	for _, what := range []string{"revision", "nodes", "targets"} {
+		if len(counts[what]) < 2 {
+			continue
+		}
+		var parts []string
+		for value, n := range counts[what] {
+			parts = append(parts, fmt.Sprintf("%d at %d", value, n))
+		}
+		slices.Sort(parts)
+		out = append(out, fmt.Sprintf("%s differ: %s", what, strings.Join(parts, ", ")))
+	}
+	return out
+}
+
+// mostCounters bounds what is read of one node's counters, some 40 KB on a busy node.
+const mostCounters = 4 << 20
+
+func readView(ctx context.Context, addr netip.AddrPort, path string) NodeView {
+	v := NodeView{Addr: addr}
+	text, err := getText(ctx, "http://"+addr.String()+path)
+	if err == nil {
+		err = v.read(text)
+	}
+	if err != nil {
+		v.Fault = err.Error()
+	}
+	return v
+}
+
+func getText(ctx context.Context, url string) (io.Reader, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return nil, errs.Errorf("%s", res.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(res.Body, mostCounters))
+	if err != nil {
+		return nil, errs.Wrap(err)
+	}
+	return strings.NewReader(string(data)), nil
+}
+
+// read fills the view in from a node's counters.
+func (v *NodeView) read(text io.Reader) error {
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(text)
+	if err != nil {
+		return errs.Errorf("counters: %w", err)
+	}
+	if families["pathhead_nodes"] == nil {
+		return errs.Errorf("these are no counters of a pathhead-node")
+	}
+	v.Revision = int(sum(families["pathhead_revision"], nil))
+	v.Nodes = int(sum(families["pathhead_nodes"], nil))
+	v.Relays = sum(families["pathhead_relays"], nil) > 0
+	v.Targets = int(sum(families["pathhead_targets"], nil))
+	v.Alone = int(sum(families["pathhead_prompts_without_relay_total"], nil))
+	told := families["pathhead_peer_bytes_total"]
+	v.OwnBytes = int64(sum(told, map[string]string{"domain": "own"}))
+	v.OtherBytes = int64(sum(told, map[string]string{"domain": "other"}))
+	ages := families["pathhead_view_age_seconds_bucket"]
+	v.List, v.Relay, v.Confirmed = ageOf(ages, "list"), ageOf(ages, "relay"), ageOf(ages, "configuration")
+	return nil
+}
+
+// sum adds the values of a family's metrics that have all the labels.
+func sum(f *dto.MetricFamily, labels map[string]string) float64 {
+	total := 0.0
+	for _, m := range f.GetMetric() {
+		if hasLabels(m, labels) {
+			total += m.GetUntyped().GetValue() + m.GetGauge().GetValue() + m.GetCounter().GetValue()
+		}
+	}
+	return total
+}
+
+func hasLabels(m *dto.Metric, labels map[string]string) bool {
+	for name, value := range labels {
+		if labelOf(m, name) != value {
+			return false
+		}
+	}
+	return true
+}
+
+func labelOf(m *dto.Metric, name string) string {
+	for _, l := range m.GetLabel() {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
+
+// ageBucket is one range of a histogram: its upper end and how many are in it.
+type ageBucket struct{ upper, count float64 }
+
+// ageOf reads the percentiles of one age off a histogram's ranges, each as its upper end
+// ("vmrange" of VictoriaMetrics/metrics, some 18 ranges to a power of ten).
+func ageOf(f *dto.MetricFamily, of string) Age {
+	var buckets []ageBucket
+	total := 0.0
+	for _, m := range f.GetMetric() {
+		if labelOf(m, "of") != of {
+			continue
+		}
+		_, end, _ := strings.Cut(labelOf(m, "vmrange"), "...")
+		upper, err := strconv.ParseFloat(end, 64)
+		if err != nil {
+			continue
+		}
+		buckets = append(buckets, ageBucket{upper, m.GetUntyped().GetValue()})
+		total += m.GetUntyped().GetValue()
+	}
+	slices.SortFunc(buckets, func(a, b ageBucket) int { return cmp.Compare(a.upper, b.upper) })
+	quantile := func(q float64) time.Duration {
+		seen := 0.0
+		for _, b := range buckets {
+			if seen += b.count; seen >= q*total {
+				return time.Duration(math.Min(b.upper, math.MaxInt32) * float64(time.Second))
+			}
+		}
+		return 0
+	}
+	return Age{Median: quantile(0.5), Worst: quantile(0.99)}
+}
