--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -22,8 +22,8 @@
 	Power float64
 }
 
-// The number of relays of a fleet. With three, two may be lost at once; each
-// answers some 64 reports a second, which is below 2% of a core of 0.4.
+// The number of relays of a fleet. With three, two may be lost at once; each answers
+// the reports of some 32 members, four a second from each.
 const (
 	leastRelays     = 3
 	membersPerRelay = 32
