--- a/fleet/claim_test.go
+++ b/fleet/claim_test.go
@@ -7,11 +7,9 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"pgregory.net/rapid"
 )
 
 // callerWorld is callers that repeat one keyed call at several routers, over a
@@ -29,15 +27,7 @@
 }
 
 func TestClaimFuzz(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		seed := rapid.Uint64().Draw(rt, "seed")
-		callers := rapid.IntRange(2, 5).Draw(rt, "callers")
-		var err error
-		synctest.Test(t, func(*testing.T) { err = raceCallers(seed, callers) })
-		if err != nil {
-			rt.Fatal(err)
-		}
-	})
+	checkRaces(t, "callers", 5, raceCallers)
 }
 
 func raceCallers(seed uint64, callers int) error {
--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -56,15 +56,7 @@
 }
 
 func TestConfigApplyLinearizable(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		seed := rapid.Uint64().Draw(rt, "seed")
-		operators := rapid.IntRange(2, 4).Draw(rt, "operators")
-		var err error
-		synctest.Test(t, func(*testing.T) { err = raceOperators(seed, operators) })
-		if err != nil {
-			rt.Fatal(err)
-		}
-	})
+	checkRaces(t, "operators", 4, raceOperators)
 }
 
 // raceOperators lets operators apply over a table that loses commits and replies.
--- a/fleet/fake_test.go
+++ b/fleet/fake_test.go
@@ -7,7 +7,11 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing"
+	"testing/synctest"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 var errLost = errors.New("no reply")
@@ -123,3 +127,17 @@
 }
 
 var epoch = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+// checkRaces lets two to most of some kind race each other, in simulated time and with
+// what the table loses drawn from a seed.
+func checkRaces(t *testing.T, kind string, most int, race func(seed uint64, n int) error) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		n := rapid.IntRange(2, most).Draw(rt, kind)
+		var err error
+		synctest.Test(t, func(*testing.T) { err = race(seed, n) })
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
