--- a/ctl/view.go
+++ b/ctl/view.go
@@ -170,7 +170,7 @@
 	v.Nodes = int(sum(families["pathhead_nodes"], nil))
 	v.Relays = sum(families["pathhead_relays"], nil) > 0
 	v.Targets = int(sum(families["pathhead_targets"], nil))
-	v.Alone = int(sum(families["pathhead_prompts_without_relay_total"], nil))
+	v.Alone = int(sum(families["pathhead_requests_without_relay_total"], nil))
 	told := families["pathhead_peer_bytes_total"]
 	v.OwnBytes = int64(sum(told, map[string]string{"domain": "own"}))
 	v.OtherBytes = int64(sum(told, map[string]string{"domain": "other"}))
--- a/node/ages.go
+++ b/node/ages.go
@@ -35,7 +35,7 @@
 	return r.large, now.Sub(at), !at.IsZero() && now.Sub(at) <= rosterTimeout
 }
 
-// noteAges counts how old what decides on a prompt is that comes now.
+// noteAges counts how old what decides on a request is that comes now.
 func (n *Node) noteAges(now time.Time) {
 	a := n.viewAges(now)
 	n.counters.listAge.Update(a.list.Seconds())
--- a/node/domains.go
+++ b/node/domains.go
@@ -46,7 +46,7 @@
 	return domainOther
 }
 
-// countTold counts the bytes of a message to or from another node.
-func (n *Node) countTold(addr netip.AddrPort, call string, sent, read int) {
-	n.counters.told(call, n.domains.of(addr, n.settings().Zone), sent, read)
+// countPeerBytes counts the bytes of a message to or from another node.
+func (n *Node) countPeerBytes(addr netip.AddrPort, call string, sent, read int) {
+	n.counters.peerBytes(call, n.domains.of(addr, n.settings().Zone), sent, read)
 }
--- a/node/domains_test.go
+++ b/node/domains_test.go
@@ -9,7 +9,7 @@
 )
 
 // Bytes between nodes are counted by call, and apart where they leave the failure domain.
-func TestToldByDomain(t *testing.T) {
+func TestPeerBytesByDomain(t *testing.T) {
 	s := validSettings()
 	s.Zone = "hall-1"
 	n, err := New(s, nil, nil, nil)
@@ -18,8 +18,8 @@
 	n.domains.note(near, "hall-1")
 	n.domains.note(far, "hall-2")
 	for addr, sent := range map[netip.AddrPort]int{near: 10, far: 20, stranger: 40} {
-		n.countTold(addr, "Relay", sent, 0)
-		n.countTold(addr, "Relay", 0, 2*sent)
+		n.countPeerBytes(addr, "Relay", sent, 0)
+		n.countPeerBytes(addr, "Relay", 0, 2*sent)
 	}
 	var out bytes.Buffer
 	n.metrics.WritePrometheus(&out)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,9 +20,9 @@
 	unasked *metrics.Counter
 	first   *metrics.Histogram
 	total   *metrics.Histogram
-	// listAge, newsAge and confirmedAge are how old what decided was when prompts came.
+	// listAge, newsAge and confirmedAge are how old what decides was when requests came.
 	listAge, newsAge, confirmedAge *metrics.Histogram
-	// alone counts the prompts that came while this node of a large fleet knew nothing
+	// alone counts the requests that came while this node of a large fleet knew nothing
 	// of the others' loads.
 	alone *metrics.Counter
 }
@@ -41,7 +41,7 @@
 		listAge:      set.NewHistogram(`pathhead_view_age_seconds{of="list"}`),
 		newsAge:      set.NewHistogram(`pathhead_view_age_seconds{of="relay"}`),
 		confirmedAge: set.NewHistogram(`pathhead_view_age_seconds{of="configuration"}`),
-		alone:        set.NewCounter("pathhead_prompts_without_relay_total"),
+		alone:        set.NewCounter("pathhead_requests_without_relay_total"),
 	}
 }
 
@@ -55,8 +55,8 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_requests_total{end=%q,verdict=%q}", f.Cause, f.Verdict)).Inc()
 }
 
-// told counts the bytes of a message to or from another node.
-func (c counters) told(call, domain string, sent, read int) {
+// peerBytes counts the bytes of a message to or from another node.
+func (c counters) peerBytes(call, domain string, sent, read int) {
 	count := func(way string, n int) {
 		if n > 0 {
 			c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_peer_bytes_total{call=%q,domain=%q,way=%q}", call, domain, way)).Add(n)
--- a/node/node.go
+++ b/node/node.go
@@ -151,7 +151,7 @@
 	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventsKept), event.WithSample(sampleOne))
 	n.counters = newCounters(n.metrics)
 	if n.peers == nil {
-		n.peers = peer.NewClient(peerCallTime, nil, peer.WithTold(n.countTold))
+		n.peers = peer.NewClient(peerCallTime, nil, peer.WithObserver(n.countPeerBytes))
 	}
 	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns))
 	board := route.NewBoard(
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -90,16 +90,7 @@
 
 // call reports to one relay and takes its answer.
 func (r *relays) call(ctx context.Context, to fleet.Member, report peer.RelayReport) {
-	r.mu.Lock()
-	if r.from.id == to.ID {
-		report.Known, report.Digest = r.from.cursor, r.from.digest
-	}
-	told := r.sharedTold[to.ID]
-	if told.epoch != to.Epoch {
-		told = sharedCursor{epoch: to.Epoch}
-	}
-	r.mu.Unlock()
-	report.Word.State.Shared, told.next = r.n.sharedSince(told.next)
+	report, told := r.reportTo(to, report)
 	begun := time.Now()
 	answer, err := r.n.peers.Relay(ctx, to.Addr, report)
 	if err != nil {
@@ -119,6 +110,22 @@
 	r.n.heardNewest(begun, "relay "+to.ID, answer.Newest)
 }
 
+// reportTo completes a report by what one relay was told and told itself before, and
+// returns how far that relay will have been told of shared parts by it.
+func (r *relays) reportTo(to fleet.Member, report peer.RelayReport) (peer.RelayReport, sharedCursor) {
+	r.mu.Lock()
+	if r.from.id == to.ID {
+		report.Known, report.Digest = r.from.cursor, r.from.digest
+	}
+	told := r.sharedTold[to.ID]
+	r.mu.Unlock()
+	if told.epoch != to.Epoch {
+		told = sharedCursor{epoch: to.Epoch}
+	}
+	report.Word.State.Shared, told.next = r.n.sharedSince(told.next)
+	return report, told
+}
+
 // ask asks a process of which only the address is known who relays. Whole reports
 // and answers would be too much for a seed that many ask at once.
 func (r *relays) ask(ctx context.Context, addr netip.AddrPort) {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -9,9 +9,9 @@
 	"net/rpc"
 )
 
-// Told hears of the bytes of one message of a call: sent to the process at addr, or
+// Observer hears of the bytes of one message of a call: sent to the process at addr, or
 // read from it as the answer.
-type Told func(addr netip.AddrPort, method string, sent, read int)
+type Observer func(addr netip.AddrPort, method string, sent, read int)
 
 // countingCodec is net/rpc's own coding of a client's calls, by gob, which tells the
 // bytes of each message. [rpc.Client] writes one message at a time and reads one at a time.
@@ -26,11 +26,12 @@
 	// method is that of the answer whose head was read, begun how many bytes came before it.
 	method string
 	begun  int
-	told   func(method string, sent, read int)
+	// observe hears of each message.
+	observe func(method string, sent, read int)
 }
 
-func newCountingCodec(conn net.Conn, told func(method string, sent, read int)) *countingCodec {
-	c := &countingCodec{conn: conn, out: bufio.NewWriter(conn), taken: &countingReader{r: bufio.NewReader(conn)}, told: told}
+func newCountingCodec(conn net.Conn, observe func(method string, sent, read int)) *countingCodec {
+	c := &countingCodec{conn: conn, out: bufio.NewWriter(conn), taken: &countingReader{r: bufio.NewReader(conn)}, observe: observe}
 	c.written.w = c.out
 	c.enc, c.dec = gob.NewEncoder(&c.written), gob.NewDecoder(c.taken)
 	return c
@@ -45,7 +46,7 @@
 	if err := c.enc.Encode(body); err != nil {
 		return err
 	}
-	c.told(r.ServiceMethod, c.written.n-begun, 0)
+	c.observe(r.ServiceMethod, c.written.n-begun, 0)
 	return c.out.Flush()
 }
 
@@ -60,7 +61,7 @@
 // ReadResponseBody implements [rpc.ClientCodec].
 func (c *countingCodec) ReadResponseBody(body any) error {
 	err := c.dec.Decode(body)
-	c.told(c.method, 0, c.taken.n-c.begun)
+	c.observe(c.method, 0, c.taken.n-c.begun)
 	return err
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -39,7 +39,7 @@
 		_ = Serve(l, fakePeer{half})
 	}()
 	told := make(map[string][2]int)
-	p := NewClient(time.Second, nil, WithTold(func(to netip.AddrPort, method string, sent, read int) {
+	p := NewClient(time.Second, nil, WithObserver(func(to netip.AddrPort, method string, sent, read int) {
 		require.Equal(t, addr, to)
 		was := told[method]
 		told[method] = [2]int{was[0] + sent, was[1] + read}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -190,7 +190,7 @@
 type Client struct {
 	timeout time.Duration
 	dial    Dial
-	told    Told
+	observe Observer
 
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*rpc.Client
@@ -210,9 +210,9 @@
 	return func(p *Client) { p.dial = d }
 }
 
-// WithTold sets the function that hears of the bytes of each message; it must not block.
-func WithTold(t Told) ClientOption {
-	return func(p *Client) { p.told = t }
+// WithObserver sets the function that hears of the bytes of each message; it must not block.
+func WithObserver(o Observer) ClientOption {
+	return func(p *Client) { p.observe = o }
 }
 
 // NewClient returns a caller whose calls each end within timeout; cfg is nil for plain TCP.
@@ -220,7 +220,7 @@
 	p := &Client{
 		timeout: timeout,
 		dial:    dialer(cfg),
-		told:    func(netip.AddrPort, string, int, int) {},
+		observe: func(netip.AddrPort, string, int, int) {},
 		clients: make(map[netip.AddrPort]*rpc.Client),
 		counts:  make(map[netip.AddrPort]*countingConn),
 	}
@@ -315,7 +315,7 @@
 	}
 	counted := &countingConn{Conn: conn}
 	c = rpc.NewClientWithCodec(newCountingCodec(counted, func(method string, sent, read int) {
-		p.told(addr, strings.TrimPrefix(method, peerName+"."), sent, read)
+		p.observe(addr, strings.TrimPrefix(method, peerName+"."), sent, read)
 	}))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/route/kept.go
+++ b/route/kept.go
@@ -119,9 +119,10 @@
 		}
 	}
 	// What the store has is not sent to it again.
+	p := b.pools[r.Model.KeptPool]
 	held := home.parts.leading(c.chain)
 	moved, gained := float64(r.promptTokens()-held), float64(shared-held)
-	if !b.storeHasRoom(now, home, b.pools[r.Pool]) || !b.worthSaving(now, home, gained/moved) {
+	if !b.storeHasRoom(now, home, b.pools[r.Pool]) || !b.worthSaving(now, home, p, gained/moved) {
 		return netip.AddrPort{}
 	}
 	home.saves.level -= moved
@@ -138,8 +139,8 @@
 // worthSaving reports whether this router's part of a store's room is well spent on a
 // prompt of whose tokens a part is shared. A prompt's own end takes room too and serves
 // nobody, so the less room is left, the more of the prompt must be shared.
-func (b *Board) worthSaving(now time.Time, store *target, shared float64) bool {
-	room := float64(store.pools[0].compiled.CacheTokens)
+func (b *Board) worthSaving(now time.Time, store *target, p *pool, shared float64) bool {
+	room := float64(p.compiled.CacheTokens)
 	rate := room / time.Duration(b.snap.Config.Placement.Horizon).Seconds() / float64(b.routers)
 	burst := rate * saveBurst.Seconds()
 	store.saves.refillTo(now, rate, burst)
