--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -63,7 +63,7 @@
 }
 
 // DefaultRollSettings returns the bounds that the programs use. The pauses were
-// chosen on pools of nine whose orders are answered late and in time (issue 24).
+// chosen on pools of nine whose orders are answered late and in time.
 func DefaultRollSettings() RollSettings {
 	return RollSettings{
 		AtOnce:     2,
--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -39,6 +39,7 @@
 	simPool      = "engines"
 	simStoreCall = 4 * time.Millisecond
 	simCutCall   = 600 * time.Millisecond
+	simSettle    = 6 * time.Second
 )
 
 // simFleet is a fleet of real nodes in one process and in simulated time.
@@ -99,6 +100,12 @@
 	}
 }
 
+// settle starts all nodes and waits until they know each other and the relays read the store.
+func (f *simFleet) settle() {
+	f.start()
+	time.Sleep(simSettle)
+}
+
 func (f *simFleet) node(i int, power float64) *Node {
 	s := validSettings()
 	addr := simNodeAddr(i)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -102,9 +102,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimFleet(t, simSite{nodes: 30, engines: 10, perSecond: 30})
-		f.start()
+		f.settle()
 		defer f.end()
-		time.Sleep(6 * time.Second)
 		var followers []*simDoor
 		cut := false
 		for i, n := range f.nodes {
@@ -136,9 +135,8 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newSimFleet(t, simSite{nodes: 30, engines: 10, perSecond: 30})
-		f.start()
+		f.settle()
 		defer f.end()
-		time.Sleep(6 * time.Second)
 		before := int64(0)
 		for _, d := range f.doors {
 			before += d.asked.Load()
@@ -177,9 +175,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newSimFleet(t, simSite{nodes: 30, engines: 60, perSecond: 30})
-				f.start()
+				f.settle()
 				defer f.end()
-				time.Sleep(6 * time.Second)
 				for _, n := range f.nodes {
 					if c.silent > 0 && !n.relays.leads() {
 						c.silent--
