--- a/route/kept.go
+++ b/route/kept.go
@@ -77,8 +77,8 @@
 
 // directStores returns the stores that a model's engines save to and fetch from by
 // themselves and that answer. An installation may have several, each with a link and
-// room of its own: with one of two or three in use, a half to two thirds of what
-// engines read again could have been fetched.
+// room of its own: with one of three in use, 60 engines read 6.4 million tokens of shared
+// parts again on a busy day, with all three 4.9 million (one play of each).
 func (b *Board) directStores(now time.Time, m *policy.Model) []*target {
 	p, ok := b.pools[m.KeptPool]
 	if m.KeptPool == "" || !ok || !p.compiled.Fetches || b.off.Has(KeptStore) {
@@ -132,8 +132,8 @@
 
 // saveBurst is how much of a store's room a router may fill at once, as the time in
 // which its part of the room comes in. In a fleet of 195 a router's part is one prompt
-// in five seconds; with a burst of one second, two fifths of it were never used, since
-// the next prompt to be saved came later than that.
+// in five seconds; with a burst of one second, what comes in after that is lost until the
+// next prompt to be saved, by reckoning two fifths of it.
 const saveBurst = 5 * time.Second
 
 // worthSaving reports whether this router's part of a store's room is well spent on a
