node, event: what a node knows of newer configuration and why it has not got it

Change: events config-behind (408, once a revision) and config-unfetched (409), pathhead_revision_known and pathhead_config_fetches_total. What deals with fetching moves to node/fetch.go. Nothing that is decided changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -56,6 +56,9 @@
 	// StoreHistoryGone and WeightsNamed are of nodes on an installation's store.
 	StoreHistoryGone Code = 406
 	WeightsNamed     Code = 407
+	// ConfigBehind and ConfigUnfetched are of nodes that take a revision from each other.
+	ConfigBehind    Code = 408
+	ConfigUnfetched Code = 409
 
 	PeerSeen Code = 501
 	PeerLost Code = 502
@@ -138,6 +141,8 @@
 
 	{StoreHistoryGone, "store-history-gone", slog.LevelInfo, "The store's history does not reach back to the last change seen; the declaration is read whole."},
 	{WeightsNamed, "weights-named", slog.LevelInfo, "Newer weights of a model were named; the detail says who told, and how long ago they were named as far as this process knows."},
+	{ConfigBehind, "config-behind", slog.LevelWarn, "A newer revision is known than the one served under; the detail says who told of it. Logged once for each revision."},
+	{ConfigUnfetched, "config-unfetched", slog.LevelWarn, "A newer revision could not be taken from another node; the detail says from whom, what came of it and why it ended."},
 
 	{PeerSeen, "peer-seen", slog.LevelInfo, "A peer was heard for the first time or again."},
 	{PeerLost, "peer-lost", slog.LevelWarn, "A peer has not been heard for the peer timeout."},
--- /dev/null
+++ b/node/fetch.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/fleet"
+)
+
+// takeWord takes a relay's word on the configuration and fetches a newer one.
+func (n *Node) takeWord(ctx context.Context, begun time.Time, addr netip.AddrPort, w fleet.PeerWord) {
+	n.heard(begun, w)
+	n.Lock()
+	behind := w.Revision > n.adoption.Revision()
+	n.Unlock()
+	if behind {
+		n.noteBehind(w.Revision, addr)
+		n.fetchFrom(ctx, addr)
+	}
+}
+
+// noteBehind tells once of each newer revision that is known and not served under.
+func (n *Node) noteBehind(revision int64, addr netip.AddrPort) {
+	n.Lock()
+	known := revision <= n.behindOf
+	n.behindOf = max(n.behindOf, revision)
+	n.Unlock()
+	if !known {
+		n.events.Record(event.Event{Code: event.ConfigBehind, Revision: revision, Detail: "known from peer " + addr.String()})
+	}
+}
+
+// fetchFromPeers asks peers for a newer configuration while the store does not answer.
+func (n *Node) fetchFromPeers(ctx context.Context) {
+	n.Lock()
+	behind := n.adoption.Revision() == 0 || n.adoption.Wanted() > n.adoption.Revision()
+	n.Unlock()
+	if !behind {
+		return
+	}
+	for _, addr := range n.gossip.Sweep(ctx) {
+		n.fetchFrom(ctx, addr)
+	}
+}
+
+// fetchFrom takes the configuration of a peer, if it is newer.
+func (n *Node) fetchFrom(ctx context.Context, addr netip.AddrPort) {
+	begun := time.Now()
+	d, err := n.peers.Config(ctx, addr, n.settings().Name)
+	if err != nil {
+		n.counters.fetched("failed")
+		n.events.Record(event.Event{
+			Code: event.ConfigUnfetched, Detail: fmt.Sprintf("from peer %s, after %s: %v", addr, time.Since(begun).Round(time.Millisecond), err),
+		})
+		return
+	}
+	n.counters.fetched("done")
+	declared, err := n.store.Parse(d.Revision, d.Text)
+	if err != nil {
+		n.events.Record(event.Event{Code: event.ConfigRejected, Revision: d.Revision, Detail: err.Error()})
+		return
+	}
+	n.adopt(*declared, "peer "+addr.String())
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -66,6 +66,11 @@
 	count("read", read)
 }
 
+// fetched counts a taking of the configuration from another node by its end.
+func (c counters) fetched(end string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_config_fetches_total{end=%q}", end)).Inc()
+}
+
 // finished counts a request by its end.
 func (c counters) finished(took time.Duration, refusal *route.Refusal) {
 	if refusal != nil {
@@ -83,6 +88,11 @@
 		defer n.Unlock()
 		return float64(n.adoption.Revision())
 	})
+	n.metrics.NewGauge("pathhead_revision_known", func() float64 {
+		n.Lock()
+		defer n.Unlock()
+		return float64(n.adoption.Wanted())
+	})
 	n.metrics.NewGauge("pathhead_confirmation_age_seconds", func() float64 {
 		age, _ := n.confirmed()
 		return age.Seconds()
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,8 @@
 	rng      *rand.Rand
 	adoption *fleet.Adoption
 	document fleet.Document
+	// behindOf is the newest revision that was logged as known and not served under.
+	behindOf int64
 	limits   Limits
 	list     targetList
 	duty     *duty
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -235,14 +235,3 @@
 	_, state.Loaded = n.duty.told()
 	return state, n.adoption.Word(now)
 }
-
-// takeWord takes a relay's word on the configuration and fetches a newer one.
-func (n *Node) takeWord(ctx context.Context, begun time.Time, addr netip.AddrPort, w fleet.PeerWord) {
-	n.heard(begun, w)
-	n.Lock()
-	behind := w.Revision > n.adoption.Revision()
-	n.Unlock()
-	if behind {
-		n.fetchFrom(ctx, addr)
-	}
-}
--- a/node/watch.go
+++ b/node/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/netip"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -144,34 +143,6 @@
 	recomputeWeight = 1.0
 )
 
-// fetchFromPeers asks peers for a newer configuration while the store does not answer.
-func (n *Node) fetchFromPeers(ctx context.Context) {
-	n.Lock()
-	behind := n.adoption.Revision() == 0 || n.adoption.Wanted() > n.adoption.Revision()
-	n.Unlock()
-	if !behind {
-		return
-	}
-	for _, addr := range n.gossip.Sweep(ctx) {
-		n.fetchFrom(ctx, addr)
-	}
-}
-
-// fetchFrom takes the configuration of a peer, if it is newer.
-func (n *Node) fetchFrom(ctx context.Context, addr netip.AddrPort) {
-	d, err := n.peers.Config(ctx, addr, n.settings().Name)
-	if err != nil {
-		n.log.Debug("a peer gave no configuration", "peer", addr, "error", err)
-		return
-	}
-	declared, err := n.store.Parse(d.Revision, d.Text)
-	if err != nil {
-		n.events.Record(event.Event{Code: event.ConfigRejected, Revision: d.Revision, Detail: err.Error()})
-		return
-	}
-	n.adopt(*declared, "peer "+addr.String())
-}
-
 // storeState notes whether the store answers.
 func (n *Node) storeState(err error) {
 	n.Lock()
