node, fleet, platform: failing tests of a configuration that is large beside the links

Cause, as far as the tests show it: a node gives a call to another up after 0.6 s, and one to the store after 1.2 s, whatever comes in that time, and begins again from the first byte. A process that is behind counts the newer revision's confirmations for its own.

--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -24,6 +25,8 @@
 	nodes, engines int
 	// perSecond is how many prompts come in a second to all nodes together.
 	perSecond int
+	// mbps is the link of the small VMs, zero for 20 Mbit/s.
+	mbps float64
 }
 
 // The figures of a simulated fleet.
@@ -84,7 +87,7 @@
 func (f *simFleet) start() {
 	rng := rand.New(rand.NewPCG(1, 1))
 	for i := range f.simSite.nodes {
-		power, mbps := 0.192, 20.0
+		power, mbps := 0.192, cmp.Or(f.mbps, 20)
 		if i%simLargeOne == 0 {
 			power, mbps = 0.8, 200
 		}
@@ -113,7 +116,7 @@
 	s.Callers, s.Readiness, s.Peers, s.Operators = addr, addr, addr, addr
 	s.Seeds, s.Power, s.Heartbeat = f.seeds, power, simBeat
 	s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Weights, s.Bounds.Contact = 4*time.Second, 4*time.Second, 12*time.Second, 5*time.Second
-	door := &simDoor{simStore: f.store}
+	door := &simDoor{simStore: f.store, net: f.net, addr: addr.Addr()}
 	f.doors = append(f.doors, door)
 	n, err := New(s, door, nil, f.store, WithPeers(peer.NewClient(peerCallTime, nil, peer.WithDial(f.net.dial(addr.Addr())))))
 	require.NoError(f.t, err)
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +25,11 @@
 	mu    sync.Mutex
 	rows  map[[2]string]fleet.Row
 	calls map[string]int
+	// counter rises with each change; namedAt and declaredAt are its values at the last ones.
+	counter, namedAt, declaredAt int64
+	// revision and text are the configuration.
+	revision int64
+	text     string
 	// named are the newest weights, loaded what engines have.
 	named  string
 	loaded map[netip.AddrPort]*simEngine
@@ -34,6 +38,7 @@
 func newSimStore(engines int) *simStore {
 	return &simStore{
 		engines: engines, began: time.Now(), rows: make(map[[2]string]fleet.Row), calls: make(map[string]int),
+		counter: 1, namedAt: 1, declaredAt: 1, revision: 1, text: "one",
 		named: "1", loaded: make(map[netip.AddrPort]*simEngine),
 	}
 }
@@ -45,9 +50,12 @@
 	time.Sleep(simStoreCall)
 }
 
-// simDoor is one node's way to the store, which may be cut.
+// simDoor is one node's way to the store, which may be cut. A configuration's text goes
+// over the node's link as it does over the wire, where four bytes stand for three.
 type simDoor struct {
 	*simStore
+	net   *simNetwork
+	addr  netip.Addr
 	down  atomic.Bool
 	asked atomic.Int64
 }
@@ -75,7 +83,11 @@
 	if err := d.pass(ctx); err != nil {
 		return Changes{}, err
 	}
-	return d.simStore.Watch(ctx, after, wait)
+	out, err := d.simStore.Watch(ctx, after, wait)
+	if out.Declared != nil {
+		pause(ctx, time.Until(d.net.read(d.addr, len(out.Declared.Text)*4/3)))
+	}
+	return out, err
 }
 
 // Targets implements [Store].
@@ -117,34 +129,41 @@
 // Watch implements [Store].
 func (s *simStore) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
 	s.call("watch")
-	version := func() int64 {
+	changed := func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		n, err := strconv.ParseInt(s.named, 10, 64)
-		if err != nil {
-			panic(err)
-		}
-		return n
+		return s.counter > after
 	}
-	for end := time.Now().Add(wait); after > 0 && version() <= after && time.Now().Before(end); {
+	for end := time.Now().Add(wait); after > 0 && !changed() && time.Now().Before(end); {
 		if !pause(ctx, simFar) {
 			return Changes{}, ctx.Err()
 		}
 	}
-	out := Changes{Cursor: version()}
-	if out.Cursor > after {
-		out.Named = []Naming{{Model: simModel, Weights: strconv.FormatInt(out.Cursor, 10), Revision: out.Cursor}}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Changes{Cursor: s.counter}
+	if s.namedAt > after {
+		out.Named = []Naming{{Model: simModel, Weights: s.named, Revision: s.namedAt}}
 	}
 	var err error
-	if after == 0 {
-		out.Declared, err = s.Parse(1, "")
+	if s.declaredAt > after {
+		out.Declared, err = s.Parse(s.revision, s.text)
 	}
 	return out, err
 }
 
+// declare puts a configuration in force.
+func (s *simStore) declare(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counter++
+	s.revision++
+	s.declaredAt, s.text = s.counter, text
+}
+
 // Parse implements [Store].
-func (s *simStore) Parse(revision int64, _ string) (*Declared, error) {
-	return &Declared{Revision: revision, Text: "one", Config: &policy.Config{
+func (s *simStore) Parse(revision int64, text string) (*Declared, error) {
+	return &Declared{Revision: revision, Text: text, Config: &policy.Config{
 		Version: policy.Version,
 		Pools: []policy.Pool{{
 			Name: simPool, Kind: policy.KindEngine, Selector: LabelPool + "=" + simPool, Window: 24, Fetches: true,
@@ -205,7 +224,8 @@
 func (s *simStore) name(weights string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.named = weights
+	s.counter++
+	s.namedAt, s.named = s.counter, weights
 }
 
 // older returns how many engines have other weights than the named ones.
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -122,6 +122,14 @@
 	return !s.closed
 }
 
+// read puts bytes on a VM's link that come from outside, and returns when they are there.
+func (s *simNetwork) read(to netip.Addr, n int) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vm := s.vms[to]
+	return vm.in.pass(time.Now(), n, vm.rate)
+}
+
 // silence cuts a VM off.
 func (s *simNetwork) silence(addr netip.Addr) {
 	s.mu.Lock()
