peer, fleet, node, platform: a configuration comes in pieces, and its confirmations are its own

Beside it: a node that is behind counted the newer revision's confirmations for its own and told them to others; it served routes without keys by the old revision for ever; it refused keys from the first word of a newer one on, though the bounds leave time for a change; and it said 404 of what the newer one may have. Class: a bound in time on a transfer whose size is not bounded, without progress kept; and a fact (a confirmation) counted for another subject than it was told of.

Ruled out: the store (relays read it in 0.2 s), processors (idle), the operator's late acknowledgements.

Change: nodes take a configuration from each other packed and in pieces of 16 KB, each a call of its own; what came stays for the next call, to whichever node. A node that is behind for 0.6 of the apply bound reads the store itself besides. Confirmations are told and counted for their revision alone. A node that knows of a newer revision serves on under its own for 0.85 of the apply bound after that was last the newest, then nothing; until then it does not say what does not exist.

The simulated store's texts go over the nodes' links, in windows; its network had a race that this showed.

--- a/node/ages.go
+++ b/node/ages.go
@@ -15,7 +15,7 @@
 // viewAges returns the ages at a time.
 func (n *Node) viewAges(now time.Time) viewAges {
 	out := viewAges{list: n.list.age(now)}
-	out.confirmed, _ = n.confirmed()
+	out.confirmed = n.standing().age
 	out.large, out.relay, out.told = n.relays.age(now)
 	return out
 }
--- /dev/null
+++ b/node/behind_test.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// plainProtocol tells refusals and faults by their status.
+type plainProtocol struct{ Protocol }
+
+func (plainProtocol) Refuse(w http.ResponseWriter, _ route.Refusal) {
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (plainProtocol) Fault(w http.ResponseWriter, status int, _ string) { w.WriteHeader(status) }
+
+// keyOf is an organisation's key as the configuration has it.
+func keyOf(key string) policy.Key {
+	sum := sha256.Sum256([]byte(key))
+	return policy.Key{ID: key, SHA256: hex.EncodeToString(sum[:])}
+}
+
+// A node that knows of a newer configuration and can't get it went on under the old one
+// for ever on routes without keys, refused requests with keys from the first moment on, and said
+// that what had just been added does not exist. It serves on under the old one for as long
+// as a change may take to come into force, after that nothing, and can't tell what does not exist.
+func TestBehindAdmits(t *testing.T) {
+	const admitted = 0
+	for name, c := range map[string]struct {
+		path, key string
+		// told, late and never are the answers right after the word of a newer one, past
+		// the bound after it, and past the bound where no newer one was heard of.
+		told, late, never int
+	}{
+		"a route without keys": {"/open/", "", admitted, http.StatusServiceUnavailable, admitted},
+		"a key":                {"/closed/", "k", admitted, http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+		"an unknown key":       {"/closed/", "z", http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+		"an unknown route":     {"/none/", "k", http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newSimStore(1)
+				n, err := New(validSettings(), store, plainProtocol{}, store)
+				require.NoError(t, err)
+				declared, err := store.Parse(1, "one")
+				require.NoError(t, err)
+				declared.Config.Routes = []policy.Route{{Name: "o", Path: "/open/", Pool: simPool, Public: true}, {Name: "c", Path: "/closed/", Pool: simPool}}
+				declared.Config.Organisations = []policy.Organisation{{Name: "org", Keys: []policy.Key{keyOf("k")}}}
+				admit := func() int {
+					w := httptest.NewRecorder()
+					r := httptest.NewRequest(http.MethodGet, c.path, nil)
+					if n.admit(&visit{w: w, r: r, uri: c.path, ask: Ask{Key: c.key}}) {
+						return admitted
+					}
+					return w.Code
+				}
+				n.adopt(*declared, "the store")
+				n.heard(time.Now(), fleet.PeerWord{Revision: 1})
+				time.Sleep(n.settings().Bounds.Revoke)
+				require.Equal(t, c.never, admit(), "no word for longer than the bounds")
+
+				n.heard(time.Now(), fleet.PeerWord{Revision: 1})
+				n.heard(time.Now(), fleet.PeerWord{Revision: 2})
+				require.Equal(t, c.told, admit(), "at the word of a newer one")
+				for range 5 {
+					time.Sleep(n.settings().Bounds.Apply / 5)
+					n.heard(time.Now(), fleet.PeerWord{Revision: 2})
+				}
+				require.Equal(t, c.late, admit(), "past the bound after it")
+			})
+		})
+	}
+}
--- a/node/callers.go
+++ b/node/callers.go
@@ -129,13 +129,18 @@
 // force, or answers why it can't. It is done again once the body is there, which
 // may take longer than a configuration lasts.
 func (n *Node) admit(v *visit) bool {
-	age, current := n.confirmed()
+	now := n.standing()
 	v.snap = n.snapshot()
-	if v.snap == nil {
+	switch {
+	case v.snap == nil:
 		n.refuse(v, route.Refusal{Cause: route.CauseFenced, RetryAfter: minRetryAfter, Detail: "no configuration is known yet"})
 		return false
+	case now.outdated:
+		n.refuse(v, route.Refusal{Cause: route.CauseFenced, RetryAfter: fencedRetry, Detail: "a newer configuration is in force, and it has not come yet"})
+		return false
 	}
-	sure := age <= part(n.settings().Bounds.Apply, surePart)
+	// What this configuration lacks may be new in the one that is still to come.
+	sure := !now.behind && now.age <= part(n.settings().Bounds.Apply, surePart)
 	path, _, _ := strings.Cut(v.uri, "?")
 	rt, ok := v.snap.RouteFor(hostOf(v.r.Host), path)
 	if !ok {
@@ -146,7 +151,7 @@
 	if rt.Public || len(v.snap.Config.Organisations) == 0 {
 		return true
 	}
-	if !current {
+	if !now.keys {
 		n.refuse(v, route.Refusal{
 			Cause: route.CauseFenced, RetryAfter: fencedRetry, Detail: "the keys in force could not be confirmed lately",
 		})
@@ -270,6 +275,5 @@
 	if n.stopping.Load() {
 		return false
 	}
-	_, current := n.confirmed()
-	return current && n.list.known()
+	return n.standing().keys && n.list.known()
 }
--- a/node/fetch.go
+++ b/node/fetch.go
@@ -36,7 +36,7 @@
 // fetchFromPeers asks peers for a newer configuration while the store does not answer.
 func (n *Node) fetchFromPeers(ctx context.Context) {
 	n.Lock()
-	behind := n.adoption.Revision() == 0 || n.adoption.Wanted() > n.adoption.Revision()
+	behind := n.adoption.Revision() == 0 || n.adoption.Behind()
 	n.Unlock()
 	if !behind {
 		return
@@ -49,7 +49,10 @@
 // fetchFrom takes the configuration of a peer, if it is newer.
 func (n *Node) fetchFrom(ctx context.Context, addr netip.AddrPort) {
 	begun := time.Now()
-	d, err := n.peers.Config(ctx, addr, n.settings().Name)
+	n.Lock()
+	have := n.adoption.Revision()
+	n.Unlock()
+	d, newer, err := n.peers.Config(ctx, addr, n.settings().Name, have)
 	if err != nil {
 		n.counters.fetched("failed")
 		n.events.Record(event.Event{
@@ -57,6 +60,9 @@
 		})
 		return
 	}
+	if !newer {
+		return
+	}
 	n.counters.fetched("done")
 	declared, err := n.store.Parse(d.Revision, d.Text)
 	if err != nil {
--- a/node/forward.go
+++ b/node/forward.go
@@ -249,11 +249,11 @@
 // stillAllowed checks key and configuration once more right before the sending:
 // the process may have stood still since the request was admitted.
 func (f *forwarding) stillAllowed() bool {
+	now := f.n.standing()
 	if f.v.org == nil {
-		return true
+		return !now.outdated
 	}
-	_, current := f.n.confirmed()
-	if !current {
+	if !now.keys {
 		return false
 	}
 	snap := f.n.snapshot()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -94,8 +94,7 @@
 		return float64(n.adoption.Wanted())
 	})
 	n.metrics.NewGauge("pathhead_confirmation_age_seconds", func() float64 {
-		age, _ := n.confirmed()
-		return age.Seconds()
+		return n.standing().age.Seconds()
 	})
 	n.metrics.NewGauge("pathhead_requests_in_flight", func() float64 { return float64(n.Calls()) })
 	n.metrics.NewGauge("pathhead_peers_live", func() float64 { return float64(len(n.gossip.Live())) })
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -65,6 +65,8 @@
 }
 
 func (s *simNetwork) add(addr netip.Addr, zone string, mbps float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.vms[addr] = &simVM{addr: addr, zone: zone, rate: mbps * 1e6 / 8}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -137,7 +137,7 @@
 		log:       slog.New(slog.DiscardHandler),
 		metrics:   metrics.NewSet(),
 		rng:       rand.New(rand.NewPCG(seed, 1)),
-		adoption:  fleet.NewAdoption(part(s.Bounds.Revoke, revokePart), false),
+		adoption:  fleet.NewAdoption(part(s.Bounds.Revoke, revokePart), false, fleet.WithGrace(part(s.Bounds.Apply, applyPart))),
 		placement: route.Predict,
 		limits:    defaultLimits,
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -100,6 +100,13 @@
 const (
 	// revokePart leaves room for a request's way to a target after the check of its key.
 	revokePart = 0.85
+	// applyPart is how much of the apply bound a configuration is served under for after
+	// it was last known to be the newest, once a newer one is known. The change was
+	// acknowledged after that moment; the rest is for a request's way here.
+	applyPart = 0.85
+	// overduePart is how much of it a node leaves to relays. A confirmation is up to a second
+	// old when a change comes, and relays pass it on within half a second.
+	overduePart = 0.6
 	// surePart is the age of a confirmation, as a part of the apply bound, up to
 	// which a node may say that a route or key does not exist.
 	surePart = 0.75
--- a/node/watch.go
+++ b/node/watch.go
@@ -43,7 +43,7 @@
 		retry  backoff
 	)
 	for ctx.Err() == nil {
-		if n.relays.follows() {
+		if n.relays.follows() && !n.overdue() {
 			pause(ctx, followPause)
 			continue
 		}
@@ -158,17 +158,37 @@
 	}
 }
 
-// confirmed returns how old the newest confirmation of the configuration is, and
-// whether the node may serve requests with a key.
-func (n *Node) confirmed() (age time.Duration, current bool) {
+// overdue reports whether a newer configuration is known for so long that this node reads
+// it from the store itself, also where a relay tells what the store says: whatever keeps
+// the relays from passing it on, it has the rest of the apply bound for that.
+func (n *Node) overdue() bool {
+	s := n.standing()
+	return s.behind && s.age > part(n.settings().Bounds.Apply, overduePart)
+}
+
+// standing is what a node may do under the configuration that it has.
+type standing struct {
+	// age is how long ago nothing newer was in force, as far as is known.
+	age time.Duration
+	// behind says that a newer one is known, outdated that it has been in force for so
+	// long, as far as is known, that nothing may be served by this one.
+	behind, outdated bool
+	// keys says that requests with a key may be served.
+	keys bool
+}
+
+// standing returns what the node may do under its configuration now.
+func (n *Node) standing() standing {
 	n.Lock()
 	defer n.Unlock()
 	now := time.Now()
-	at := n.adoption.Confirmed()
-	if at.IsZero() {
-		return time.Hour, false
+	s := standing{
+		age: time.Hour, behind: n.adoption.Behind(), outdated: n.adoption.Outdated(now), keys: n.adoption.Serving(now),
+	}
+	if at := n.adoption.Current(); !at.IsZero() {
+		s.age = now.Sub(at)
 	}
-	return now.Sub(at), n.adoption.Serving(now)
+	return s
 }
 
 // sweepLoop closes connections that are of no more use.
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -54,9 +54,6 @@
 	Relays []fleet.Member
 }
 
-// ConfigQuery asks a peer for the configuration it serves under.
-type ConfigQuery struct{ From string }
-
 // Handler answers peers' calls.
 type Handler interface {
 	// Exchange takes a peer's half and returns the own.
@@ -117,7 +114,10 @@
 const peerName = "Peer"
 
 // peerService has the method forms that net/rpc asks for.
-type peerService struct{ handler Handler }
+type peerService struct {
+	handler Handler
+	packed  *packer
+}
 
 // Exchange answers a gossip exchange.
 func (s peerService) Exchange(in *Exchange, out *Exchange) error {
@@ -125,16 +125,6 @@
 	return nil
 }
 
-// Config answers with the document in force.
-func (s peerService) Config(_ *ConfigQuery, out *fleet.Document) error {
-	d, ok := s.handler.Config()
-	if !ok {
-		return errors.New("no configuration yet")
-	}
-	*out = d
-	return nil
-}
-
 // Open opens the peers' door of a process; cfg is nil for plain TCP.
 func Open(addr netip.AddrPort, cfg *tls.Config, h Handler) (door.Door, error) {
 	l, err := door.Listen(addr, cfg)
@@ -150,7 +140,7 @@
 // Serve answers peers on a listener until it is closed, then ends their connections.
 func Serve(l net.Listener, h Handler) error {
 	server := rpc.NewServer()
-	if err := server.RegisterName(peerName, peerService{h}); err != nil {
+	if err := server.RegisterName(peerName, peerService{handler: h, packed: new(packer)}); err != nil {
 		return errs.Wrap(err)
 	}
 	var (
@@ -192,6 +182,9 @@
 	dial    Dial
 	observe Observer
 
+	// taking is the document that is being taken from peers, piece by piece.
+	taking taking
+
 	mu      sync.Mutex
 	clients map[netip.AddrPort]*rpc.Client
 	counts  map[netip.AddrPort]*countingConn
@@ -235,11 +228,6 @@
 	return answerOf[Exchange](ctx, p, addr, "Exchange", &in)
 }
 
-// Config fetches the document in force at addr.
-func (p *Client) Config(ctx context.Context, addr netip.AddrPort, from string) (fleet.Document, error) {
-	return answerOf[fleet.Document](ctx, p, addr, "Config", &ConfigQuery{From: from})
-}
-
 // Close ends all connections.
 func (p *Client) Close() {
 	p.mu.Lock()
--- a/router/callers.go
+++ b/router/callers.go
@@ -114,7 +114,7 @@
 	for end := time.Now().Add(catchUpTime); ; {
 		r.Lock()
 		serving := r.applyServing()
-		behind := r.adoption.Revision() > 0 && r.adoption.Wanted() > r.adoption.Revision()
+		behind := r.adoption.Revision() > 0 && r.adoption.Behind()
 		r.Unlock()
 		if serving || !behind || time.Now().After(end) || ctx.Err() != nil {
 			return serving
--- a/router/config.go
+++ b/router/config.go
@@ -113,7 +113,7 @@
 	var wg sync.WaitGroup
 	for _, addr := range r.gossip.Sweep(ctx) {
 		wg.Go(func() {
-			if d, err := r.peers.Config(ctx, addr, r.id); err == nil {
+			if d, ok, err := r.peers.Config(ctx, addr, r.id, r.revision()); err == nil && ok {
 				r.adopt(d)
 			}
 		})
@@ -189,7 +189,7 @@
 func (r *Router) behind() bool {
 	r.Lock()
 	defer r.Unlock()
-	return r.adoption.Revision() == 0 || r.adoption.Wanted() > r.adoption.Revision()
+	return r.adoption.Revision() == 0 || r.adoption.Behind()
 }
 
 // poke makes the configuration loop look at once.
--- a/router/peers.go
+++ b/router/peers.go
@@ -39,7 +39,7 @@
 func (r *Router) heard(begun time.Time, w fleet.PeerWord) {
 	r.Lock()
 	r.adoption.Peer(begun, w)
-	behind := r.adoption.Wanted() > r.adoption.Revision()
+	behind := r.adoption.Behind()
 	r.Unlock()
 	if behind {
 		r.poke()
