--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -93,7 +93,7 @@
 	Status int
 	// Incarnation, Weights and Attempt are what the target says that it is and what
 	// it answers; each is empty where it says nothing.
-	Incarnation string
+	Incarnation route.Incarnation
 	Weights     string
 	Attempt     string
 	// NotRun says that the target did not run the request, by its own word.
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -47,6 +47,7 @@
 	EngineCancelled Code = 309
 	TargetWeights   Code = 310
 	TargetOutdated  Code = 311
+	TargetUnnamed   Code = 312
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -132,6 +133,7 @@
 	{EngineCancelled, "engine-cancelled", slog.LevelInfo, "A stand-in engine stopped a request whose caller left."},
 	{TargetWeights, "target-weights", slog.LevelInfo, "A target was seen with other weights than before; the detail says by whom it was told."},
 	{TargetOutdated, "target-outdated", slog.LevelInfo, "A target's weights were replaced so long ago that nothing is sent to it on them; the detail says how long ago as far as this process knows. Logged once for each target and weights."},
+	{TargetUnnamed, "target-unnamed", slog.LevelWarn, "An entry of the list of targets names none: it does not decode, lacks a field, or has a state or value without a meaning. It is passed over; the detail has its id and the fault. Logged once for as long as the fault lasts."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process serves under a new revision."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which confirms it."},
--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -9,13 +9,14 @@
 	"time"
 
 	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
 )
 
 // Engine is what a planner sees of one engine of its pool.
 type Engine struct {
 	Addr        netip.AddrPort
 	Name        string
-	Incarnation string
+	Incarnation route.Incarnation
 	// Weights maps the models it serves to their weights.
 	Weights map[string]string
 	Loading bool
@@ -86,7 +87,7 @@
 // Change is the work on one engine.
 type Change struct {
 	Engine      netip.AddrPort
-	Incarnation string
+	Incarnation route.Incarnation
 	Want        Want
 	Phase       Phase
 	Since       time.Time
--- a/fleet/plan_test.go
+++ b/fleet/plan_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
 )
 
 // testSnapshot declares one pool with one model.
@@ -150,7 +151,7 @@
 			"restart": func(*rapid.T) {
 				e := pick()
 				w.restarts++
-				e.Incarnation = fmt.Sprint("i", w.restarts)
+				e.Incarnation = route.Incarnation(fmt.Sprint("i", w.restarts))
 				e.Weights = map[string]string{}
 				e.Loading, e.Busy = false, 0
 			},
--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -6,12 +6,14 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/pathhead/pathhead/route"
 )
 
 // RollTarget is what a [Roll] is told of one target that serves a model with numbered weights.
 type RollTarget struct {
 	Addr        netip.AddrPort
-	Incarnation string
+	Incarnation route.Incarnation
 	Model       string
 	Weights     string
 	// Orders is the number of orders that the incarnation has taken, or
@@ -29,7 +31,7 @@
 // rollID names one model of one incarnation of a target.
 type rollID struct {
 	addr        netip.AddrPort
-	incarnation string
+	incarnation route.Incarnation
 	model       string
 }
 
--- a/fleet/roll_fuzz_test.go
+++ b/fleet/roll_fuzz_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/pathhead/pathhead/route"
 )
 
 // rollEngine is a target that takes orders as it will.
@@ -52,7 +54,7 @@
 			continue
 		}
 		rt := RollTarget{
-			Addr: e.addr, Incarnation: strconv.Itoa(e.incarnation), Model: "m",
+			Addr: e.addr, Incarnation: route.Incarnation(strconv.Itoa(e.incarnation)), Model: "m",
 			Weights: strconv.Itoa(e.weights), Orders: OrdersUnknown,
 		}
 		if n, ok := w.asked[rt.id()]; ok {
@@ -126,7 +128,7 @@
 		require.LessOrEqual(w.t, loading+len(steps.Orders), atOnce)
 	}
 	for _, t := range steps.Looks {
-		if e := w.engine(t); strconv.Itoa(e.incarnation) == t.Incarnation {
+		if e := w.engine(t); strconv.Itoa(e.incarnation) == string(t.Incarnation) {
 			w.asked[t.id()], w.busy[t.id()] = e.orders, e.loading > 0
 		}
 	}
@@ -135,7 +137,7 @@
 		require.NoError(w.t, err)
 		e := w.engine(o.Target)
 		sent := sentOrder{to: e, orders: o.Target.Orders, weights: weights, at: w.now}
-		_, err = fmt.Sscan(o.Target.Incarnation, &sent.incarnation)
+		_, err = fmt.Sscan(string(o.Target.Incarnation), &sent.incarnation)
 		require.NoError(w.t, err)
 		switch {
 		case late():
--- a/internal/standin/order.go
+++ b/internal/standin/order.go
@@ -49,7 +49,7 @@
 	switch {
 	case e.cfg.ChecksFencing && o.Fence < e.fence:
 		return "old fencing number"
-	case o.Incarnation != "" && o.Incarnation != e.incarnation:
+	case o.Incarnation != "" && string(o.Incarnation) != e.incarnation:
 		return "other incarnation"
 	case e.models[o.Model].Weights != o.IfWeights:
 		return "condition does not hold: weights are " + e.models[o.Model].Weights
--- a/node/caches.go
+++ b/node/caches.go
@@ -22,7 +22,7 @@
 	cachePause = 150 * time.Millisecond
 	// relayPause is the same at a relay, which reads ten times as many targets.
 	relayPause = 400 * time.Millisecond
-	// cacheRetry is the pause after a failed reading.
+	// cacheRetry is the pause after a reading that failed or was of another start of the target.
 	cacheRetry = 500 * time.Millisecond
 )
 
@@ -77,35 +77,62 @@
 	return func(readers int) bool { return large && leads || !large && nodes <= readers }
 }
 
+// cacheCursor is how far the events of one incarnation of an engine were read.
+type cacheCursor struct {
+	incarnation  route.Incarnation
+	since, epoch int64
+}
+
+// of returns the cursor for an incarnation, whose events are read from their beginning if
+// it is another than before.
+func (c cacheCursor) of(incarnation route.Incarnation) cacheCursor {
+	if incarnation == c.incarnation {
+		return c
+	}
+	return cacheCursor{incarnation: incarnation}
+}
+
 // readCache follows the events of one engine's cache.
 func (n *Node) readCache(ctx context.Context, target netip.AddrPort) {
-	var since, epoch int64
+	var at cacheCursor
 	hold := firstWait
 	for ctx.Err() == nil {
-		page, err := n.engines.CacheEvents(ctx, target, since, hold)
-		if err != nil {
-			if !pause(ctx, n.jitter(cacheRetry)) {
-				return
-			}
-			continue
-		}
-		anew := page.Epoch != epoch || page.Gap
-		if page.Epoch != epoch && since > 0 {
-			// These events were asked for by a number of the last epoch.
-			since, epoch = 0, page.Epoch
-			continue
-		}
-		since, epoch = page.Next, page.Epoch
-		hold = cacheWait
 		n.Lock()
-		n.Board().PartChanges(time.Now(), target, anew, page.Changes)
+		at = at.of(n.Board().IncarnationOf(target))
 		n.Unlock()
-		wait := cachePause
-		if n.relays.leads() {
-			wait = relayPause
+		page, err := n.engines.CacheEvents(ctx, target, at.since, hold)
+		wait := cacheRetry
+		if err == nil {
+			if page.Epoch != at.epoch && at.since > 0 {
+				// These events were asked for by a number of the last epoch.
+				at.since, at.epoch = 0, page.Epoch
+				continue
+			}
+			at, wait = n.takePage(target, at, page)
+			hold = cacheWait
 		}
 		if !pause(ctx, wait) {
 			return
 		}
 	}
 }
+
+// takePage gives the board what an engine told of its cache, and returns where to go on
+// and after which pause.
+func (n *Node) takePage(target netip.AddrPort, at cacheCursor, page CachePage) (cacheCursor, time.Duration) {
+	anew := page.Epoch != at.epoch || page.Gap || at.since == 0
+	n.Lock()
+	defer n.Unlock()
+	if n.Board().IncarnationOf(target) != at.incarnation {
+		// The list told of another one while this was read.
+		return cacheCursor{}, cacheRetry
+	}
+	if !n.Board().PartChanges(time.Now(), target, page.Start, anew, page.Changes) {
+		return cacheCursor{incarnation: at.incarnation}, cacheRetry
+	}
+	at.since, at.epoch = page.Next, page.Epoch
+	if n.relays.leads() {
+		return at, relayPause
+	}
+	return at, cachePause
+}
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -103,9 +103,9 @@
 }
 
 // Targets implements [Store].
-func (d *simDoor) Targets(ctx context.Context) ([]route.Entry, error) {
+func (d *simDoor) Targets(ctx context.Context) (Listing, error) {
 	if err := d.pass(ctx); err != nil {
-		return nil, err
+		return Listing{}, err
 	}
 	return d.simStore.Targets(ctx)
 }
@@ -186,7 +186,7 @@
 }
 
 // Targets implements [Store].
-func (s *simStore) Targets(context.Context) ([]route.Entry, error) {
+func (s *simStore) Targets(context.Context) (Listing, error) {
 	s.call("list")
 	beat := int64(time.Since(s.began)/simBeat) + 1
 	var out []route.Entry
@@ -195,11 +195,11 @@
 	for i := range s.engines {
 		out = append(out, route.Entry{
 			Seen:     route.Seen{Addr: simEngineAddr(i), Labels: map[string]string{LabelPool: simPool, route.LabelZone: simZone(i)}},
-			Report:   route.Report{Incarnation: fmt.Sprintf("i-%08x", i), Weights: map[string]string{simModel: s.engine(simEngineAddr(i)).weights}, Slots: 24},
+			Report:   route.Report{Incarnation: route.Incarnation(fmt.Sprintf("i-%08x", i)), Weights: map[string]string{simModel: s.engine(simEngineAddr(i)).weights}, Slots: 24},
 			Revision: beat,
 		})
 	}
-	return out, nil
+	return Listing{Targets: out}, nil
 }
 
 // Clock implements [Store].
--- a/node/list.go
+++ b/node/list.go
@@ -45,10 +45,11 @@
 // are missing. That its own readings failed says no more than that its path did.
 const outageGap = 2400 * time.Millisecond
 
-// merge takes a new reading that began at a time. Of two entries with one address the
-// newer counts. Targets that are gone stay for a while after an outage of the store. A
+// merge takes a new reading that began at a time. Of two entries with one address or one
+// id the newer counts, by the list's own counter. Targets that are gone stay for a while after an
+// outage of the store, but not those whose entry is there and names no target any more. A
 // reading that began before the newest one changes nothing.
-func (l *targetList) merge(now, at time.Time, read []route.Entry, relayed bool) []route.Entry {
+func (l *targetList) merge(now, at time.Time, read Listing, relayed bool) []route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at.Before(l.readAt) {
@@ -64,13 +65,18 @@
 	}
 	l.failing = false
 	l.readAt = at
-	fresh := make(map[netip.AddrPort]route.Entry, len(read))
-	for _, t := range append(read, l.fixed...) {
+	fresh := make(map[netip.AddrPort]route.Entry, len(read.Targets))
+	there := make(map[string]bool, len(read.Targets))
+	for _, t := range append(l.newest(read.Targets), l.fixed...) {
+		there[t.Report.Incarnation.ID()] = true
 		if other, ok := fresh[t.Seen.Addr]; !ok || other.Revision < t.Revision {
 			fresh[t.Seen.Addr] = t
 		}
 	}
-	l.keepMissing(now, long, fresh)
+	for _, f := range read.Faulty {
+		there[f.ID] = true
+	}
+	l.keepMissing(now, long, fresh, there)
 	l.targets = fresh
 	return inOrder(fresh)
 }
@@ -79,11 +85,13 @@
 // after an outage. Each stays from the first reading without it, so that readings that
 // fail again and again do not keep it for ever. In an outage that is longer than
 // entries last none can come back, and that time begins after it. The caller holds
-// the lock.
-func (l *targetList) keepMissing(now time.Time, long bool, fresh map[netip.AddrPort]route.Entry) {
+// the lock. Nor can those whose id is there, at another address or in an entry that names
+// no target.
+func (l *targetList) keepMissing(now time.Time, long bool, fresh map[netip.AddrPort]route.Entry, there map[string]bool) {
 	missing := make(map[netip.AddrPort]time.Time)
 	for addr, t := range l.targets {
-		if _, ok := fresh[addr]; ok || now.Sub(l.backAt) >= relistTime {
+		_, ok := fresh[addr]
+		if ok || there[t.Report.Incarnation.ID()] || now.Sub(l.backAt) >= relistTime {
 			continue
 		}
 		since, ok := l.missing[addr]
@@ -97,6 +105,23 @@
 	l.missing = missing
 }
 
+// newest replaces the entries of a reading that are older than what is known under the same
+// id: of two readings under way at once the one that began later may tell the earlier state. The
+// caller holds the lock.
+func (l *targetList) newest(read []route.Entry) []route.Entry {
+	known := make(map[string]route.Entry, len(l.targets))
+	for _, t := range l.targets {
+		known[t.Report.Incarnation.ID()] = t
+	}
+	out := slices.Clone(read)
+	for i, t := range out {
+		if k, ok := known[t.Report.Incarnation.ID()]; ok && k.Revision > t.Revision {
+			out[i] = k
+		}
+	}
+	return out
+}
+
 // inOrder returns entries in the order of their addresses.
 func inOrder(entries map[netip.AddrPort]route.Entry) []route.Entry {
 	return slices.SortedFunc(maps.Values(entries), func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
@@ -173,6 +198,7 @@
 			continue
 		}
 		retry.ok()
+		n.noteFaulty(read.Faulty)
 		n.takeEntries(begun, read, false)
 		if !pause(ctx, n.jitter(n.listTime())) {
 			return
@@ -191,12 +217,13 @@
 // takeEntries takes a reading of the list that began at a time, by this node or by a
 // relay, and gives the board the targets and what those said that showed a sign of
 // life since. Others are told what was read, not what this node keeps beside it.
-func (n *Node) takeEntries(at time.Time, read []route.Entry, relayed bool) {
+func (n *Node) takeEntries(at time.Time, read Listing, relayed bool) {
 	list := n.list.merge(time.Now(), at, read, relayed)
-	n.relays.told(at, read)
+	n.relays.told(at, read.Targets)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		all := make([]route.Seen, 0, len(list))
 		for _, t := range list {
+			t.Seen.Incarnation = t.Report.Incarnation
 			all = append(all, t.Seen)
 		}
 		out := b.Targets(now, all)
--- a/node/list_gap_test.go
+++ b/node/list_gap_test.go
@@ -27,12 +27,12 @@
 			now := time.Unix(100, 0)
 			var l targetList
 			a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-			l.merge(now, now, []route.Entry{a, b}, false)
+			l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
 			first := now.Add(c.every)
 			for now.Sub(first) <= 2*relistTime {
 				l.failed()
 				now = now.Add(c.every)
-				got := incarnations(l.merge(now, now, []route.Entry{a}, c.relayed))
+				got := incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, c.relayed))
 				if now.Sub(first) >= relistTime {
 					require.Equal(t, []string{"a"}, got, "%s after the first reading without it", now.Sub(first))
 				}
@@ -47,18 +47,18 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	l.merge(now, now, []route.Entry{a, b}, false)
+	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
 	for range 2 {
 		l.failed()
 		now = now.Add(outageGap + time.Second)
-		require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a}, false)))
+		require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)))
 	}
 	now = now.Add(relistTime)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, false)))
-	l.merge(now, now, []route.Entry{a, b}, false)
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)))
+	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a}, false)), "b was back in between")
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)), "b was back in between")
 }
 
 // A reading that was on its way for long, or through a freeze, does not undo one that
@@ -67,12 +67,12 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	l.merge(now, now, []route.Entry{a, b}, false)
+	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
 	begun := now.Add(time.Second)
 	now = now.Add(2 * time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, true)), "a relay's reading")
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, true)), "a relay's reading")
 	now = now.Add(100 * time.Millisecond)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, begun, []route.Entry{a, b}, false)), "its own began before")
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, begun, Listing{Targets: []route.Entry{a, b}}, false)), "its own began before")
 	require.False(t, l.has(b.Seen.Addr))
 }
 
@@ -85,7 +85,7 @@
 		t.Run(name, func(t *testing.T) {
 			var l targetList
 			l.failed()
-			require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, relayed)))
+			require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, relayed)))
 		})
 	}
 }
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -14,7 +14,7 @@
 func listed(addr, incarnation string, revision int64) route.Entry {
 	return route.Entry{
 		Seen:     route.Seen{Addr: netip.MustParseAddrPort(addr)},
-		Report:   route.Report{Incarnation: incarnation},
+		Report:   route.Report{Incarnation: route.Incarnation(incarnation)},
 		Revision: revision,
 	}
 }
@@ -22,7 +22,7 @@
 func incarnations(ts []route.Entry) []string {
 	var out []string
 	for _, t := range ts {
-		out = append(out, t.Report.Incarnation)
+		out = append(out, string(t.Report.Incarnation))
 	}
 	return out
 }
@@ -33,19 +33,19 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a, b}, false)))
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)))
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, false)), "a missing entry is gone")
-	l.merge(now, now, []route.Entry{a, b}, false)
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)), "a missing entry is gone")
+	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a}, false)), "the store was away")
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)), "the store was away")
 	now = now.Add(relistTime)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, false)))
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)))
 	newer := listed("10.0.0.1:80", "a2", 9)
-	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, now, []route.Entry{newer, a}, false)))
+	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{newer, a}}, false)))
 	l.setFixed([]route.Entry{listed("10.0.0.9:80", "store", 1)})
-	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, now, []route.Entry{newer}, false)))
+	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{newer}}, false)))
 	require.True(t, l.has(netip.MustParseAddrPort("10.0.0.9:80")))
 }
 
@@ -93,11 +93,11 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	l.merge(now, now, []route.Entry{a, b}, true)
+	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, true)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, []route.Entry{a}, true)), "only this node's path failed")
-	l.merge(now, now, []route.Entry{a, b}, true)
+	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, true)), "only this node's path failed")
+	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, true)
 	now = now.Add(outageGap + time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, []route.Entry{a}, true)), "nobody read the list meanwhile")
+	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, true)), "nobody read the list meanwhile")
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -71,6 +71,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_config_fetches_total{end=%q}", end)).Inc()
 }
 
+// faultyEntry counts an entry of the list that named no target in one reading.
+func (c counters) faultyEntry(f EntryFault) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_list_faults_total{fault=%q}", f)).Inc()
+}
+
 // finished counts a request by its end.
 func (c counters) finished(took time.Duration, refusal *route.Refusal) {
 	if refusal != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -56,8 +56,10 @@
 	behindOf int64
 	limits   Limits
 	list     targetList
-	duty     *duty
-	relays   *relays
+	// faulty are the entries of the newest reading of the list that name no target.
+	faulty map[FaultyEntry]bool
+	duty   *duty
+	relays *relays
 	// smallFleet is the size of fleet up to which all nodes talk to each other.
 	smallFleet int
 	// metricsAddr is where the counters are served, invalid for nowhere.
--- a/node/orders.go
+++ b/node/orders.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/zeebo/errs/v2"
+
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/route"
@@ -78,6 +80,8 @@
 	d.n.events.Record(event.Event{Code: event.OrderSent, Target: o.Target.Addr.String(), Detail: detail + ": " + answer.String()})
 }
 
+var errOtherStart = errs.Tag("another start answered than the list names")
+
 // look reads a target back and tells everyone of new weights.
 func (d *duty) look(ctx context.Context, t fleet.RollTarget) {
 	mark := route.Mark{Target: t.Addr, Incarnation: t.Incarnation}
@@ -89,6 +93,10 @@
 		return
 	}
 	state, err := d.n.engines.State(ctx, t.Addr)
+	if err == nil && t.Incarnation.OtherStart(state.Start) {
+		// Its count of orders is another start's, which the list will name.
+		err = errOtherStart.Errorf("target %s", t.Addr)
+	}
 	d.mu.Lock()
 	delete(d.looking, mark)
 	if err != nil {
--- a/node/ports.go
+++ b/node/ports.go
@@ -60,7 +60,7 @@
 	// Own reports whether a target's answer belongs to the request with the id.
 	Own(h http.Header, id string) bool
 	// Read says what the head of a target's answer means, and which incarnation gave it where that is told.
-	Read(status int, h http.Header) (m Meaning, incarnation string)
+	Read(status int, h http.Header) (m Meaning, incarnation route.Incarnation)
 	// Refuse writes a refusal to a caller.
 	Refuse(w http.ResponseWriter, f route.Refusal)
 	// Fault tells a caller that its request is wrong in itself.
@@ -112,6 +112,33 @@
 	Rejected error
 }
 
+// Listing is a reading of the list of targets.
+type Listing struct {
+	Targets []route.Entry
+	// Faulty are the entries that name no target, since they are not as targets write them.
+	Faulty []FaultyEntry
+}
+
+// FaultyEntry is an entry of the list that names no target.
+type FaultyEntry struct {
+	ID    string
+	Fault EntryFault
+}
+
+// EntryFault is the reason for which an entry of the list names no target.
+type EntryFault string
+
+// The faults of an entry.
+const (
+	// EntryUnread is one that does not decode, or has fields of another type.
+	EntryUnread EntryFault = "unread"
+	// EntryLacks is one that lacks a field, EntryState one in a state that has no meaning
+	// here, EntryValue one with a value that can't be.
+	EntryLacks EntryFault = "lacks"
+	EntryState EntryFault = "state"
+	EntryValue EntryFault = "value"
+)
+
 // ErrHistoryGone says that a watch has to begin anew.
 var ErrHistoryGone = errs.Tag("the store's history does not reach back that far")
 
@@ -124,7 +151,7 @@
 	// Parse reads a configuration's text, as a peer passed it on.
 	Parse(revision int64, text string) (*Declared, error)
 	// Targets reads the list of targets.
-	Targets(ctx context.Context) ([]route.Entry, error)
+	Targets(ctx context.Context) (Listing, error)
 	// Clock tells what the store's answers said of its clock.
 	Clock() StoreClock
 	// LastBefore returns what the store's clock showed at the last answer heard of that
@@ -134,6 +161,8 @@
 
 // TargetState is what a target says of itself when it is asked.
 type TargetState struct {
+	// Start is when the target started by its own clock, zero where it does not tell.
+	Start   time.Time
 	Weights map[string]string
 	Orders  int64
 	Busy    bool
@@ -175,6 +204,8 @@
 
 // CachePage is a run of a target's events about its cache.
 type CachePage struct {
+	// Start is when the target started by its own clock, zero where it does not tell.
+	Start time.Time
 	// Epoch changes when the target starts with an empty cache, Next is where to go on.
 	Epoch int64
 	Next  int64
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -162,7 +162,7 @@
 	newer := listAt.After(r.listAt)
 	r.mu.Unlock()
 	if newer {
-		r.n.takeEntries(listAt, list, true)
+		r.n.takeEntries(listAt, Listing{Targets: list}, true)
 	}
 	if !acting {
 		r.n.Lock()
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -359,11 +359,11 @@
 		Code: code, Request: o.Request, Attempt: o.Attempt, Target: a.target.name(),
 		Detail: o.Kind.String() + ": " + o.Detail,
 	})
-	if o.Incarnation != "" && o.Incarnation != a.target.incarnation {
+	if o.Incarnation != "" && !o.Incarnation.Same(a.target.incarnation) {
 		b.identify(now, a.target, o.Incarnation)
 		a.target.stranger = b.reused
 	}
-	if o.Kind == OutcomeRefused && o.Incarnation == a.Incarnation && a.Salt != "" {
+	if o.Kind == OutcomeRefused && o.Incarnation.Same(a.Incarnation) && a.Salt != "" {
 		b.misjudged(now, a)
 	}
 	if a.withdrawn {
--- a/route/belief.go
+++ b/route/belief.go
@@ -249,7 +249,7 @@
 // returns the last number taken. Events of another incarnation than the
 // present are ignored. Only blocks that some request had are noted: an engine
 // has many more, and a router could not hold them.
-func (b *Board) CacheEvents(now time.Time, addr netip.AddrPort, incarnation string, after int64, changes []CacheChange) int64 {
+func (b *Board) CacheEvents(now time.Time, addr netip.AddrPort, incarnation Incarnation, after int64, changes []CacheChange) int64 {
 	t, ok := b.targets[addr]
 	if !ok || incarnation != t.incarnation {
 		return after
--- a/route/board.go
+++ b/route/board.go
@@ -311,7 +311,7 @@
 type TargetView struct {
 	Addr        netip.AddrPort    `json:"addr"`
 	Name        string            `json:"name"`
-	Incarnation string            `json:"incarnation"`
+	Incarnation Incarnation       `json:"incarnation"`
 	Weights     map[string]string `json:"weights,omitempty"`
 	Pools       []string          `json:"pools"`
 	Leaving     bool              `json:"leaving"`
--- a/route/board_test.go
+++ b/route/board_test.go
@@ -125,7 +125,7 @@
 // checkSend is the oracle of one sending: not to an incarnation that the board
 // was told is leaving, and with the salt of its own organisation and weights.
 func (w *world) checkSend(a Attempt) error {
-	if w.told[a.Incarnation] {
+	if w.told[string(a.Incarnation)] {
 		return fmt.Errorf("attempt %s went to %s, which is leaving", a.ID, a.Incarnation)
 	}
 	if w.target(a.Target).listed {
@@ -298,7 +298,7 @@
 	w.take(w.board.Tick(w.now))
 	targets := make(map[string]bool)
 	for _, a := range w.flying {
-		targets[a.Incarnation] = true
+		targets[string(a.Incarnation)] = true
 	}
 	require.Len(t, targets, 3, "until they have waited for longer than another engine costs")
 }
@@ -307,7 +307,7 @@
 	w := newWorld(t, 2, 0, testSetup{})
 	leaving := w.targets[0]
 	w.take(w.board.Peers(w.now, map[string]PeerState{
-		"other": {Leaving: []Mark{{Target: leaving.addr, Incarnation: leaving.id()}}},
+		"other": {Leaving: []Mark{{Target: leaving.addr, Incarnation: Incarnation(leaving.id())}}},
 	}, 2))
 	for range 4 {
 		w.ask("b", "z", false, true)
--- /dev/null
+++ b/route/incarnation_test.go
@@ -0,0 +1,162 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pathhead/pathhead/event"
+)
+
+// An incarnation tells its id and start whatever signs the id has.
+func TestIncarnationFuzz(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		id := rapid.StringMatching(`[a-z@0-9-]{1,12}`).Draw(rt, "id")
+		start := time.UnixMilli(rapid.Int64Range(-1e13, 1e13).Draw(rt, "start")).UTC()
+		i := NewIncarnation(id, start)
+		require.Equal(rt, id, i.ID())
+		got, ok := i.Start()
+		require.True(rt, ok)
+		require.Equal(rt, start, got)
+		bare := NewIncarnation(id, time.Time{})
+		require.Equal(rt, id, bare.ID())
+		_, ok = bare.Start()
+		require.False(rt, ok)
+	})
+}
+
+func TestIncarnationSame(t *testing.T) {
+	at := func(s int64) time.Time { return time.Unix(s, 0) }
+	cases := map[string]struct {
+		a, b Incarnation
+		same bool
+	}{
+		"the same start":         {NewIncarnation("i", at(5)), NewIncarnation("i", at(5)), true},
+		"another start":          {NewIncarnation("i", at(5)), NewIncarnation("i", at(6)), false},
+		"an earlier one":         {NewIncarnation("i", at(5)), NewIncarnation("i", at(4)), false},
+		"one that is not told":   {NewIncarnation("i", at(5)), NewIncarnation("i", time.Time{}), true},
+		"none that is told":      {NewIncarnation("i", time.Time{}), NewIncarnation("i", time.Time{}), true},
+		"another id":             {NewIncarnation("i", at(5)), NewIncarnation("k", at(5)), false},
+		"another id, not told":   {"i", "k", false},
+		"a start less than 1 ms": {NewIncarnation("i", at(5)), NewIncarnation("i", at(5).Add(time.Microsecond)), true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.same, c.a.Same(c.b))
+			require.Equal(t, c.same, c.b.Same(c.a))
+		})
+	}
+}
+
+// startedAt is the incarnation of engine 0 of the tests' boards that started at a second.
+func startedAt(second int64) Incarnation { return NewIncarnation("0", time.Unix(second, 0)) }
+
+// A target that starts again under the id and at the address that it had holds and knows
+// nothing of before: what was believed of the earlier start is gone, whatever clock it
+// started by, and what is still told of that start changes nothing.
+func TestStartedAgain(t *testing.T) {
+	first, again := startedAt(500), startedAt(400)
+	setup := func(t *testing.T) (*partsBoard, *target) {
+		p := newPartsBoard(t, 1)
+		p.startAgain(first, "1", false)
+		return p, p.b.targets[testAddr(0)]
+	}
+	t.Run("what it held", func(t *testing.T) {
+		p, target := setup(t)
+		part := Part{ID: "aa", Tokens: 3000}
+		p.b.PartChanges(p.now, testAddr(0), time.Unix(500, 0), true, []PartChange{{"salt", part.ID, part.Tokens}})
+		require.Len(t, target.parts.tokens, 1)
+		slot := target.slot
+		p.startAgain(again, "1", false)
+		require.Empty(t, target.parts.tokens)
+		require.NotEqual(t, slot, target.slot, "own sends are believed of a slot")
+	})
+	t.Run("how it failed and how fast it was", func(t *testing.T) {
+		p, target := setup(t)
+		target.learned, target.service = 9, time.Hour
+		target.misses.add(p.now, 50)
+		p.b.takeOut(p.now, target, "test")
+		p.startAgain(again, "1", false)
+		require.Zero(t, target.learned)
+		require.Equal(t, defaultService, target.service)
+		require.Zero(t, p.b.missCost(p.now, target))
+		require.True(t, target.usable())
+	})
+	t.Run("what peers have there", func(t *testing.T) {
+		p, target := setup(t)
+		load := func(i Incarnation, n int) map[string]PeerState {
+			return map[string]PeerState{"p": {Loads: []Load{{Target: Mark{testAddr(0), i}, InFlight: n, Prefill: 1000, Tokens: 500}}}}
+		}
+		p.b.Peers(p.now, load(first, 7), 2)
+		require.Equal(t, 7, target.peerInFlight)
+		p.startAgain(again, "1", false)
+		require.Zero(t, target.peerInFlight)
+		require.Zero(t, target.peerPrefill)
+		require.Zero(t, target.peerTokens)
+		p.b.Peers(p.now, load(first, 7), 2)
+		require.Zero(t, target.peerInFlight, "a peer that does not know yet")
+	})
+	t.Run("that it was leaving", func(t *testing.T) {
+		p, target := setup(t)
+		p.startAgain(first, "1", true)
+		require.False(t, target.usable())
+		p.startAgain(again, "1", false)
+		require.True(t, target.usable())
+		p.b.Leaving(Mark{testAddr(0), first})
+		require.True(t, target.usable(), "a peer's mark of the earlier start")
+		p.startAgain(again, "1", true)
+		require.False(t, target.usable())
+	})
+	t.Run("its weights", func(t *testing.T) {
+		p, target := setup(t)
+		p.startAgain(first, "3", false)
+		p.startAgain(again, "2", false)
+		weights, ok := target.serves("m", "")
+		require.True(t, ok)
+		require.Equal(t, "2", weights, "numbered weights rise within a start alone")
+	})
+	t.Run("a word without a start", func(t *testing.T) {
+		p, target := setup(t)
+		target.learned = 9
+		p.startAgain(NewIncarnation("0", time.Time{}), "1", false)
+		require.EqualValues(t, 9, target.learned, "it says nothing of a new start")
+	})
+	t.Run("two starts between two readings", func(t *testing.T) {
+		p, target := setup(t)
+		p.startAgain(startedAt(600), "1", false)
+		p.startAgain(startedAt(700), "1", false)
+		require.Equal(t, startedAt(700), target.incarnation)
+	})
+}
+
+// startAgain gives the board an entry of engine 0.
+func (p *partsBoard) startAgain(i Incarnation, weights string, leaving bool) {
+	p.b.Targets(p.now, []Seen{
+		{Addr: testAddr(0), Labels: map[string]string{"s": "e"}, Leaving: leaving, Incarnation: i},
+		{Addr: storeTestAddr, Labels: map[string]string{"s": "k"}},
+	})
+	p.b.Report(p.now, testAddr(0), Report{
+		Incarnation: i, Weights: map[string]string{"m": weights}, PrefillRate: 50000, Slots: 64, Leaving: leaving,
+	})
+}
+
+// Events of another start than the list names are not taken, whichever of the two is the
+// later, and what was believed to be held is not relied on any more.
+func TestEventsOfAnotherStart(t *testing.T) {
+	p := newPartsBoard(t, 1, WithNotes(func(event.Event) {}))
+	p.startAgain(startedAt(500), "1", false)
+	held := []PartChange{{"salt", "aa", 3000}}
+	tokens := func() int { return len(p.b.targets[testAddr(0)].parts.tokens) }
+	require.True(t, p.b.PartChanges(p.now, testAddr(0), time.Unix(500, 0), true, held))
+	require.Equal(t, 1, tokens())
+	for _, second := range []int64{400, 600} {
+		require.False(t, p.b.PartChanges(p.now, testAddr(0), time.Unix(second, 0), true, held))
+		require.Zero(t, tokens())
+		require.True(t, p.b.PartChanges(p.now, testAddr(0), time.Unix(500, 0), true, held))
+		require.Equal(t, 1, tokens())
+	}
+	require.True(t, p.b.PartChanges(p.now, testAddr(0), time.Time{}, false, nil), "a target that tells no start")
+	require.Equal(t, 1, tokens())
+}
--- a/route/parts.go
+++ b/route/parts.go
@@ -48,11 +48,19 @@
 )
 
 // PartChanges takes a target's events in their order; anew says that they begin
-// with an empty cache, or after a gap, so that what was known before is dropped.
-func (b *Board) PartChanges(now time.Time, addr netip.AddrPort, anew bool, changes []PartChange) {
+// with an empty cache, or after a gap, so that what was known before is dropped. Events of
+// another start than the target's incarnation names are not taken, and nothing that it held
+// is relied on any more: either they are of the start before, or the list does not tell of
+// the new one yet. ok is false then.
+func (b *Board) PartChanges(now time.Time, addr netip.AddrPort, start time.Time, anew bool, changes []PartChange) (ok bool) {
 	t, ok := b.targets[addr]
 	if !ok || b.off.Has(CacheEvents) {
-		return
+		return true
+	}
+	if t.incarnation.OtherStart(start) {
+		b.renewSlot(now, t)
+		b.dropParts(t)
+		return false
 	}
 	if anew || t.parts.tokens == nil {
 		b.dropParts(t)
@@ -67,6 +75,7 @@
 			b.shared.held(t, key, c.Tokens)
 		}
 	}
+	return true
 }
 
 // setPart notes how many tokens of a part a target holds. A shared part that nobody
@@ -163,3 +172,9 @@
 	}
 	return total
 }
+
+// Holds reports whether a target's events say that its cache holds a part under a salt.
+func (b *Board) Holds(addr netip.AddrPort, salt, id string) bool {
+	t, ok := b.targets[addr]
+	return ok && t.parts.tokens[keyOfPart(salt, id)] > 0
+}
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -78,7 +78,7 @@
 
 func (p *partsBoard) report(i int, weights string) {
 	p.b.Report(p.now, testAddr(i), Report{
-		Incarnation: fmt.Sprint(i), Weights: map[string]string{"m": weights}, PrefillRate: 50000, Slots: 64,
+		Incarnation: Incarnation(fmt.Sprint(i)), Weights: map[string]string{"m": weights}, PrefillRate: 50000, Slots: 64,
 	})
 }
 
@@ -88,7 +88,7 @@
 	for _, part := range parts {
 		changes = append(changes, PartChange{Salt: salt, ID: part.ID, Tokens: part.Tokens})
 	}
-	p.b.PartChanges(p.now, addr, false, changes)
+	p.b.PartChanges(p.now, addr, time.Time{}, false, changes)
 }
 
 func (p *partsBoard) request(org string, parts ...Part) Request {
@@ -171,7 +171,7 @@
 func TestPartsStore(t *testing.T) {
 	p := newPartsBoard(t, 2)
 	salt := p.request("a", shared...).saltOf("1")
-	p.b.PartChanges(p.now, storeTestAddr, true, nil)
+	p.b.PartChanges(p.now, storeTestAddr, time.Time{}, true, nil)
 	p.holds(testAddr(0), salt)
 	p.holds(testAddr(1), salt)
 	cold := p.ask(p.request("a", append(shared, own)...))
@@ -181,14 +181,14 @@
 	p.now = p.now.Add(3 * time.Second)
 	p.holds(testAddr(0), salt)
 	p.holds(testAddr(1), salt)
-	p.b.PartChanges(p.now, storeTestAddr, false, []PartChange{{salt, "aa", 2000}, {salt, "bb", 4000}})
+	p.b.PartChanges(p.now, storeTestAddr, time.Time{}, false, []PartChange{{salt, "aa", 2000}, {salt, "bb", 4000}})
 	again := p.ask(p.request("a", append(shared, Part{"own2", 500})...))
 	require.Equal(t, storeTestAddr, again.Fetch)
 	require.False(t, again.Save.IsValid(), "the store has them")
 	moved := 0
 	for i := range 200 {
 		kept := Part{fmt.Sprint("kept", i), 6000}
-		p.b.PartChanges(p.now, storeTestAddr, false, []PartChange{{salt, kept.ID, kept.Tokens}})
+		p.b.PartChanges(p.now, storeTestAddr, time.Time{}, false, []PartChange{{salt, kept.ID, kept.Tokens}})
 		if a := p.ask(p.request("a", kept, Part{fmt.Sprint("x", i), 1})); a != nil {
 			if a.Fetch == storeTestAddr {
 				moved += 6000
@@ -217,10 +217,10 @@
 	stores := []netip.AddrPort{storeTestAddr, second}
 	read := func() {
 		for i := range 2 {
-			p.b.PartChanges(p.now, testAddr(i), true, nil)
+			p.b.PartChanges(p.now, testAddr(i), time.Time{}, true, nil)
 		}
 		for _, addr := range stores {
-			p.b.PartChanges(p.now, addr, false, nil)
+			p.b.PartChanges(p.now, addr, time.Time{}, false, nil)
 		}
 	}
 	saved := make(map[netip.AddrPort]int)
@@ -247,7 +247,7 @@
 	p.now = p.now.Add(2 * eventsLag)
 	for part, home := range homes {
 		read()
-		p.b.PartChanges(p.now, home, false, []PartChange{{salt, part, 6000}})
+		p.b.PartChanges(p.now, home, time.Time{}, false, []PartChange{{salt, part, 6000}})
 		a := p.ask(p.request("a", Part{part, 6000}, Part{"last" + part, 500}))
 		require.Equal(t, home, a.Fetch)
 		require.False(t, a.Save.IsValid())
@@ -264,8 +264,8 @@
 	shares, room := 0, 0
 	const every = 100 * time.Millisecond
 	for i := range 600 {
-		p.b.PartChanges(p.now, testAddr(0), true, nil)
-		p.b.PartChanges(p.now, storeTestAddr, false, nil)
+		p.b.PartChanges(p.now, testAddr(0), time.Time{}, true, nil)
+		p.b.PartChanges(p.now, storeTestAddr, time.Time{}, false, nil)
 		last := []int{300, 1500, 6000}[i%3]
 		a := p.ask(p.request("a", Part{fmt.Sprint("part", i), 4000}, Part{fmt.Sprint("own", i), last}))
 		if a.Save.IsValid() {
@@ -334,7 +334,7 @@
 		Incarnation: "new", Weights: map[string]string{"m": "1"}, PrefillRate: 50000, Slots: 64,
 	}) {
 		if s, ok := act.(Send); ok {
-			require.Equal(t, "new", s.Attempt.Incarnation)
+			require.EqualValues(t, "new", s.Attempt.Incarnation)
 			return
 		}
 	}
@@ -393,7 +393,7 @@
 	p := newPartsBoard(t, engines)
 	full := PeerState{}
 	for i := 1; i < engines; i++ {
-		full.Loads = append(full.Loads, Load{Target: Mark{testAddr(i), fmt.Sprint(i)}, InFlight: 1, Tokens: partsMemory})
+		full.Loads = append(full.Loads, Load{Target: Mark{testAddr(i), Incarnation(fmt.Sprint(i))}, InFlight: 1, Tokens: partsMemory})
 	}
 	p.b.Peers(p.now, map[string]PeerState{"peer": full}, 2)
 	a := p.ask(p.request("a", append(shared, own)...))
--- a/route/recent.go
+++ b/route/recent.go
@@ -16,8 +16,8 @@
 // Number is a short name of one incarnation of a target, the same on all routers.
 func (m Mark) Number() uint64 { return numberOf(hashAddr(m.Target), m.Incarnation) }
 
-func numberOf(addrHash uint64, incarnation string) uint64 {
-	return xxh3.HashStringSeed(incarnation, addrHash)
+func numberOf(addrHash uint64, incarnation Incarnation) uint64 {
+	return xxh3.HashStringSeed(string(incarnation), addrHash)
 }
 
 // recentTime is how long a request counts besides the loads that relays tell, which
--- a/route/request.go
+++ b/route/request.go
@@ -76,7 +76,7 @@
 	ID          string
 	Request     string
 	Target      netip.AddrPort
-	Incarnation string
+	Incarnation Incarnation
 	Weights     string
 	Salt        string
 	// Resume says that the answer goes on after what was delivered.
@@ -219,7 +219,7 @@
 	// Usage is the engine's count of tokens, where it gave one.
 	Usage *Usage
 	// Incarnation is what the target said it is, where it said so.
-	Incarnation string
+	Incarnation Incarnation
 	// Silent says that the target's machine gave no sign of life at all.
 	Silent bool
 	// TargetError says that the whole answer was a failure of the target's own.
--- a/route/shared_test.go
+++ b/route/shared_test.go
@@ -156,7 +156,7 @@
 	a := p.ask(p.request("a", append(shared, own)...))
 	p.holds(testAddr(0), a.Salt, shared...)
 	require.Len(t, p.b.shared.counted, len(shared))
-	p.b.PartChanges(p.now, testAddr(0), true, nil)
+	p.b.PartChanges(p.now, testAddr(0), time.Time{}, true, nil)
 	require.Empty(t, p.b.shared.counted)
 }
 
--- a/route/target.go
+++ b/route/target.go
@@ -11,7 +11,7 @@
 
 // Report is what a target said of itself in answer to a poll.
 type Report struct {
-	Incarnation string
+	Incarnation Incarnation
 	// Weights maps the models it serves to their weights, Adapters to their adapters.
 	Weights     map[string]string
 	Adapters    map[string][]string
@@ -32,6 +32,8 @@
 	Addr    netip.AddrPort
 	Labels  map[string]string
 	Leaving bool
+	// Incarnation is whom the line means, empty where the list does not tell.
+	Incarnation Incarnation
 }
 
 // Entry is one entry of a list that also has what the targets report.
@@ -45,7 +47,7 @@
 // Mark says that one incarnation of a target is leaving.
 type Mark struct {
 	Target      netip.AddrPort
-	Incarnation string
+	Incarnation Incarnation
 }
 
 // The bounds of a target's health and of what it has not said.
@@ -66,14 +68,16 @@
 	// emptied is when the target was first seen with its present, empty cache.
 	emptied     time.Time
 	hash        uint64
-	incarnation string
+	incarnation Incarnation
 	report      Report
 	reported    time.Time
 	// stranger says that an answer named the incarnation, which has not reported
 	// itself yet: the address may be another pool's by now.
 	stranger bool
 	leaving  bool
-	// listLeaving is the list's present word, markedAt when it began to say so.
+	// listNames says that the list tells which incarnation it means, listLeaving is its
+	// present word, markedAt when it began to say so.
+	listNames   bool
 	listLeaving bool
 	markedAt    time.Time
 	held        bool
@@ -276,6 +280,8 @@
 		}
 		t.labels = s.Labels
 		t.listed = true
+		t.listNames = s.Incarnation != ""
+		b.identify(now, t, s.Incarnation)
 		b.markListed(now, t, s.Leaving)
 	}
 	for addr, t := range b.targets {
@@ -356,16 +362,20 @@
 // beliefs and no marks, except that a word of the list that began after the old
 // one was last heard may have meant the new. A word that began before it meant
 // the old one, and holds the new one back only while the list goes on saying it.
-func (b *Board) identify(now time.Time, t *target, incarnation string) {
-	if incarnation == "" || incarnation == t.incarnation {
+func (b *Board) identify(now time.Time, t *target, incarnation Incarnation) {
+	if incarnation == "" {
+		return
+	}
+	if incarnation.Same(t.incarnation) {
+		b.nameWhole(t, incarnation)
 		return
 	}
 	code := event.TargetRestarted
-	ambiguous := t.leaving && !t.markedAt.Before(t.reported)
+	ambiguous := t.leaving && !t.listNames && !t.markedAt.Before(t.reported)
 	if t.incarnation == "" {
 		code = event.TargetSeen
 	} else {
-		b.renewSlot(now, t)
+		b.renew(now, t)
 	}
 	b.version++
 	t.incarnation = incarnation
@@ -374,12 +384,47 @@
 	if ambiguous {
 		b.markLeaving(t, "vm list")
 	}
-	b.note(event.Event{Code: code, Target: t.name(), Detail: "incarnation " + incarnation})
+	b.note(event.Event{Code: code, Target: t.name(), Detail: "incarnation " + string(incarnation)})
 	if b.marks[Mark{t.addr, incarnation}] {
 		b.markLeaving(t, "a peer")
 	}
 }
 
+// nameWhole takes the time of a target's start that an earlier word of it did not tell.
+func (b *Board) nameWhole(t *target, incarnation Incarnation) {
+	if _, known := t.incarnation.Start(); known || incarnation == t.incarnation {
+		return
+	}
+	t.incarnation = incarnation
+	b.version++
+	if t.leaving {
+		b.marks[t.mark()] = true
+	}
+}
+
+// renew drops what an earlier incarnation of a target taught: what it held, how it
+// failed, how fast it read and answered, and what peers sent it. What this router still has
+// under way there ends with its connection.
+func (b *Board) renew(now time.Time, t *target) {
+	b.renewSlot(now, t)
+	b.dropParts(t)
+	t.sends, t.misses = newMeter(missWindow), newMeter(missWindow)
+	t.learned, t.service = 0, defaultService
+	t.report.Weights = nil
+	t.unused = ""
+	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
+	t.recent = nil
+	t.suspectedAt, t.silentAt = time.Time{}, time.Time{}
+}
+
+// IncarnationOf returns the incarnation of the target at an address, empty where none is known.
+func (b *Board) IncarnationOf(addr netip.AddrPort) Incarnation {
+	if t, ok := b.targets[addr]; ok {
+		return t.incarnation
+	}
+	return ""
+}
+
 func sameWeights(a, b map[string]string) bool { return maps.Equal(a, b) }
 
 func sameAdapters(a, b map[string][]string) bool {
--- a/route/target_restart_test.go
+++ b/route/target_restart_test.go
@@ -31,7 +31,7 @@
 func TestLeavingOverRestart(t *testing.T) {
 	w := newWorld(t, 0, 1, testSetup{})
 	f := w.targets[0]
-	mark := Mark{f.addr, f.id()}
+	mark := Mark{f.addr, Incarnation(f.id())}
 	ready, leaving := f.report(), f.report()
 	leaving.Leaving = true
 	told := map[string]PeerState{"p": {Leaving: []Mark{mark}}}
@@ -119,15 +119,15 @@
 	out := send("r1")
 	require.Len(t, out, 1)
 	a := out[0].(Send).Attempt
-	require.Equal(t, f.id(), a.Incarnation, "the old entry's incarnation is expected")
+	require.EqualValues(t, f.id(), a.Incarnation, "the old entry's incarnation is expected")
 	b.Ended(w.now, Outcome{Request: "r1", Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "stranger"})
 	require.False(t, b.targets[f.addr].usable())
-	b.Peers(w.now, map[string]PeerState{"p": {Loaded: []WeightsWord{{Target: Mark{f.addr, f.id()}, Model: "m", Weights: "w2"}}}}, 2)
+	b.Peers(w.now, map[string]PeerState{"p": {Loaded: []WeightsWord{{Target: Mark{f.addr, Incarnation(f.id())}, Model: "m", Weights: "w2"}}}}, 2)
 	require.Empty(t, send("r2"), "the stranger gets no work")
 	// The old entry is read once more: what is sent then still names the old incarnation.
 	out = b.Report(w.now, f.addr, f.report())
 	require.NotEmpty(t, out)
 	for _, action := range out {
-		require.Equal(t, f.id(), action.(Send).Attempt.Incarnation)
+		require.EqualValues(t, f.id(), action.(Send).Attempt.Incarnation)
 	}
 }
--- a/route/world_test.go
+++ b/route/world_test.go
@@ -68,7 +68,7 @@
 func (f *fakeTarget) id() string { return fmt.Sprintf("%s#%d", f.addr, f.incarnation) }
 
 func (f *fakeTarget) report() Report {
-	r := Report{Incarnation: f.id(), Leaving: f.leaving, Slots: 4, PrefillRate: 1000, Weights: map[string]string{}}
+	r := Report{Incarnation: Incarnation(f.id()), Leaving: f.leaving, Slots: 4, PrefillRate: 1000, Weights: map[string]string{}}
 	if !f.service && f.weights != "" {
 		r.Weights["m"] = f.weights
 	}
@@ -202,7 +202,7 @@
 	}
 	o := Outcome{Request: a.Request, Attempt: a.ID, Kind: k, Delivered: delivered}
 	if f != nil {
-		o.Incarnation = f.id()
+		o.Incarnation = Incarnation(f.id())
 	}
 	if k == OutcomeDone {
 		o.Usage = &Usage{Prompt: 100, Completion: 4, Cached: 10}
--- a/router/engine.go
+++ b/router/engine.go
@@ -81,7 +81,7 @@
 // identityMatches checks what a target echoes before any of its answer is used.
 // A target that echoes nothing is trusted to be what it was polled as.
 func identityMatches(a route.Attempt, r *dispatch.Reply) bool {
-	return echoes(r.Incarnation, a.Incarnation) && echoes(r.Weights, a.Weights) && echoes(r.Attempt, a.ID)
+	return echoes(string(r.Incarnation), string(a.Incarnation)) && echoes(r.Weights, a.Weights) && echoes(r.Attempt, a.ID)
 }
 
 func echoes(got, want string) bool { return got == "" || want == "" || got == want }
--- a/router/poll.go
+++ b/router/poll.go
@@ -101,7 +101,7 @@
 // eventLoop reads one engine's cache events.
 func (r *Router) eventLoop(ctx context.Context, addr netip.AddrPort) {
 	after := int64(0)
-	incarnation := ""
+	var incarnation route.Incarnation
 	for {
 		select {
 		case <-ctx.Done():
--- a/router/ports.go
+++ b/router/ports.go
@@ -28,7 +28,7 @@
 	// Report reads what a target says of itself.
 	Report(ctx context.Context, addr netip.AddrPort) (route.Report, error)
 	// CacheEvents reads the events of an engine's cache after a number.
-	CacheEvents(ctx context.Context, addr netip.AddrPort, after int64) (incarnation string, changes []route.CacheChange, err error)
+	CacheEvents(ctx context.Context, addr netip.AddrPort, after int64) (incarnation route.Incarnation, changes []route.CacheChange, err error)
 	// Export returns which of the blocks an engine holds and hands out, Import fills an engine's cache.
 	Export(ctx context.Context, addr netip.AddrPort, blocks []route.Block) ([]route.Block, error)
 	Import(ctx context.Context, addr netip.AddrPort, blocks []route.Block) error
--- a/wire/engine.go
+++ b/wire/engine.go
@@ -40,15 +40,15 @@
 // Order is a conditional instruction to an engine: it applies only while the
 // model has the weights IfWeights, where empty means that it is not loaded.
 type Order struct {
-	Action      string   `json:"action"`
-	Model       string   `json:"model,omitempty"`
-	Weights     string   `json:"weights,omitempty"`
-	Adapters    []string `json:"adapters,omitempty"`
-	Role        string   `json:"role,omitempty"`
-	IfWeights   string   `json:"ifWeights"`
-	Incarnation string   `json:"incarnation,omitempty"`
-	Fence       int64    `json:"fence"`
-	Holder      string   `json:"holder,omitempty"`
+	Action      string            `json:"action"`
+	Model       string            `json:"model,omitempty"`
+	Weights     string            `json:"weights,omitempty"`
+	Adapters    []string          `json:"adapters,omitempty"`
+	Role        string            `json:"role,omitempty"`
+	IfWeights   string            `json:"ifWeights"`
+	Incarnation route.Incarnation `json:"incarnation,omitempty"`
+	Fence       int64             `json:"fence"`
+	Holder      string            `json:"holder,omitempty"`
 }
 
 // The actions of an order.
@@ -60,7 +60,7 @@
 
 // State is what a target says about itself.
 type State struct {
-	Incarnation string                 `json:"incarnation"`
+	Incarnation route.Incarnation      `json:"incarnation"`
 	Models      map[string]LoadedModel `json:"models"`
 	Role        string                 `json:"role"`
 	Leaving     bool                   `json:"leaving"`
@@ -85,8 +85,8 @@
 
 // CacheEvents is a run of cache events of one incarnation.
 type CacheEvents struct {
-	Incarnation string       `json:"incarnation"`
-	Events      []CacheEvent `json:"events"`
+	Incarnation route.Incarnation `json:"incarnation"`
+	Events      []CacheEvent      `json:"events"`
 }
 
 // CacheEvent says that an engine stored or evicted a block.
@@ -172,7 +172,7 @@
 }
 
 // CacheEvents implements router.Engines.
-func (e *Engines) CacheEvents(ctx context.Context, addr netip.AddrPort, after int64) (incarnation string, changes []route.CacheChange, err error) {
+func (e *Engines) CacheEvents(ctx context.Context, addr netip.AddrPort, after int64) (incarnation route.Incarnation, changes []route.CacheChange, err error) {
 	var out CacheEvents
 	path := "/engine/events?after=" + strconv.FormatInt(after, 10)
 	if err := e.call(ctx, http.MethodGet, addr, path, nil, &out); err != nil {
--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -79,7 +79,7 @@
 	}
 	h := attemptHeader(a)
 	h.Set("Content-Type", "application/json")
-	h.Set(HeaderIncarnation, a.Incarnation)
+	h.Set(HeaderIncarnation, string(a.Incarnation))
 	h.Set(HeaderWeights, a.Weights)
 	return send(ctx, c.targets, transport.Request{
 		Target: a.Target, Method: http.MethodPost, URI: path, Host: a.Target.String(), Header: h, Body: body,
@@ -110,7 +110,7 @@
 	}
 	return &dispatch.Reply{
 		Status:      resp.Status,
-		Incarnation: resp.Header.Get(HeaderIncarnation),
+		Incarnation: route.Incarnation(resp.Header.Get(HeaderIncarnation)),
 		Weights:     resp.Header.Get(HeaderWeights),
 		Attempt:     resp.Header.Get(HeaderAttempt),
 		NotRun:      resp.Header.Get(HeaderRan) == RanNo,
