platform, fleet, node: what another writer leaves in a row is none, and holds nothing up

Change: an unread lease counts as one of somebody unknown from when it was seen, with a fence of the table's own revision. The last valid configuration stays in force and confirmed, and a node that read a bad one asks its peers for a newer. A recorded size of a fleet is believed up to 10,000.

--- a/controller/pool.go
+++ b/controller/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -39,7 +40,7 @@
 		return
 	}
 	c.mu.Lock()
-	if err := w.lease.Read(time.Now(), row, ok); err != nil {
+	if err := w.lease.Read(time.Now(), row, ok); err != nil && !errors.Is(err, fleet.ErrLeaseUnread) {
 		c.mu.Unlock()
 		return
 	}
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -86,13 +86,43 @@
 // where it did not say.
 func (l *Lease) Processes() int { return l.seen.Processes }
 
+// The bounds of a row that a process of this kind may have written: its length, in those of
+// this process's own leases, and its fencing number.
+const (
+	mostLengths = 10
+	mostFence   = 1 << 53
+)
+
+// ErrLeaseUnread says that a lease's row could not be read; [Lease.Read] has taken it all the same.
+var ErrLeaseUnread = errs.Tag("the lease's row is none that this program writes")
+
+// decode reads the lease's row. One that is not as processes write it counts as held by
+// somebody unknown from now on, so that it ends as any other lease does. Its fencing number is
+// taken for the table's own revision of the row, which is at least as high as each write's.
+func (l *Lease) decode(row Row) (leaseRow, error) {
+	var r leaseRow
+	err := json.Unmarshal(row.Data, &r)
+	if err == nil && (r.Length <= 0 || r.Length > mostLengths*l.length || r.Fence < 0 || r.Fence > mostFence) {
+		err = errs.Errorf("a length of %s, a fence of %d", r.Length, r.Fence)
+	}
+	if err == nil {
+		return r, nil
+	}
+	r = leaseRow{Holder: unknownHolder, Fence: max(l.seen.Fence, l.fence, row.Rev), Length: l.length}
+	return r, ErrLeaseUnread.Errorf("lease %s: %w", l.name, err)
+}
+
+// unknownHolder stands for whoever wrote a row that could not be read.
+const unknownHolder = "?"
+
 // Read takes a read of the lease's row; ok is false where there is none.
 func (l *Lease) Read(now time.Time, row Row, ok bool) error {
-	var r leaseRow
+	var (
+		r   leaseRow
+		err error
+	)
 	if ok {
-		if err := json.Unmarshal(row.Data, &r); err != nil {
-			return errs.Errorf("lease %s: %w", l.name, err)
-		}
+		r, err = l.decode(row)
 	}
 	if !l.known || row.Rev != l.rev {
 		l.seen, l.rev, l.seenAt = r, row.Rev, now
@@ -102,7 +132,7 @@
 		l.held = false
 	}
 	l.settlePending(r)
-	return nil
+	return err
 }
 
 // settlePending resolves a write with a lost reply from what was read.
--- /dev/null
+++ b/fleet/lease_unread_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"errors"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A row that another writer left in the place of a lease held the duty up for ever: it did
+// not decode, or named a length that never ends. It counts as a lease of somebody
+// unknown: the holder stops, and after its time one process takes it with a higher fence.
+func TestLeaseUnread(t *testing.T) {
+	const fence = 7
+	for name, data := range map[string]string{
+		"bytes that are no row":    "\xff\x00{",
+		"fields of another type":   `{"holder":7,"fence":"x"}`,
+		"nothing":                  ``,
+		"no fields":                `{}`,
+		"a length without end":     `{"holder":"z","fence":3,"lengthNs":9000000000000000000}`,
+		"a length before nothing":  `{"holder":"z","fence":3,"lengthNs":-5}`,
+		"a fence that can't rise":  `{"holder":"z","fence":9223372036854775807,"lengthNs":300000000}`,
+		"a fence that went below":  `{"holder":"z","fence":-9223372036854775808,"lengthNs":300000000}`,
+		"a row of another process": `{"holder":"z","fence":8,"lengthNs":300000000}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := epoch
+			holder, other := NewLease("pool/x", "a", testLease, testGuard), NewLease("pool/x", "b", testLease, testGuard)
+			good := Row{Data: []byte(`{"holder":"a","fence":6,"beat":1,"freed":true,"lengthNs":300000000}`), Rev: fence}
+			require.NoError(t, holder.Read(now, good, true))
+			_, ok := holder.Next(now, "t1")
+			require.True(t, ok)
+			holder.Wrote(now, fence+1, nil)
+			require.True(t, holder.Holds(now))
+			require.EqualValues(t, fence, holder.Fence())
+
+			bad := Row{Data: []byte(data), Rev: fence + 2}
+			for _, l := range []*Lease{holder, other} {
+				if err := l.Read(now, bad, true); err != nil {
+					require.True(t, errors.Is(err, ErrLeaseUnread), err)
+				}
+				require.False(t, l.Holds(now))
+				_, ok := l.Next(now, "t2")
+				require.False(t, ok, "it may still be held")
+			}
+			now = now.Add(testLease + testGuard + time.Millisecond)
+			_, ok = other.Next(now, "t3")
+			require.True(t, ok)
+			other.Wrote(now, fence+3, nil)
+			require.True(t, other.Holds(now))
+			require.Greater(t, other.Fence(), int64(fence))
+			require.Less(t, other.Fence(), int64(math.MaxInt64/2))
+		})
+	}
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -263,8 +263,9 @@
 	row, ok, err := d.n.store.Get(ctx, part, sort)
 	d.mu.Lock()
 	d.readAt = time.Now()
+	var unread error
 	if err == nil {
-		err = d.lease.Read(time.Now(), row, ok)
+		unread = d.lease.Read(time.Now(), row, ok)
 	}
 	note, nodes := d.lease.Note(), d.lease.Processes()
 	d.mu.Unlock()
@@ -272,6 +273,9 @@
 		d.n.log.Debug("the lease was not read", "error", err)
 		return false
 	}
+	if unread != nil {
+		d.n.log.Warn("the lease's row counts as another's", "error", unread)
+	}
 	d.takeRecord(note)
 	d.n.takeRecordedSize(nodes)
 	return true
--- a/node/peers.go
+++ b/node/peers.go
@@ -142,10 +142,14 @@
 // after three seconds.
 const recordedFor = 4 * time.Second
 
+// mostRecorded is the largest fleet that a record is believed of, 25 times the largest
+// expected: one that is not so would give each node next to nothing of what is shared.
+const mostRecorded = 10_000
+
 // takeRecordedSize takes the size of the fleet that the holder of the lease recorded;
 // zero says that it recorded none.
 func (n *Node) takeRecordedSize(nodes int) {
-	if nodes > 0 && n.recorded.Swap(int64(nodes)) != int64(nodes) {
+	if nodes > 0 && nodes <= mostRecorded && n.recorded.Swap(int64(nodes)) != int64(nodes) {
 		n.tellBoard()
 	}
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -70,6 +70,10 @@
 		n.storeState(nil)
 		n.take(begun, changes)
 		n.watched(begun, before, cursor == 0, changes)
+		if changes.Rejected != nil {
+			// Others may have a valid one that this node was too late for.
+			n.fetchFromPeers(ctx)
+		}
 		if cursor == changes.Cursor && time.Since(begun) < hold/2 {
 			// The store did not hold the call; without a pause it would be asked without end.
 			pause(ctx, n.jitter(hold/2))
@@ -99,10 +103,8 @@
 		n.adopt(*c.Declared, "the store")
 	}
 	n.Lock()
-	// A configuration that could not be read is not confirmed as known.
-	if c.Rejected == nil {
-		n.adoption.Confirm(begun, n.adoption.Revision())
-	}
+	// What could not be read is none: the last valid configuration stays in force.
+	n.adoption.Confirm(begun, n.adoption.Revision())
 	n.Unlock()
 }
 
