--- a/peer/config.go
+++ b/peer/config.go
@@ -65,6 +65,18 @@
 	return nil
 }
 
+// Config answers with the whole document, for processes of releases that know no pieces:
+// while a fleet is upgraded some ask for it. Those of this one find no pieces at the others, and
+// read the store instead.
+func (s peerService) Config(_ *ConfigQuery, out *fleet.Document) error {
+	d, ok := s.handler.Config()
+	if !ok {
+		return errors.New("no configuration yet")
+	}
+	*out = d
+	return nil
+}
+
 // packer packs the newest document once for all who ask.
 type packer struct {
 	mu     sync.Mutex
--- a/peer/config_test.go
+++ b/peer/config_test.go
@@ -51,6 +51,21 @@
 	})
 }
 
+// A process of a release that knows no pieces gets the document at once.
+func TestConfigWhole(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- Serve(l, fakePeer{}) }()
+	p := NewClient(time.Second, nil)
+	d, err := answerOf[fleet.Document](t.Context(), p, l.Addr().(*net.TCPAddr).AddrPort(), "Config", &ConfigQuery{From: "q"})
+	require.NoError(t, err)
+	require.EqualValues(t, 3, d.Revision)
+	p.Close()
+	require.NoError(t, l.Close())
+	require.NoError(t, <-done)
+}
+
 // What does not fit together is an error and is not gone on with.
 func TestConfigPiecesBad(t *testing.T) {
 	data := []byte(strings.Repeat("x", 3*pieceBytes))
--- /dev/null
+++ b/route/identity.go
@@ -0,0 +1,130 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+)
+
+// markListed takes the list's word, which names no incarnation.
+func (b *Board) markListed(now time.Time, t *target, leaving bool) {
+	if leaving && !t.listLeaving {
+		t.markedAt = now
+		b.markLeaving(t, "vm list")
+	}
+	t.listLeaving = leaving
+}
+
+// identify notes the incarnation a target says it has. A new one starts with no
+// beliefs and no marks, except that a word of the list that began after the old
+// one was last heard may have meant the new. A word that began before it meant
+// the old one, and holds the new one back only while the list goes on saying it.
+func (b *Board) identify(now time.Time, t *target, incarnation Incarnation) {
+	if incarnation == "" {
+		return
+	}
+	if incarnation.Same(t.incarnation) {
+		b.nameWhole(t, incarnation)
+		return
+	}
+	code := event.TargetRestarted
+	ambiguous := t.leaving && !t.listNames && !t.markedAt.Before(t.reported)
+	if t.incarnation == "" {
+		code = event.TargetSeen
+	} else {
+		b.renew(now, t)
+	}
+	b.version++
+	t.incarnation = incarnation
+	t.guess = weightsGuess{}
+	t.leaving = false
+	if ambiguous {
+		b.markLeaving(t, "vm list")
+	}
+	b.note(event.Event{Code: code, Target: t.name(), Detail: "incarnation " + string(incarnation)})
+	if b.marks[Mark{t.addr, incarnation}] {
+		b.markLeaving(t, "a peer")
+	}
+}
+
+// nameWhole takes the time of a target's start that an earlier word of it did not tell.
+func (b *Board) nameWhole(t *target, incarnation Incarnation) {
+	if _, known := t.incarnation.Start(); known || incarnation == t.incarnation {
+		return
+	}
+	t.incarnation = incarnation
+	b.version++
+	if t.leaving {
+		b.marks[t.mark()] = true
+	}
+}
+
+// renew drops what an earlier incarnation of a target taught: what it held, how it
+// failed, how fast it read and answered, and what peers sent it. What this router still has
+// under way there ends with its connection.
+func (b *Board) renew(now time.Time, t *target) {
+	b.renewSlot(now, t)
+	b.dropParts(t)
+	t.sends, t.misses = newMeter(missWindow), newMeter(missWindow)
+	t.learned, t.service = 0, defaultService
+	t.report.Weights = nil
+	t.unused = ""
+	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
+	t.recent = nil
+	t.suspectedAt, t.silentAt = time.Time{}, time.Time{}
+}
+
+// IncarnationOf returns the incarnation of the target at an address, empty where none is known.
+func (b *Board) IncarnationOf(addr netip.AddrPort) Incarnation {
+	if t, ok := b.targets[addr]; ok {
+		return t.incarnation
+	}
+	return ""
+}
+
+// markLeaving stops new work for the target's present incarnation; nothing undoes it.
+func (b *Board) markLeaving(t *target, source string) {
+	if t.incarnation != "" {
+		b.marks[t.mark()] = true
+	}
+	if t.leaving {
+		return
+	}
+	b.version++
+	t.leaving = true
+	b.note(event.Event{Code: event.TargetLeaving, Target: t.name(), Detail: "says " + source})
+}
+
+// Leaving takes a mark from a peer or an operator.
+func (b *Board) Leaving(m Mark) {
+	if b.marks[m] {
+		return
+	}
+	b.marks[m] = true
+	if t, ok := b.marked(m); ok {
+		b.markLeaving(t, "a peer")
+	}
+}
+
+// Hold takes the whole set of targets that get no new work for now, because the
+// holder of their pool's lease is emptying them before an order.
+func (b *Board) Hold(held map[Mark]bool) {
+	for _, t := range b.targets {
+		if now := held[t.mark()]; now != t.held {
+			b.version++
+			t.held = now
+		}
+	}
+}
+
+// Marks returns the leaving marks of targets that are still on the board.
+func (b *Board) Marks() []Mark {
+	var out []Mark
+	for m := range b.marks {
+		if _, ok := b.marked(m); ok {
+			out = append(out, m)
+		}
+	}
+	return out
+}
