route: a start that only an answer told of is sent to by the earlier one's report until its own

Change: the earlier report's weights are the guess until the new start reports, and no bound of what it reports then.

--- a/route/identity.go
+++ b/route/identity.go
@@ -68,7 +68,7 @@
 	b.dropParts(t)
 	t.sends, t.misses = newMeter(missWindow), newMeter(missWindow)
 	t.learned, t.service = 0, defaultService
-	t.report.Weights = nil
+	t.unreported = true
 	t.unused = ""
 	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
 	t.recent = nil
--- a/route/incarnation_test.go
+++ b/route/incarnation_test.go
@@ -160,3 +160,21 @@
 	require.True(t, p.b.PartChanges(p.now, testAddr(0), time.Time{}, false, nil), "a target that tells no start")
 	require.Equal(t, 1, tokens())
 }
+
+// A new start that only an answer told of is sent to by what is known of the earlier one
+// until it reports itself: a router that polls seldom has nothing else to go by.
+func TestStartedAgainBeforeReport(t *testing.T) {
+	p := newPartsBoard(t, 1)
+	p.startAgain(startedAt(500), "2", false)
+	target := p.b.targets[testAddr(0)]
+	p.b.identify(p.now, target, startedAt(600))
+	weights, ok := target.serves("m", "")
+	require.True(t, ok)
+	require.Equal(t, "2", weights)
+	p.startAgain(startedAt(600), "1", false)
+	weights, _ = target.serves("m", "")
+	require.Equal(t, "1", weights, "its own report counts, also with older weights")
+	p.startAgain(startedAt(600), "0", false)
+	weights, _ = target.serves("m", "")
+	require.Equal(t, "1", weights, "within a start they rise")
+}
--- a/route/target.go
+++ b/route/target.go
@@ -71,6 +71,9 @@
 	incarnation Incarnation
 	report      Report
 	reported    time.Time
+	// unreported says that the report is an earlier incarnation's. Its weights are the best
+	// guess of what this one has, but no bound of it.
+	unreported bool
 	// stranger says that an answer named the incarnation, which has not reported
 	// itself yet: the address may be another pool's by now.
 	stranger bool
@@ -292,6 +295,7 @@
 	}
 	t.report = r
 	t.reported = now
+	t.unreported = false
 	t.stranger = false
 	b.recovered(t)
 	if r.Leaving {
--- a/route/weights.go
+++ b/route/weights.go
@@ -312,7 +312,7 @@
 
 // goesBack reports whether a report has older weights than are known of the same incarnation.
 func (t *target) goesBack(r Report) bool {
-	if r.Incarnation != t.incarnation {
+	if t.unreported || !r.Incarnation.Same(t.incarnation) {
 		return false
 	}
 	for model, weights := range r.Weights {
