--- a/node/fleet_config_test.go
+++ b/node/fleet_config_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Whatever keeps nodes from passing a configuration on to each other, as releases that speak of
+// it otherwise do while a fleet is upgraded, it comes into force in time: nodes that stay
+// behind read it from the store.
+func TestFleetConfigurationPastRelays(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 24, engines: 10, perSecond: 10, mbps: 10, mute: true})
+		f.settle()
+		defer f.end()
+		f.store.declare(routesText(500))
+		bound := f.nodes[0].settings().Bounds.Apply
+		refusing := 0
+		for begun := time.Now(); time.Since(begun) < bound; time.Sleep(20 * time.Millisecond) {
+			refusing = max(refusing, f.refusing())
+		}
+		require.Zero(t, f.behind(2), "nodes without the revision when it must be in force")
+		require.Zero(t, refusing, "nodes that took no requests with keys")
+	})
+}
+
 // behind returns how many nodes serve under a revision before the wanted one.
 func (f *simFleet) behind(want int64) (n int) {
 	for _, node := range f.nodes {
--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -27,6 +27,8 @@
 	perSecond int
 	// mbps is the link of the small VMs, zero for 20 Mbit/s.
 	mbps float64
+	// mute says that nodes pass no configuration on to each other.
+	mute bool
 }
 
 // The figures of a simulated fleet.
@@ -126,7 +128,7 @@
 // run runs a node's loops until the fleet stops.
 func (f *simFleet) run(n *Node) {
 	l := f.net.listen(n.settings().Peers)
-	f.loops.Go(func() { _ = peer.Serve(l, &simHandler{Node: n, sizes: &f.sizes}) })
+	f.loops.Go(func() { _ = peer.Serve(l, &simHandler{Node: n, sizes: &f.sizes, mute: f.mute}) })
 	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.placedLoop, n.recentLoop} {
 		f.loops.Go(func() { loop(f.work) })
 	}
--- a/node/fleet_sizes_test.go
+++ b/node/fleet_sizes_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/peer"
 )
 
@@ -54,6 +55,16 @@
 type simHandler struct {
 	*Node
 	sizes *simSizes
+	// mute says that the node passes no configuration on.
+	mute bool
+}
+
+// Config implements [peer.Handler].
+func (h *simHandler) Config() (fleet.Document, bool) {
+	if h.mute {
+		return fleet.Document{}, false
+	}
+	return h.Node.Config()
 }
 
 // Relay implements [peer.RelayHandler].
--- a/node/newest_test.go
+++ b/node/newest_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -198,3 +199,28 @@
 	set.Bounds.Contact = 0
 	require.Equal(t, now, stalenessOf(set, now).UnknownUntil)
 }
+
+// A record that another writer left tells nothing, and the size of a fleet that it tells is
+// believed within what a fleet can be.
+func TestRecordUnread(t *testing.T) {
+	clock := StoreClock{At: time.Minute, Begun: time.Unix(100, 0), Heard: time.Unix(100, 0)}
+	for name, note := range map[string]string{
+		"no list": `{}`, "other types": `[{"model":7}]`, "no JSON": "\xff", "a number": `5`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			spans, err := decodeRecord(clock, clock.Heard, []byte(note))
+			require.Error(t, err)
+			require.Empty(t, spans)
+		})
+	}
+	store := newSimStore(1)
+	n, err := New(validSettings(), store, nil, store)
+	require.NoError(t, err)
+	alone := n.fleetSize()
+	for _, nodes := range []int{-1, 0, mostRecorded + 1, math.MaxInt} {
+		n.takeRecordedSize(nodes)
+		require.Equal(t, alone, n.fleetSize(), "%d nodes", nodes)
+	}
+	n.takeRecordedSize(mostRecorded)
+	require.Equal(t, mostRecorded, n.fleetSize())
+}
