event, peer: being behind for a moment is no warning, and a peer without a configuration no failure

Seen while the diff was read: each change logged a warning at each node that a relay told of it, and nodes that start together logged and counted takings from peers that had nothing yet as failed. Nothing that is decided changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -143,7 +143,7 @@
 
 	{StoreHistoryGone, "store-history-gone", slog.LevelInfo, "The store's history does not reach back to the last change seen; the declaration is read whole."},
 	{WeightsNamed, "weights-named", slog.LevelInfo, "Newer weights of a model were named; the detail says who told, and how long ago they were named as far as this process knows."},
-	{ConfigBehind, "config-behind", slog.LevelWarn, "A newer revision is known than the one served under; the detail says who told of it. Logged once for each revision."},
+	{ConfigBehind, "config-behind", slog.LevelInfo, "A newer revision is known than the one served under; the detail says who told of it. Logged once for each revision; config-adopted follows within a second."},
 	{ConfigUnfetched, "config-unfetched", slog.LevelWarn, "A newer revision could not be taken from another node; the detail says from whom, what came of it and why it ended."},
 
 	{PeerSeen, "peer-seen", slog.LevelInfo, "A peer was heard for the first time or again."},
--- a/peer/config.go
+++ b/peer/config.go
@@ -51,10 +51,7 @@
 // Piece answers with a piece of the document in force.
 func (s peerService) Piece(in *ConfigQuery, out *ConfigPiece) error {
 	d, ok := s.handler.Config()
-	if !ok {
-		return errors.New("no configuration yet")
-	}
-	if d.Revision <= in.Have {
+	if !ok || d.Revision <= in.Have {
 		return nil
 	}
 	p, err := s.packed.pack(d)
