node: a configuration is taken beside the reports, which go on

Cause: seen while the diff was read. The taking ran within a round of reports; in pieces it may last for seconds, and a node that does not report for 2.5 s is off the roster, one that hears no relay for 1.5 s reads the store itself. Change: it runs beside the rounds, one at a time. TestFleetReportsWhileTaking (links of 2 Mbit/s, 0.7 MB that can't be packed) failed first: all 20 nodes at times did not know the others.

--- a/node/fetch.go
+++ b/node/fetch.go
@@ -18,8 +18,21 @@
 	n.Unlock()
 	if behind {
 		n.noteBehind(w.Revision, addr)
-		n.fetchFrom(ctx, addr)
+		n.fetchBeside(ctx, addr)
+	}
+}
+
+// fetchBeside takes the configuration of a peer beside what the caller goes on with, unless one
+// is being taken. Reports that waited for it would take the node off the roster after 2.5 s,
+// which a large text takes on a slow link.
+func (n *Node) fetchBeside(ctx context.Context, addr netip.AddrPort) {
+	if !n.fetching.CompareAndSwap(false, true) {
+		return
 	}
+	n.loops.Go(func() {
+		defer n.fetching.Store(false)
+		n.fetchFrom(ctx, addr)
+	})
 }
 
 // noteBehind tells once of each newer revision that is known and not served under.
--- a/node/fleet_config_test.go
+++ b/node/fleet_config_test.go
@@ -130,3 +130,28 @@
 	}
 	return string(text)
 }
+
+// A node goes on reporting while it takes a configuration, however long that takes: one
+// that stops for 2.5 s is off the roster, and one that hears no relay for 1.5 s turns to the store.
+func TestFleetReportsWhileTaking(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 20, engines: 10, perSecond: 10, mbps: 2})
+		f.settle()
+		defer f.end()
+		f.store.declare(noiseText(700_000))
+		lost, deaf := 0, 0
+		for begun := time.Now(); f.behind(2) > 0 && time.Since(begun) < 30*time.Second; time.Sleep(50 * time.Millisecond) {
+			whole, _, _ := f.views()
+			lost = max(lost, len(f.nodes)-whole)
+			for _, n := range f.nodes {
+				if !n.relays.leads() && !n.relays.hears() {
+					deaf++
+				}
+			}
+		}
+		require.Zero(t, f.behind(2))
+		require.Zero(t, lost, "nodes that did not know all others")
+		require.Zero(t, deaf, "looks at nodes that no relay answered")
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -41,6 +41,8 @@
 	reaching reaching
 	domains  domains
 	stopping atomic.Bool
+	// fetching says that a configuration is being taken from a peer.
+	fetching atomic.Bool
 	loops    sync.WaitGroup
 	// began is when the process started, recorded the size of the fleet that the
 	// holder of the lease recorded.
