node: an entry of the list that names a store of KV cache is no target

An entry of another writer that names one would have joined its pool, and parts would have been saved to its address. TestListNamesStore fails without the filter.

--- a/node/list.go
+++ b/node/list.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pathhead/pathhead/policy"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -218,6 +219,7 @@
 // relay, and gives the board the targets and what those said that showed a sign of
 // life since. Others are told what was read, not what this node keeps beside it.
 func (n *Node) takeEntries(at time.Time, read Listing, relayed bool) {
+	read.Targets = n.withoutStores(read.Targets)
 	list := n.list.merge(time.Now(), at, read, relayed)
 	n.relays.told(at, read.Targets)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
@@ -236,6 +238,19 @@
 	n.duty.poke()
 }
 
+// withoutStores drops the entries that name a store of KV cache as their service: such
+// stores are on no list, so that another writer made them, and parts would be saved there.
+func (n *Node) withoutStores(read []route.Entry) []route.Entry {
+	snap := n.snapshot()
+	if snap == nil {
+		return read
+	}
+	return slices.DeleteFunc(slices.Clone(read), func(t route.Entry) bool {
+		p, ok := snap.Pool(t.Seen.Labels[LabelPool])
+		return ok && p.Kind == policy.KindKept
+	})
+}
+
 // alive returns the targets that showed a sign of life since the last call.
 func (l *targetList) alive(list []route.Entry) []route.Entry {
 	l.mu.Lock()
--- a/node/list_start_test.go
+++ b/node/list_start_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathhead/pathhead/policy"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -66,6 +67,26 @@
 	require.Equal(t, []string{"a", "c"}, incarnations(got), "c is missing and may come back")
 }
 
+// An entry that names a store of KV cache, which are on no list, is no target; the store
+// that the configuration names is one.
+func TestListNamesStore(t *testing.T) {
+	store := newSimStore(1)
+	n, err := New(validSettings(), store, nil, store)
+	require.NoError(t, err)
+	declared, err := store.Parse(1, "one")
+	require.NoError(t, err)
+	kept := listed("10.0.0.9:80", "kept", 1)
+	kept.Seen.Labels = map[string]string{LabelPool: "kept"}
+	declared.Fixed = []route.Entry{kept}
+	declared.Config.Pools = append(declared.Config.Pools, policy.Pool{Name: "kept", Kind: policy.KindKept, Selector: LabelPool + "=kept"})
+	n.adopt(*declared, "the store")
+	good, foreign := listed("10.0.0.1:80", "a", 2), listed("10.0.0.2:80", "b", 3)
+	good.Seen.Labels = map[string]string{LabelPool: simPool}
+	foreign.Seen.Labels = map[string]string{LabelPool: "kept"}
+	n.takeEntries(time.Now(), Listing{Targets: []route.Entry{good, foreign}}, false)
+	require.ElementsMatch(t, []string{"a", "kept"}, incarnations(n.list.get()))
+}
+
 // A faulty entry is logged once for as long as its fault lasts, however many there are.
 func TestFaultyNoted(t *testing.T) {
 	store := newSimStore(1)
