--- a/route/incarnation_test.go
+++ b/route/incarnation_test.go
@@ -117,6 +117,22 @@
 		require.True(t, ok)
 		require.Equal(t, "2", weights, "numbered weights rise within a start alone")
 	})
+	t.Run("a start that a peer tells of first", func(t *testing.T) {
+		p, target := setup(t)
+		p.b.Leaving(Mark{testAddr(0), again})
+		p.b.Peers(p.now, map[string]PeerState{"p": {Loads: []Load{{Target: Mark{testAddr(0), again}, InFlight: 7}}}}, 2)
+		require.True(t, target.usable(), "it says nothing of the start that the list names")
+		require.Zero(t, target.peerInFlight)
+		p.startAgain(again, "1", false)
+		require.False(t, target.usable(), "its mark holds once the list names it")
+	})
+	t.Run("a start that an answer names by its id", func(t *testing.T) {
+		p, target := setup(t)
+		slot := target.slot
+		p.b.identify(p.now, target, NewIncarnation("0", time.Time{}))
+		require.Equal(t, first, target.incarnation)
+		require.Equal(t, slot, target.slot)
+	})
 	t.Run("a word without a start", func(t *testing.T) {
 		p, target := setup(t)
 		target.learned = 9
