--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -60,14 +60,17 @@
 		s.impair(ctx, step, n.link, n.name)
 	case TargetLink:
 		s.impair(ctx, step, sl.proxy, "")
-	case TargetCrash, TargetDrain, TargetHide:
+	case TargetCrash, TargetAgain, TargetDrain, TargetHide:
 		if !s.claim(sl) {
 			return
 		}
 		defer s.release(sl)
-		if step.Kind == TargetCrash {
+		switch step.Kind {
+		case TargetCrash:
 			s.crash(ctx, step, sl)
-		} else {
+		case TargetAgain:
+			s.again(ctx, step, sl)
+		default:
 			s.replace(ctx, step, sl)
 		}
 	case TargetGrey:
@@ -174,12 +177,37 @@
 func (s *site) crash(ctx context.Context, step Step, sl *slot) {
 	r := s.replicaAt(sl)
 	defer s.begin(Trouble{Scope: OfTarget, Kind: step.Kind, Subject: r.ID})()
+	s.end(sl, r)
+	time.AfterFunc(lapseTime, r.Hide)
+	wait(ctx, step.Length)
+	s.must(s.startTarget(sl, s.newID(r.Service), r.Service, r.Weights(), time.Now()))
+}
+
+// end ends a target without a word.
+func (s *site) end(sl *slot, r *platformtest.Replica) {
 	sl.proxy.Close()
 	r.Crash()
 	s.target(r.ID, func(t *Target) { t.Ended = time.Now() })
-	time.AfterFunc(lapseTime, r.Hide)
+}
+
+// skewTime is how far the clock of a target that starts again is off, to one side or the other.
+const skewTime = 10 * time.Minute
+
+// again ends a target and starts it again under the id that it had, with its weights and
+// nothing else of before. Its entry lapses only if that takes longer than it lasts. The
+// clock that its new start is told by may be off to either side.
+func (s *site) again(ctx context.Context, step Step, sl *slot) {
+	r := s.replicaAt(sl)
+	defer s.begin(Trouble{Scope: OfTarget, Kind: step.Kind, Subject: r.ID})()
+	s.end(sl, r)
+	lapse := time.AfterFunc(lapseTime, r.Hide)
 	wait(ctx, step.Length)
-	s.must(s.startTarget(sl, r.Service, r.Weights()))
+	lapse.Stop()
+	skew := skewTime
+	if step.At.Milliseconds()%2 == 0 {
+		skew = -skew
+	}
+	s.must(s.startTarget(sl, r.ID, r.Service, r.Weights(), time.Now().Add(skew)))
 }
 
 func (s *site) replicaAt(sl *slot) *platformtest.Replica {
@@ -214,7 +242,7 @@
 	r.Leave()
 	s.target(r.ID, func(t *Target) { t.Ended = time.Now() })
 	wait(ctx, reuseTime)
-	s.must(s.startTarget(old, strangeName, 0))
+	s.must(s.startTarget(old, s.newID(strangeName), strangeName, 0, time.Now()))
 }
 
 // swap exchanges the places of two targets in the list.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,8 @@
 	// TargetCrash ends a target and starts it again, TargetDrain has a new one take
 	// its place, TargetHide does so without a word, TargetGrey has it fail a part of its requests.
 	TargetCrash Kind = "target-crash"
+	// TargetAgain ends a target and starts it again under its id, by whatever clock.
+	TargetAgain Kind = "target-again"
 	TargetDrain Kind = "target-drain"
 	TargetHide  Kind = "target-hide"
 	TargetGrey  Kind = "target-grey"
@@ -127,6 +129,7 @@
 	{OrdersLate, 0.5, 10 * time.Second, 30 * time.Second, 5},
 	{NameWeights, 0.7, 0, 0, 5},
 	{Reconfigure, 0.5, 0, 0, 5},
+	{TargetAgain, 0.3, 100 * time.Millisecond, 3 * time.Second, 6},
 }
 
 // links and outages are what the faults of links and of the store are drawn from.
@@ -144,7 +147,7 @@
 	{NameWeights, OrdersLate, Kill, Stop, Pause, Join},
 	{StoreFails, StoreLink, Kill, Pause, NameWeights},
 	{Reconfigure, StoreFails, StoreLink, Pause, Join},
-	{TargetDrain, TargetHide, TargetCrash, Stop, Reconfigure},
+	{TargetDrain, TargetHide, TargetCrash, TargetAgain, Stop, Reconfigure},
 }
 
 // The parts of plans that have a kind of the focus, and by how much rarer the others are.
@@ -240,7 +243,7 @@
 		}
 	case StoreLink, TargetLink:
 		s.Link = links[rng.IntN(len(links))]
-	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetDrain, TargetHide, TargetGrey, NameWeights, Reconfigure:
+	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, NameWeights, Reconfigure:
 	}
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -250,7 +251,7 @@
 	s.mu.Lock()
 	weights := s.weights
 	s.mu.Unlock()
-	if err := s.startTarget(sl, service, weights); err != nil {
+	if err := s.startTarget(sl, s.newID(service), service, weights, time.Now()); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -259,13 +260,17 @@
 	return sl, nil
 }
 
-// startTarget starts a new incarnation of a target at a place.
-func (s *site) startTarget(sl *slot, service string, weights int64) error {
+// newID returns an id that no target had.
+func (s *site) newID(service string) string {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.born++
-	id := fmt.Sprintf("%s-%d", service, s.born)
-	s.mu.Unlock()
-	opts := []platformtest.Option{platformtest.WithFront(sl.proxy.Addr)}
+	return fmt.Sprintf("%s-%d", service, s.born)
+}
+
+// startTarget starts a target at a place, by its own clock at a time.
+func (s *site) startTarget(sl *slot, id, service string, weights int64, at time.Time) error {
+	opts := []platformtest.Option{platformtest.WithFront(sl.proxy.Addr), platformtest.WithBorn(at.UnixMilli())}
 	if service == engineName {
 		opts = append(opts, platformtest.WithModel(modelName, weights), platformtest.WithEvents(streamEvents, eventGap))
 	}
@@ -277,6 +282,8 @@
 	sl.replica = r
 	s.mu.Unlock()
 	s.write(func(rec *Record) {
+		// The judge knows a target by its id, of which the last start counts.
+		rec.Targets = slices.DeleteFunc(rec.Targets, func(t Target) bool { return t.ID == id })
 		rec.Targets = append(rec.Targets, Target{ID: id, Service: service, Begun: time.Now()})
 	})
 	return sl.proxy.Point(r.Addr)
