route, peer, node: a request under which three targets ended is held back by the whole fleet

Cause: nobody counted the targets that end under the copies of one request. Each copy was a new request to the node it came to; the tries of one attempt and the pool's repeats were bounded, and the copies were neither.

Ruled out: the nodes' own repeats as the cause (the budget for them was used up at once and the ends went on); targets used too soon after a start (those that the request did not reach lived on).

Change: the board counts, by the request's fingerprint, the starts of targets that ended under it, and holds one with three back for two minutes; one more end then holds it for four. An end counts once the target is known to have ended (a dial is refused, a new start is listed); half where the answer had begun, not at all where it had come for a second or the target was leaving. An answer anywhere clears the request, also where it came shortly before. Nodes tell each other at once and with each exchange or report, each word once; nothing is told where nothing ended.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -36,6 +36,8 @@
 	RequestFaulty    Code = 218
 	RequestLate      Code = 219
 	AttemptWithdrawn Code = 220
+	RequestHeld      Code = 221
+	RequestReleased  Code = 222
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -48,6 +50,7 @@
 	TargetWeights   Code = 310
 	TargetOutdated  Code = 311
 	TargetUnnamed   Code = 312
+	TargetEnded     Code = 313
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -122,6 +125,8 @@
 	{RequestFaulty, "request-faulty", slog.LevelInfo, "A request was wrong in itself: no such route or key, or not well formed; it did not run."},
 	{RequestLate, "request-late", slog.LevelInfo, "The first part of an answer came after the route's aim; the detail has the times."},
 	{AttemptWithdrawn, "attempt-withdrawn", slog.LevelInfo, "A request that waited at a target was taken back before it began; the detail says why."},
+	{RequestHeld, "request-held", slog.LevelWarn, "A request is held back: targets ended under its copies, which the detail names, with the request's fingerprint. Logged once by each process for each time that it is held."},
+	{RequestReleased, "request-released", slog.LevelInfo, "A request that was held back is held no more: it was answered, its time is over, or an operator said so."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was seen for the first time."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target runs under a new incarnation; beliefs about the old one are gone."},
@@ -134,6 +139,7 @@
 	{TargetWeights, "target-weights", slog.LevelInfo, "A target was seen with other weights than before; the detail says by whom it was told."},
 	{TargetOutdated, "target-outdated", slog.LevelInfo, "A target's weights were replaced so long ago that nothing is sent to it on them; the detail says how long ago as far as this process knows. Logged once for each target and weights."},
 	{TargetUnnamed, "target-unnamed", slog.LevelWarn, "An entry of the list of targets names none: it does not decode, lacks a field, or has a state or value without a meaning. It is passed over; the detail has its id and the fault. Logged once for as long as the fault lasts."},
+	{TargetEnded, "target-ended", slog.LevelWarn, "A target ended while it ran requests of this process: nothing listens at its address, or a new start was seen there. The detail has the incarnation that ended and how many requests fell with it."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process serves under a new revision."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which confirms it."},
--- /dev/null
+++ b/node/crash.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pathhead/pathhead/route"
+	"github.com/pathhead/pathhead/transport"
+)
+
+const (
+	// endedPause is from the first attempt that breaks off at a target until the node looks whether
+	// the target has ended: all that ran there breaks off within some 5 ms.
+	endedPause = 15 * time.Millisecond
+	// crashPause is the least time between two rounds in which others are told at once.
+	crashPause = 50 * time.Millisecond
+)
+
+// mayHaveEnded looks whether a target has ended at which an attempt broke off. It opens a
+// connection, unless others go on there; one that is taken serves the next request.
+func (n *Node) mayHaveEnded(target netip.AddrPort) {
+	if !n.reaching.begin(target) {
+		return
+	}
+	go func() {
+		defer n.reaching.end(target)
+		time.Sleep(endedPause)
+		n.Lock()
+		look := n.Board().MayHaveEnded(target)
+		n.Unlock()
+		if look {
+			n.tryTarget(target)
+		}
+	}()
+}
+
+// tryTarget opens a connection to a target and tells the board what came of it.
+func (n *Node) tryTarget(target netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.Background(), reachTime)
+	defer cancel()
+	err := n.conns.Reaches(ctx, target)
+	switch {
+	case err == nil:
+		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
+	case transport.NobodyListens(err):
+		n.targetEnded(target)
+	default:
+		n.log.Debug("a target takes no new connection", "target", target, "error", err)
+	}
+}
+
+// targetEnded tells the board that nothing listens at a target's address.
+func (n *Node) targetEnded(target netip.AddrPort) {
+	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.TargetEnded(now, target) })
+}
+
+// sawCrash has others told at once; it does not block.
+func (n *Node) sawCrash() {
+	select {
+	case n.crashSeen <- struct{}{}:
+	default:
+	}
+}
+
+// crashLoop tells others at once of targets that ended under requests: in a small fleet all of
+// them, in a large one the relays, which tell the others within two rounds.
+func (n *Node) crashLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.crashSeen:
+		}
+		if _, large := n.relays.size(); large {
+			n.relays.round(ctx)
+		} else {
+			n.tellEveryone(ctx)
+		}
+		pause(ctx, crashPause)
+	}
+}
+
+// crashesSince returns what the node knows of targets that ended under requests.
+func (n *Node) crashesSince(after int64) ([]route.CrashWord, int64) {
+	n.Lock()
+	defer n.Unlock()
+	return n.Board().CrashesSince(time.Now(), after)
+}
+
+// takeCrashes takes what another process knows of them.
+func (n *Node) takeCrashes(words []route.CrashWord) {
+	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.TakeCrashes(now, words) })
+}
--- a/node/fleet_sizes_test.go
+++ b/node/fleet_sizes_test.go
@@ -71,6 +71,7 @@
 func (h *simHandler) Relay(in peer.RelayReport) peer.RelayAnswer {
 	out := h.Node.Relay(in)
 	h.sizes.add("report", in)
+	h.addCrashes(in.Crashes, out.Crashes)
 	h.sizes.add("report state", in.Word.State)
 	h.sizes.add("answer", out)
 	h.sizes.add("answer members", out.Word.Members)
@@ -91,10 +92,20 @@
 func (h *simHandler) Exchange(in peer.Exchange) peer.Exchange {
 	out := h.Node.Exchange(in)
 	h.sizes.add("exchange", in)
+	h.addCrashes(in.Crashes, out.Crashes)
 	h.sizes.add("exchange answer", out)
 	return out
 }
 
+// addCrashes notes the sizes of the words on targets that ended, which a message may lack.
+func (h *simHandler) addCrashes(words ...*peer.Crashes) {
+	for _, w := range words {
+		if w != nil {
+			h.sizes.add("crashes", w)
+		}
+	}
+}
+
 // Recent implements [peer.RecentHandler].
 func (h *simHandler) Recent(w peer.RecentWord) {
 	h.sizes.add("recent", w)
--- a/node/forward.go
+++ b/node/forward.go
@@ -288,6 +288,13 @@
 	if out.Silent = errors.Is(err, transport.ErrSilent); out.Silent && out.Kind != route.OutcomeUnsent {
 		f.n.reach(target)
 	}
+	switch {
+	case out.Kind == route.OutcomeUnsent && transport.NobodyListens(err):
+		f.n.targetEnded(target)
+	case out.Kind == route.OutcomeBroken && transport.ClosedByTarget(err):
+		out.Closed = true
+		f.n.mayHaveEnded(target)
+	}
 	out.Delivered = f.begun
 	out.Detail = err.Error()
 	return out
--- a/node/node.go
+++ b/node/node.go
@@ -37,10 +37,13 @@
 	conns    *transport.Pool
 	peers    *peer.Client
 	gossip   *peer.Gossip
-	callers  callerConns
-	reaching reaching
-	domains  domains
-	stopping atomic.Bool
+	crashes  *peer.CrashTalk
+	// crashSeen wakes the loop that tells others at once of targets that ended under requests.
+	crashSeen chan struct{}
+	callers   callerConns
+	reaching  reaching
+	domains   domains
+	stopping  atomic.Bool
 	// fetching says that a configuration is being taken from a peer.
 	fetching atomic.Bool
 	loops    sync.WaitGroup
@@ -148,6 +151,7 @@
 		smallFleet: DefaultSmallFleet,
 		placed:     make(chan route.Placed, placedHeld),
 		began:      time.Now(),
+		crashSeen:  make(chan struct{}, 1),
 	}
 	n.set.Store(&s)
 	n.adoption.Strict()
@@ -172,14 +176,17 @@
 		route.WithoutMechanisms(n.off),
 		route.WithPlaced(n.tellPlaced),
 		route.WithNumberedWeights(stalenessOf(s, time.Now())),
+		route.WithCrashes(route.DefaultCrashSettings(), n.sawCrash),
 	)
 	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt))
+	n.crashes = peer.NewCrashTalk(n.crashesSince, n.takeCrashes)
 	n.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed,
 		Payload: n.payload, Heard: n.heard, Newest: n.newestWords, HeardNewest: n.heardNewest,
 		Alone:       n.off.Has(route.OthersEntries),
 		Relays:      func() []fleet.Member { return n.relays.known() },
 		HeardRelays: func(relays []fleet.Member) { n.relays.heardOf(relays) },
+		Crashes:     n.crashes,
 	}, n.peers, n.events)
 	n.duty = newDuty(n)
 	n.relays = newRelays(n)
@@ -258,7 +265,7 @@
 	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: n.started()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop, n.recentLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.crashLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickEvery) })
--- a/node/reach.go
+++ b/node/reach.go
@@ -1,12 +1,9 @@
 package node
 
 import (
-	"context"
 	"net/netip"
 	"sync"
 	"time"
-
-	"github.com/pathhead/pathhead/route"
 )
 
 // reachTime bounds the opening of a connection that tells whether a target lives:
@@ -49,12 +46,6 @@
 	}
 	go func() {
 		defer n.reaching.end(target)
-		ctx, cancel := context.WithTimeout(context.Background(), reachTime)
-		defer cancel()
-		if err := n.conns.Reaches(ctx, target); err != nil {
-			n.log.Debug("a silent target takes no new connection", "target", target, "error", err)
-			return
-		}
-		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
+		n.tryTarget(target)
 	}()
 }
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -52,6 +52,7 @@
 	out := n.relays.answer(in, own)
 	out.Config = word
 	out.Newest = n.newestWords(time.Now())
+	out.Crashes = n.crashes.Asked(in.Crashes)
 	n.Lock()
 	defer n.Unlock()
 	now := time.Now()
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -91,16 +91,19 @@
 // call reports to one relay and takes its answer.
 func (r *relays) call(ctx context.Context, to fleet.Member, report peer.RelayReport) {
 	report, told := r.reportTo(to, report)
+	report.Crashes = r.n.crashes.Ask(to.Addr)
 	begun := time.Now()
 	answer, err := r.n.peers.Relay(ctx, to.Addr, report)
 	if err != nil {
 		r.n.log.Debug("a relay did not answer", "relay", to.ID, "error", err)
+		r.n.crashes.Failed(to.Addr)
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.roster.Failed(time.Now(), to.ID)
 		return
 	}
 	r.n.events.Clock().Observe(answer.Stamp)
+	r.n.crashes.Answered(to.Addr, report.Crashes, answer.Crashes)
 	r.n.domains.note(to.Addr, answer.Word.From.Zone)
 	r.mu.Lock()
 	r.sharedTold[to.ID] = told
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -44,6 +44,7 @@
 	relays      func() []fleet.Member
 	alone       bool
 	told        func([]fleet.Member)
+	crashes     *CrashTalk
 
 	mu   sync.Mutex
 	view *fleet.View[Payload]
@@ -74,6 +75,8 @@
 	// takes those that a peer told of. Both may be nil.
 	Relays      func() []fleet.Member
 	HeardRelays func(relays []fleet.Member)
+	// Crashes are the words on targets that ended under requests; it may be nil.
+	Crashes *CrashTalk
 }
 
 // NewGossip returns the gossip of a process that calls its peers through p.
@@ -97,12 +100,13 @@
 
 		heardNewest: cfg.HeardNewest,
 
-		relays: cfg.Relays,
-		alone:  cfg.Alone,
-		told:   cfg.HeardRelays,
-		view:   fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
-		rng:    rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
-		last:   time.Now(),
+		relays:  cfg.Relays,
+		alone:   cfg.Alone,
+		told:    cfg.HeardRelays,
+		crashes: cfg.Crashes,
+		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
+		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
+		last:    time.Now(),
 	}
 }
 
@@ -174,10 +178,14 @@
 
 func (g *Gossip) exchange(ctx context.Context, addr netip.AddrPort) {
 	begun := time.Now()
-	out, err := g.peers.Exchange(ctx, addr, g.half("", 0))
+	half := g.half("", 0)
+	half.Crashes = g.crashes.Ask(addr)
+	out, err := g.peers.Exchange(ctx, addr, half)
 	if err != nil {
+		g.crashes.Failed(addr)
 		return
 	}
+	g.crashes.Answered(addr, half.Crashes, out.Crashes)
 	g.take(out)
 	g.heard(begun, out.Word)
 	g.heardNewest(begun, out.From, out.Newest)
@@ -192,6 +200,7 @@
 	g.heard(time.Time{}, fleet.PeerWord{Revision: in.Word.Revision, ConfirmedAge: -1})
 	g.heardNewest(time.Time{}, in.From, in.Newest)
 	out := g.half(in.From, g.relayed(in.Fresh))
+	out.Crashes = g.crashes.Asked(in.Crashes)
 	if later, ok := g.later(in); ok {
 		out.Entries = append(out.Entries, later)
 	}
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -51,7 +51,8 @@
 	// Fresh names the processes that the sender heard of lately, itself among them.
 	Fresh uint64
 	// Relays are the relays of a large fleet, which tell a newcomer of it.
-	Relays []fleet.Member
+	Relays  []fleet.Member
+	Crashes *Crashes
 }
 
 // Handler answers peers' calls.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -23,7 +23,8 @@
 	Asks  bool
 	Known RelayCursor
 	// Digest names the members that the reporter was told of last.
-	Digest uint64
+	Digest  uint64
+	Crashes *Crashes
 }
 
 // RelayCursor says how much of a relay's news a process has; one of another epoch has none.
@@ -45,8 +46,9 @@
 	Same   bool
 	Config fleet.PeerWord
 	// Newest is what the relay knows of the newest weights of models.
-	Newest []route.NewestWord
-	News   *RelayNews
+	Newest  []route.NewestWord
+	News    *RelayNews
+	Crashes *Crashes
 }
 
 // RelayNews is what changed at a relay since a cursor.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -64,6 +64,9 @@
 	if !ok {
 		return &Refusal{Cause: CauseNoTarget, RetryAfter: b.minRetryAfter, Detail: "no such pool"}
 	}
+	if held := b.heldRefusal(now, r); held != nil {
+		return held
+	}
 	wait := p.queue.wait(r.Org, b.weight(r.Org), p.drained.rate(now))
 	if limit := b.queueTime(r); wait > limit {
 		return &Refusal{
@@ -94,7 +97,7 @@
 	if b.snap == nil {
 		return nil
 	}
-	var out []Action
+	out := b.refuseHeld(now)
 	for _, p := range b.pools {
 		for p.queue.n > 0 {
 			send, ok := b.sendNext(now, p)
@@ -215,7 +218,7 @@
 	if a == nil || a.first {
 		return nil
 	}
-	a.first = true
+	a.first, a.firstAt = true, now
 	a.progress = now
 	a.target.answeredAt = now
 	if r.Model != nil {
@@ -282,6 +285,8 @@
 		a.target.answeredAt = now
 		if o.TargetError {
 			a.target.misses.add(now, 1)
+		} else {
+			b.bore(now, r, a)
 		}
 		b.observe(now, r, a, o.Usage)
 		b.refund(r, o.Usage)
@@ -289,6 +294,7 @@
 		b.note(event.Event{Code: event.RequestAnswered, Request: r.ID, Attempt: a.ID, Org: r.Org, Target: a.target.name(), Detail: usageText(o.Usage)})
 		return append([]Action{Finish{Request: r.ID}}, b.dispatch(now)...)
 	}
+	b.brokeOff(now, r, a, o)
 	b.blame(now, a, o)
 	r.verdict = max(r.verdict, b.verdictOf(r, o.Kind))
 	return append(b.again(now, r, a, o), b.dispatch(now)...)
@@ -390,6 +396,8 @@
 		return b.refuse(now, r, CauseBroken, "the call may not be repeated; "+o.Detail)
 	case r.delivered && !r.Resumable:
 		return b.refuse(now, r, CauseBroken, "part of the answer was delivered and it cannot be resumed; "+o.Detail)
+	case b.crashes.holds(now, r.Print):
+		return b.refuse(now, r, CauseCrashes, b.heldRefusal(now, r).Detail)
 	case !now.Before(r.Deadline):
 		return b.refuse(now, r, CauseDeadline, "the request's time is over")
 	case r.sends(o) >= r.triesAllowed() || b.off.Has(Retrying):
@@ -459,6 +467,9 @@
 
 // retryAfter works out from the queue when a repeat would be served.
 func (b *Board) retryAfter(now time.Time, r *request) time.Duration {
+	if held := b.heldRefusal(now, r); held != nil {
+		return held.RetryAfter
+	}
 	p, ok := b.pools[r.Pool]
 	if !ok {
 		return b.minRetryAfter
--- a/route/board.go
+++ b/route/board.go
@@ -61,6 +61,8 @@
 	filling map[fillKey]fill
 	// off are the mechanisms that an experiment switched off.
 	off Mechanisms
+	// crashes are the targets that ended under requests.
+	crashes crashes
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
@@ -170,6 +172,7 @@
 
 		minRetryAfter: defaultMinRetryAfter,
 		placed:        func(Placed) {},
+		crashes:       newCrashes(),
 		filling:       make(map[fillKey]fill),
 	}
 	for _, opt := range opts {
@@ -281,6 +284,7 @@
 
 // Tick lets time pass: requests whose wait is over are refused, held-back retries go on.
 func (b *Board) Tick(now time.Time) []Action {
+	b.sweepCrashes(now)
 	var out []Action
 	for _, r := range b.requests {
 		switch {
--- /dev/null
+++ b/route/crash.go
@@ -0,0 +1,446 @@
+package route
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+)
+
+// A request may end each target that begins to run it, by a fault of the target's that its text
+// brings out. Its copies come one after another, to whichever process; each takes a
+// target with it and all that runs there. So the processes of a fleet count together the targets
+// that ended under copies of one request, told apart by [Fingerprint], and hold back one under
+// which enough have ended. Without it 37 of nine targets' starts ended in half a minute, and up to
+// half of all other requests failed; with it those that the copies under way reach.
+//
+// A target that ends takes along whatever it runs, so a request that runs at one is only a
+// suspect. What keeps the innocent from being held back:
+//   - an end counts where the target is known to have ended, not its connection alone;
+//   - an answer that had begun says that the target bears the request: such an end counts half, and
+//     none once the answer had been coming for a while;
+//   - a request that is answered anywhere ends no targets: that clears it, everywhere.
+
+// CrashSettings bound what requests may do to targets.
+type CrashSettings struct {
+	// Targets is how many targets may end under copies of a request before it is held back. Ends
+	// of answers that had begun count half.
+	Targets int
+	// Hold is how long it is held back after the last of them; each further one that ends
+	// doubles it, up to mostDoubled times.
+	Hold time.Duration
+	// Kept is how many requests are remembered under which targets ended.
+	Kept int
+}
+
+// DefaultCrashSettings returns the bounds that hold unless others are set: three ends, since two
+// in a row happen to requests beside a guilty one; two minutes, after which one more end holds
+// the request back again; and 1,024 requests, which is what runs at 40 targets of 24 slots that end together.
+func DefaultCrashSettings() CrashSettings {
+	return CrashSettings{Targets: 3, Hold: 2 * time.Minute, Kept: 1024}
+}
+
+// The times of the count.
+const (
+	// suspectFor is how long after the last end a request is remembered.
+	suspectFor = 10 * time.Minute
+	// mostDoubled bounds how often the time of a hold is doubled.
+	mostDoubled = 2
+	// brokenFor is how long it may take until a target is known to have ended: its new start
+	// is listed within some heartbeats.
+	brokenFor = 10 * time.Second
+	// bearsAfter is how long an answer must have been coming to show that the target bears
+	// the request: one that ends what begins to run it does so within some 0.15 s.
+	bearsAfter = time.Second
+	// mostEnds bounds how many ends of one request are remembered.
+	mostEnds = 16
+	// answeredKept is how many requests that were answered are remembered; a node sees some 36 a second.
+	answeredKept = 2048
+)
+
+// end is the end of a target under a request.
+type end struct {
+	at time.Time
+	// begun says that a part of the answer had come.
+	begun bool
+}
+
+// suspect is a request under which targets ended.
+type suspect struct {
+	ends map[Mark]end
+	// newest is when the last of them ended.
+	newest time.Time
+	// org and pool are the request's, empty where no copy of it came here.
+	org, pool string
+	// noted is true once it was logged that the request is held back.
+	noted bool
+}
+
+// brokenRun is an attempt that broke off at a target which may have ended.
+type brokenRun struct {
+	print     Fingerprint
+	mark      Mark
+	org, pool string
+	end
+}
+
+// crashes is what a process knows of targets that ended under requests.
+type crashes struct {
+	CrashSettings
+	suspects map[Fingerprint]*suspect
+	broken   map[netip.AddrPort][]brokenRun
+	// facts are told to the other processes.
+	facts *Feed[CrashKey, end]
+	// answered are requests that were answered lately.
+	answered *generations[Fingerprint, time.Time]
+	// seen is called when this process saw something that the others do not know yet.
+	seen func()
+	// swept is when old facts were last forgotten.
+	swept time.Time
+	// more is true once a further target ended under a request that is held back.
+	more bool
+}
+
+func newCrashes() crashes {
+	return crashes{
+		CrashSettings: DefaultCrashSettings(),
+		suspects:      make(map[Fingerprint]*suspect),
+		broken:        make(map[netip.AddrPort][]brokenRun),
+		facts:         newCrashFacts(),
+		answered:      newGenerations[Fingerprint, time.Time](answeredKept),
+		seen:          func() {},
+	}
+}
+
+// WithCrashes sets the bounds of what requests may do to targets, and a function that is called,
+// under the board's lock, when other processes should hear at once of what was seen.
+func WithCrashes(s CrashSettings, seen func()) Option {
+	return func(b *Board) { b.crashes.CrashSettings, b.crashes.seen = s, seen }
+}
+
+// heldUntil returns until when a request is held back; ok is false for one that is not.
+func (c *crashes) heldUntil(now time.Time, f Fingerprint) (until time.Time, ok bool) {
+	s := c.suspects[f]
+	if s == nil || s.count() < c.Targets {
+		return until, false
+	}
+	until = s.newest.Add(c.Hold << min(mostDoubled, s.count()-c.Targets))
+	return until, now.Before(until)
+}
+
+// count is how many targets ended under the request, where answers that had begun count half.
+func (s *suspect) count() int {
+	halves := 0
+	for _, e := range s.ends {
+		if halves += 2; e.begun {
+			halves--
+		}
+	}
+	return halves / 2
+}
+
+// holds reports whether a request is held back.
+func (c *crashes) holds(now time.Time, f Fingerprint) bool {
+	_, held := c.heldUntil(now, f)
+	return held
+}
+
+// heldRefusal is the refusal of a request that is held back, or nil.
+func (b *Board) heldRefusal(now time.Time, r *request) *Refusal {
+	until, held := b.crashes.heldUntil(now, r.Print)
+	if !held {
+		return nil
+	}
+	return &Refusal{
+		Cause: CauseCrashes, RetryAfter: max(until.Sub(now), b.minRetryAfter),
+		Detail: fmt.Sprintf("%d targets ended while they ran this request; it is held back", len(b.crashes.suspects[r.Print].ends)),
+	}
+}
+
+// brokeOff notes an attempt that broke off for no reason known, at a target that may have
+// ended. One that was leaving was to end, whatever ran there.
+func (b *Board) brokeOff(now time.Time, r *request, a *attempt, o Outcome) {
+	if o.Kind != OutcomeBroken || !o.Closed && !o.Silent || a.cancelled || !r.Print.Known() || a.target.leaving || a.target.listLeaving {
+		return
+	}
+	if a.first && now.Sub(a.firstAt) >= bearsAfter {
+		return
+	}
+	mark := Mark{a.Target, a.Incarnation}
+	c := &b.crashes
+	c.broken[a.Target] = append(c.broken[a.Target], brokenRun{print: r.Print, mark: mark, org: r.Org, pool: r.Pool, end: end{at: now, begun: a.first}})
+	if !a.target.incarnation.Same(a.Incarnation) {
+		// Another start has been seen there since.
+		b.startEnded(now, mark)
+	}
+}
+
+// MayHaveEnded reports whether requests broke off at a target which is not known to have ended
+// or to live, and to which none of this process is under way.
+func (b *Board) MayHaveEnded(addr netip.AddrPort) bool {
+	return len(b.crashes.broken[addr]) > 0 && b.InFlight(addr) == 0
+}
+
+// TargetEnded takes the news that nothing listens at a target's address.
+func (b *Board) TargetEnded(now time.Time, addr netip.AddrPort) []Action {
+	for len(b.crashes.broken[addr]) > 0 {
+		b.startEnded(now, b.crashes.broken[addr][0].mark)
+	}
+	return b.dispatch(now)
+}
+
+// startEnded takes the end of one start of a target: whatever broke off there fell with it.
+func (b *Board) startEnded(now time.Time, m Mark) {
+	c := &b.crashes
+	fell := 0
+	left := slices.DeleteFunc(c.broken[m.Target], func(run brokenRun) bool {
+		if !run.mark.Incarnation.Same(m.Incarnation) {
+			return false
+		}
+		if now.Sub(run.at) < brokenFor {
+			fell++
+			if s := b.endUnder(now, run.print, run.mark, run.end); s != nil {
+				s.org, s.pool = run.org, run.pool
+			}
+		}
+		return true
+	})
+	if c.broken[m.Target] = left; len(left) == 0 {
+		delete(c.broken, m.Target)
+	}
+	if fell == 0 {
+		return
+	}
+	b.note(event.Event{
+		Code: event.TargetEnded, Target: m.Target.String(),
+		Detail: fmt.Sprintf("incarnation %s, under %d requests of this process", m.Incarnation, fell),
+	})
+	c.seen()
+}
+
+// endUnder counts the end of a target under a request, once for each start of a target. It
+// returns nil for a request that is known to end none.
+func (b *Board) endUnder(now time.Time, f Fingerprint, m Mark, e end) *suspect {
+	c := &b.crashes
+	if c.ranLately(now, f) {
+		c.facts.Set(CrashKey{Print: f}, end{at: now})
+		c.seen()
+		return nil
+	}
+	s := c.suspects[f]
+	if s == nil {
+		c.makeRoom()
+		s = &suspect{ends: make(map[Mark]end)}
+		c.suspects[f] = s
+	}
+	for known := range s.ends {
+		if known.Target == m.Target && known.Incarnation.Same(m.Incarnation) {
+			c.weighMore(f, known, e)
+			return s
+		}
+	}
+	if len(s.ends) >= mostEnds {
+		oldest := s.marks()[0]
+		delete(s.ends, oldest)
+		c.facts.Drop(CrashKey{Print: f, Target: oldest})
+	}
+	s.ends[m] = e
+	s.newest = later(s.newest, e.at)
+	c.facts.Set(CrashKey{Print: f, Target: m}, e)
+	c.more = c.more || s.count() >= c.Targets
+	return s
+}
+
+// weighMore takes it that of several copies of a request which fell with one target, one had not begun to be answered.
+func (c *crashes) weighMore(f Fingerprint, m Mark, e end) {
+	s := c.suspects[f]
+	known := s.ends[m]
+	if !known.begun || e.begun {
+		return
+	}
+	known.begun = false
+	s.ends[m] = known
+	c.facts.Set(CrashKey{Print: f, Target: m}, known)
+	c.more = c.more || s.count() >= c.Targets
+}
+
+// ranLately reports whether a request was answered here lately. That is said once for each
+// answer: a request that ends targets later on is no less guilty for it.
+func (c *crashes) ranLately(now time.Time, f Fingerprint) bool {
+	at := c.answered.get(f)
+	if at == nil || at.IsZero() {
+		return false
+	}
+	ran := now.Sub(*at) < suspectFor
+	*at = time.Time{}
+	return ran
+}
+
+// makeRoom forgets the request that is least to be feared where one more would be too many: the
+// fewest targets ended under it, and the longest ago. So a herd of targets that end under many requests at
+// once pushes out none that is held back.
+func (c *crashes) makeRoom() {
+	if len(c.suspects) < c.Kept {
+		return
+	}
+	var least Fingerprint
+	for f, s := range c.suspects {
+		l := c.suspects[least]
+		if l == nil || len(s.ends) < len(l.ends) || len(s.ends) == len(l.ends) && s.newest.Before(l.newest) {
+			least = f
+		}
+	}
+	c.dropEnds(least, func(Mark, end) bool { return true })
+}
+
+// dropEnds takes back the ends under a request that drop names; one without any is forgotten.
+func (c *crashes) dropEnds(f Fingerprint, drop func(m Mark, e end) bool) {
+	s := c.suspects[f]
+	s.newest = time.Time{}
+	for m, e := range s.ends {
+		if drop(m, e) {
+			delete(s.ends, m)
+			c.facts.Drop(CrashKey{Print: f, Target: m})
+			continue
+		}
+		s.newest = later(s.newest, e.at)
+	}
+	if len(s.ends) == 0 {
+		delete(c.suspects, f)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// cleared takes it that a request was answered at a time, or released: no end up to then counts.
+func (b *Board) cleared(now time.Time, f Fingerprint, at time.Time) {
+	if s := b.crashes.suspects[f]; s != nil {
+		b.crashes.dropEnds(f, func(_ Mark, e end) bool { return !e.at.After(at) })
+		b.noteReleased(now, f, s, "it was answered, or released")
+	}
+}
+
+// lives takes it that a start of a target answered at a time: it had not ended before.
+func (b *Board) lives(now time.Time, m Mark, at time.Time) {
+	for f, s := range b.crashes.suspects {
+		if ended, ok := s.ends[m]; ok && !ended.at.After(at) {
+			b.crashes.dropEnds(f, func(other Mark, _ end) bool { return other == m })
+			b.noteReleased(now, f, s, "a target that counted as ended answered")
+		}
+	}
+}
+
+// noteReleased logs that a request which was held back is held back no more.
+func (b *Board) noteReleased(now time.Time, f Fingerprint, s *suspect, why string) {
+	if s.noted && !b.crashes.holds(now, f) {
+		s.noted = false
+		b.note(event.Event{Code: event.RequestReleased, Org: s.org, Detail: "fingerprint " + f.String() + ": " + why})
+	}
+}
+
+// bore notes that a target answered a request to its end: neither of them ended.
+func (b *Board) bore(now time.Time, r *request, a *attempt) {
+	c := &b.crashes
+	if !r.Print.Known() {
+		return
+	}
+	*c.answered.use(r.Print) = now
+	if c.suspects[r.Print] != nil {
+		b.cleared(now, r.Print, now)
+		c.facts.Set(CrashKey{Print: r.Print}, end{at: now})
+		c.seen()
+	}
+	m := Mark{a.Target, a.Incarnation}
+	if runs, ok := c.broken[a.Target]; ok {
+		c.broken[a.Target] = slices.DeleteFunc(runs, func(run brokenRun) bool {
+			return run.mark.Incarnation.Same(m.Incarnation) && run.at.Before(a.sent)
+		})
+	}
+	if c.endedBefore(m, a.sent) {
+		b.lives(now, m, now)
+		c.facts.Set(CrashKey{Target: m}, end{at: now})
+		c.seen()
+	}
+}
+
+// endedBefore reports whether a start of a target counts as ended before a time.
+func (c *crashes) endedBefore(m Mark, at time.Time) bool {
+	for _, s := range c.suspects {
+		if ended, ok := s.ends[m]; ok && ended.at.Before(at) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuseHeld refuses the waiting requests that are held back since a further target ended.
+func (b *Board) refuseHeld(now time.Time) []Action {
+	c := &b.crashes
+	if !c.more {
+		return nil
+	}
+	c.more = false
+	for f, s := range c.suspects {
+		if until, held := c.heldUntil(now, f); held && !s.noted {
+			s.noted = true
+			b.note(event.Event{Code: event.RequestHeld, Org: s.org, Detail: fmt.Sprintf(
+				"fingerprint %s, service %s, for %s: %s ended under it", f, s.pool, until.Sub(now).Round(time.Second), strings.Join(s.names(), ", "))})
+		}
+	}
+	var out []Action
+	for _, r := range b.requests {
+		if refusal := b.heldRefusal(now, r); refusal != nil && r.attempt == nil {
+			out = append(out, b.refuse(now, r, CauseCrashes, refusal.Detail)...)
+		}
+	}
+	return out
+}
+
+// marks returns the targets that ended under the request, the first first.
+func (s *suspect) marks() []Mark {
+	return slices.SortedFunc(maps.Keys(s.ends), func(a, b Mark) int { return s.ends[a].at.Compare(s.ends[b].at) })
+}
+
+// names names the targets that ended under the request, the first first.
+func (s *suspect) names() []string {
+	out := make([]string, 0, len(s.ends))
+	for _, m := range s.marks() {
+		out = append(out, m.Incarnation.ID()+" at "+m.Target.String())
+	}
+	return out
+}
+
+// sweepEvery is the time between two looks for what is to be forgotten.
+const sweepEvery = time.Second
+
+// sweepCrashes forgets what is long ago.
+func (b *Board) sweepCrashes(now time.Time) {
+	c := &b.crashes
+	if now.Sub(c.swept) < sweepEvery {
+		return
+	}
+	c.swept = now
+	for f, s := range c.suspects {
+		until, _ := c.heldUntil(now, f)
+		b.noteReleased(now, f, s, "its time is over")
+		if now.Sub(later(s.newest, until)) >= suspectFor {
+			c.dropEnds(f, func(Mark, end) bool { return true })
+		}
+	}
+	for addr, runs := range c.broken {
+		runs = slices.DeleteFunc(runs, func(r brokenRun) bool { return now.Sub(r.at) >= brokenFor })
+		if c.broken[addr] = runs; len(runs) == 0 {
+			delete(c.broken, addr)
+		}
+	}
+	c.sweepFacts(now)
+}
--- /dev/null
+++ b/route/crash_words.go
@@ -0,0 +1,141 @@
+package route
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// What processes tell each other of targets that ended under requests, and what operators see.
+
+// CrashKey names a fact about a request and a target. With both it is that the target ended under
+// the request; without a target that the request was answered, and without a request that the target answered.
+type CrashKey struct {
+	Print  Fingerprint
+	Target Mark
+}
+
+// CrashWord is such a fact as one process tells another; Age is how long ago it was so.
+type CrashWord struct {
+	CrashKey
+	Age time.Duration
+	// Begun says of an end that a part of the answer had come.
+	Begun bool
+}
+
+const (
+	// wordGrain is by how much a later word on the same must be later to be told again.
+	wordGrain = time.Second
+	// mostName bounds the name of an incarnation that a peer tells, in bytes.
+	mostName = 256
+	// factsFactor bounds the facts that are told, as a multiple of the requests remembered.
+	factsFactor = 4
+)
+
+// newCrashFacts returns the facts that are told, of which there are none.
+func newCrashFacts() *Feed[CrashKey, end] {
+	return NewFeed[CrashKey](func(old, e end) bool { return e.begun == old.begun && e.at.Sub(old.at) < wordGrain })
+}
+
+// sweepFacts drops the words that speak for requests and targets and are long ago, or all of
+// them where there are too many: what they were told for is settled by then.
+func (c *crashes) sweepFacts(now time.Time) {
+	keys := c.facts.Keys()
+	many := len(keys) > factsFactor*c.Kept
+	for _, k := range keys {
+		e, _ := c.facts.Get(k)
+		if isEnd := k.Print.Known() && k.Target != (Mark{}); !isEnd && (many || now.Sub(e.at) >= suspectFor) {
+			c.facts.Drop(k)
+		}
+	}
+}
+
+// CrashesSince returns what is known of targets that ended under requests beyond a version of
+// it, and the version that this is.
+func (b *Board) CrashesSince(now time.Time, after int64) (words []CrashWord, version int64) {
+	changes, _ := b.crashes.facts.Since(after)
+	for _, ch := range changes {
+		if !ch.Gone {
+			words = append(words, CrashWord{CrashKey: ch.Key, Age: now.Sub(ch.Value.at), Begun: ch.Value.begun})
+		}
+	}
+	return words, b.crashes.facts.Version()
+}
+
+// TakeCrashes takes what another process knows of them.
+func (b *Board) TakeCrashes(now time.Time, words []CrashWord) []Action {
+	facts := b.crashes.facts
+	for _, w := range words {
+		at := now.Add(-w.Age)
+		if w.Age < 0 || w.Age >= suspectFor || len(w.Target.Incarnation) > mostName {
+			continue
+		}
+		switch request, target := w.Print.Known(), w.Target != (Mark{}); {
+		case request && target:
+			if !b.refuted(CrashKey{Print: w.Print}, at) && !b.refuted(CrashKey{Target: w.Target}, at) {
+				b.endUnder(now, w.Print, w.Target, end{at: at, begun: w.Begun})
+			}
+		case request:
+			facts.Set(w.CrashKey, end{at: at})
+			b.cleared(now, w.Print, at)
+		case target:
+			facts.Set(w.CrashKey, end{at: at})
+			b.lives(now, w.Target, at)
+		}
+	}
+	return b.dispatch(now)
+}
+
+// refuted reports whether a fact is known to hold at a time or after it.
+func (b *Board) refuted(k CrashKey, at time.Time) bool {
+	known, ok := b.crashes.facts.Get(k)
+	return ok && !at.After(known.at)
+}
+
+// HeldRequest is a request that is held back, or under which some targets ended, as operators see it.
+type HeldRequest struct {
+	Print Fingerprint `json:"fingerprint"`
+	// Org and Pool are empty at a process to which no copy of the request came.
+	Org  string `json:"organisation,omitempty"`
+	Pool string `json:"service,omitempty"`
+	// Held says that it is held back, for Left more; else it is only suspected.
+	Held bool          `json:"held"`
+	Left time.Duration `json:"leftNs,omitempty"`
+	// Targets are the targets that ended under it, Age how long ago the last of them did.
+	Targets []string      `json:"targets"`
+	Age     time.Duration `json:"ageNs"`
+}
+
+// HeldRequests returns the requests under which targets ended, those that are held back first.
+func (b *Board) HeldRequests(now time.Time) []HeldRequest {
+	out := make([]HeldRequest, 0, len(b.crashes.suspects))
+	for f, s := range b.crashes.suspects {
+		h := HeldRequest{Print: f, Org: s.org, Pool: s.pool, Targets: s.names(), Age: now.Sub(s.newest)}
+		if until, held := b.crashes.heldUntil(now, f); held {
+			h.Held, h.Left = true, until.Sub(now)
+		}
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b HeldRequest) int {
+		switch {
+		case a.Held && !b.Held:
+			return -1
+		case b.Held && !a.Held:
+			return 1
+		}
+		return strings.Compare(a.Print.String(), b.Print.String())
+	})
+	return out
+}
+
+// Release takes an operator's word that a request is to be held back no more: what ended under
+// it up to now does not count. It reports whether the request was known.
+func (b *Board) Release(now time.Time, f Fingerprint) bool {
+	if b.crashes.suspects[f] == nil {
+		return false
+	}
+	b.cleared(now, f, now)
+	b.crashes.facts.Set(CrashKey{Print: f}, end{at: now})
+	b.crashes.seen()
+	return true
+}
--- a/route/feed.go
+++ b/route/feed.go
@@ -56,6 +56,12 @@
 	}
 }
 
+// Get returns a key's value; ok is false where it has none.
+func (f *Feed[K, V]) Get(k K) (v V, ok bool) {
+	v, ok = f.values[k]
+	return v, ok
+}
+
 // Keys returns the keys that have a value.
 func (f *Feed[K, V]) Keys() []K {
 	out := make([]K, 0, len(f.values))
--- a/route/fingerprint.go
+++ b/route/fingerprint.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/zeebo/errs/v2"
 )
 
 // Fingerprint names requests that are copies of one: of the same organisation, with the
@@ -33,5 +35,18 @@
 // String returns the fingerprint as logs have it.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// MarshalText implements [encoding.TextMarshaler].
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
+// UnmarshalText implements [encoding.TextUnmarshaler].
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	data, err := hex.DecodeString(string(text))
+	if err != nil || len(data) != len(f) {
+		return errs.Errorf("%q is no fingerprint, which has %d hexadecimal digits", text, 2*len(f))
+	}
+	copy(f[:], data)
+	return nil
+}
+
 // Known reports whether it is a request's at all.
 func (f Fingerprint) Known() bool { return f != Fingerprint{} }
--- a/route/identity.go
+++ b/route/identity.go
@@ -34,6 +34,7 @@
 	if t.incarnation == "" {
 		code = event.TargetSeen
 	} else {
+		b.startEnded(now, t.mark())
 		b.renew(now, t)
 	}
 	b.version++
--- a/route/request.go
+++ b/route/request.go
@@ -137,6 +137,7 @@
 	CauseChanged
 	CauseStore
 	CauseClaimed
+	CauseCrashes
 )
 
 // String returns the cause as callers see it.
@@ -164,6 +165,8 @@
 		return "store_unavailable"
 	case CauseClaimed:
 		return "already_claimed"
+	case CauseCrashes:
+		return "crashes_targets"
 	}
 	panic("route: unknown cause")
 }
@@ -222,6 +225,8 @@
 	Usage *Usage
 	// Incarnation is what the target said it is, where it said so.
 	Incarnation Incarnation
+	// Closed says that the target ended the connection before its answer was whole.
+	Closed bool
 	// Silent says that the target's machine gave no sign of life at all.
 	Silent bool
 	// TargetError says that the whole answer was a failure of the target's own.
@@ -348,7 +353,9 @@
 	// heldTokens and heldAge are what the target was believed to hold and how old that belief was.
 	heldTokens int
 	heldAge    time.Duration
-	first      bool
+	// first is true once the answer has begun, which was at firstAt.
+	first   bool
+	firstAt time.Time
 	// fills are the readings that the attempt began.
 	fills     []fillKey
 	fetched   bool
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"os"
@@ -40,6 +41,15 @@
 	ErrSilent = errs.Tag("the target's machine is silent")
 )
 
+// NobodyListens reports whether an error says that no process listens at the target's address.
+func NobodyListens(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// ClosedByTarget reports whether an error says that the target ended the connection, for
+// which it may have ended itself.
+func ClosedByTarget(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Pool keeps connections to targets.
 type Pool struct {
 	dialTimeout time.Duration
--- a/wire/refusal.go
+++ b/wire/refusal.go
@@ -51,7 +51,7 @@
 	case route.CauseClaimed:
 		return http.StatusConflict
 	case route.CauseOverload, route.CauseNoTarget, route.CauseRetries,
-		route.CauseStopping, route.CauseFenced, route.CauseChanged, route.CauseStore:
+		route.CauseStopping, route.CauseFenced, route.CauseChanged, route.CauseStore, route.CauseCrashes:
 		return http.StatusServiceUnavailable
 	}
 	panic("wire: unknown cause")
