node, route, router, ctl: what is held back outlasts the nodes, operators see and release it, and the router counts too

What is only suspected is not recorded. Weighed: a record of suspects too, which is written with each target that ends.

--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -24,7 +24,8 @@
 	SmallFleet  int      `help:"Size of fleet up to which all nodes talk to each other and read the store; in a larger one a few relay for the others." default:"16" env:"PATHHEAD_SMALL_FLEET"`
 	Without     []string `help:"Mechanisms to switch off for an experiment." env:"PATHHEAD_WITHOUT" placeholder:"NAME"`
 	Mechanisms  bool     `help:"Print the mechanisms that can be switched off, and end."`
-	MetricsPath string   `help:"Path of the counters." default:"/metrics" env:"PATHHEAD_METRICS_PATH"`
+	cli.Crashes
+	MetricsPath string `help:"Path of the counters." default:"/metrics" env:"PATHHEAD_METRICS_PATH"`
 }
 
 func main() {
@@ -56,7 +57,7 @@
 	dropped := counters.NewCounter("pathhead_log_lines_dropped_total")
 	log, out := f.StdoutLogger(set.Name, func(n int) { dropped.Add(n) })
 	defer out.Close()
-	opts := []node.Option{node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer), node.WithoutMechanisms(off)}
+	opts := []node.Option{node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer), node.WithoutMechanisms(off), node.WithCrashSettings(f.CrashSettings())}
 	if f.MetricsPort > 0 {
 		opts = append(opts, node.WithMetrics(netip.AddrPortFrom(set.Callers.Addr(), f.MetricsPort), f.MetricsPath))
 	}
--- a/cmd/pathhead-router/main.go
+++ b/cmd/pathhead-router/main.go
@@ -35,7 +35,8 @@
 	CacheEvents bool             `help:"Read the engines' cache events besides learning from answers." env:"PATHHEAD_CACHE_EVENTS"`
 	CallerCert  string           `help:"Certificate file (PEM) of the callers' door; without it the door is plain HTTP." env:"PATHHEAD_CALLER_CERT" placeholder:"FILE"`
 	CallerKey   string           `help:"Key file of the callers' certificate." env:"PATHHEAD_CALLER_KEY" placeholder:"FILE"`
-	Seed        uint64           `help:"Seed of random choices; 0 takes one from the clock." env:"PATHHEAD_SEED"`
+	cli.Crashes
+	Seed uint64 `help:"Seed of random choices; 0 takes one from the clock." env:"PATHHEAD_SEED"`
 }
 
 func main() {
@@ -70,7 +71,7 @@
 		Name: f.Name, Hall: f.Hall, Callers: f.Callers, Operators: f.Operators, Peers: f.Peers, Seeds: f.Seeds,
 		PollEvery: f.PollEvery, ConfigEvery: f.ConfigEvery, GossipEvery: f.GossipEvery, PeerTimeout: f.PeerTimeout,
 		Validity: f.Validity, BalancerLag: f.BalancerLag, DrainTime: f.DrainTime,
-		Placement: f.Placement, CacheEvents: f.CacheEvents, Seed: f.Seed,
+		Placement: f.Placement, CacheEvents: f.CacheEvents, Seed: f.Seed, Crashes: f.CrashSettings(),
 	}
 	err := cli.CheckURLs(map[string]string{"table": f.Table, "objects": f.Objects, "vms": f.VMs})
 	if err != nil {
--- a/cmd/pathhead-standin/main.go
+++ b/cmd/pathhead-standin/main.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -47,6 +48,7 @@
 	EventLoss     float64       `help:"Share of cache events lost (0 to 1)."`
 	ChecksExpect  bool          `help:"Refuse a request that expects another incarnation or other weights." default:"true" negatable:""`
 	ChecksFencing bool          `help:"Refuse an order with an old fencing number."`
+	CrashOn       string        `help:"End at once when a prompt with this text begins to run." placeholder:"TEXT"`
 }
 
 func (c *engineCmd) Run(f *flags, rec *event.Recorder) error {
@@ -54,7 +56,7 @@
 		Name: f.Name, Model: c.Model, Weights: c.Weights, CacheBlocks: c.CacheBlocks, Slots: c.Slots,
 		PrefillRate: c.PrefillRate, DecodeTime: c.DecodeTime, LoadTime: c.LoadTime, ReportLag: c.ReportLag,
 		EventLag: c.EventLag, EventLoss: c.EventLoss, ChecksExpect: c.ChecksExpect, ChecksFencing: c.ChecksFencing,
-		Seed: f.Seed,
+		CrashOn: c.CrashOn, Crash: func() { os.Exit(cli.ExitFailed) }, Seed: f.Seed,
 	}, rec)
 	return serve(f, e.Handler(), func(ctx context.Context) {
 		e.Leave()
--- a/cmd/pathheadctl/main.go
+++ b/cmd/pathheadctl/main.go
@@ -18,6 +18,7 @@
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/internal/cli"
+	"github.com/pathhead/pathhead/route"
 	"github.com/pathhead/pathhead/wire"
 )
 
@@ -43,6 +44,8 @@
 	Timeline timelineCmd `cmd:"" help:"Show the events of all processes in causal order."`
 	Losses   lossesCmd   `cmd:"" help:"Count from logs the requests that were not answered in time, by cause."`
 	View     viewCmd     `cmd:"" help:"Show how nodes see the fleet, how old their views are and where they differ."`
+	Held     heldCmd     `cmd:"" help:"List the requests under which targets ended, and which of them are held back."`
+	Release  releaseCmd  `cmd:"" help:"Have the fleet hold a request back no more."`
 	Hash     hashCmd     `cmd:"" help:"Print the hash of an API key read from standard input."`
 }
 
@@ -145,6 +148,21 @@
 
 func (c *viewCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.View(ctx, c.Nodes, c.Path) }
 
+type heldCmd struct {
+	Doors []netip.AddrPort `arg:"" help:"Operators' doors of the processes to ask; for nodes, the addresses of their counters."`
+}
+
+func (c *heldCmd) Run(ctx context.Context, t *ctl.Tool) error { return t.Held(ctx, c.Doors) }
+
+type releaseCmd struct {
+	Fingerprint route.Fingerprint `arg:"" help:"The request's fingerprint, as 'held' and event 221 name it."`
+	Doors       []netip.AddrPort  `arg:"" help:"Operators' doors of some processes; the first that knows the request tells the others."`
+}
+
+func (c *releaseCmd) Run(ctx context.Context, t *ctl.Tool) error {
+	return t.Release(ctx, c.Fingerprint, c.Doors)
+}
+
 type hashCmd struct{}
 
 func (hashCmd) Run() error {
--- /dev/null
+++ b/ctl/held.go
@@ -0,0 +1,139 @@
+package ctl
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/dispatch"
+	"github.com/pathhead/pathhead/route"
+)
+
+// FleetHeld is a request under which targets ended, as the processes asked know it.
+type FleetHeld struct {
+	route.HeldRequest
+	// Processes is how many of the processes that answered hold it back, Asked how many answered.
+	Processes int `json:"processes"`
+	Asked     int `json:"asked"`
+}
+
+// Held prints the requests under which targets ended, as the processes with operators' doors at the
+// addresses know them; all processes of a fleet should know the same.
+func (t *Tool) Held(ctx context.Context, addrs []netip.AddrPort) error {
+	lists, err := t.askHeld(ctx, addrs)
+	if err != nil {
+		return err
+	}
+	held := joinHeld(lists)
+	if t.form == OutputJSON {
+		t.json(held)
+		return nil
+	}
+	return t.table("FINGERPRINT\tHELD\tLEFT\tBY\tORGANISATION\tSERVICE\tLAST END\tENDED UNDER IT", func(row func(string, ...any)) {
+		for _, h := range held {
+			row("%s\t%t\t%s\t%d of %d\t%s\t%s\t%s ago\t%s", h.Print, h.Held, h.Left.Round(time.Second), h.Processes, h.Asked,
+				h.Org, h.Pool, h.Age.Round(time.Second), strings.Join(h.Targets, ", "))
+		}
+	})
+}
+
+// askHeld asks all processes at once; it fails where none answers.
+func (t *Tool) askHeld(ctx context.Context, addrs []netip.AddrPort) ([][]route.HeldRequest, error) {
+	lists := make([][]route.HeldRequest, len(addrs))
+	faults := make([]error, len(addrs))
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		wg.Go(func() { faults[i] = t.ask(ctx, addr, dispatch.PathHeld, &lists[i]) })
+	}
+	wg.Wait()
+	var out [][]route.HeldRequest
+	var last error
+	for i := range addrs {
+		if faults[i] != nil {
+			last = faults[i]
+			continue
+		}
+		out = append(out, lists[i])
+	}
+	if len(out) == 0 {
+		return nil, errs.Errorf("no process answered: %w", last)
+	}
+	return out, nil
+}
+
+// joinHeld joins what processes know, those that are held back by the most of them first.
+func joinHeld(lists [][]route.HeldRequest) []FleetHeld {
+	all := make(map[route.Fingerprint]*FleetHeld)
+	for _, list := range lists {
+		for _, h := range list {
+			known, ok := all[h.Print]
+			if !ok {
+				known = &FleetHeld{HeldRequest: h, Asked: len(lists)}
+				all[h.Print] = known
+			}
+			known.join(h)
+		}
+	}
+	out := make([]FleetHeld, 0, len(all))
+	for _, h := range all {
+		out = append(out, *h)
+	}
+	slices.SortFunc(out, func(a, b FleetHeld) int {
+		if a.Processes != b.Processes {
+			return b.Processes - a.Processes
+		}
+		return strings.Compare(a.Print.String(), b.Print.String())
+	})
+	return out
+}
+
+// join takes what one process knows of the request.
+func (f *FleetHeld) join(h route.HeldRequest) {
+	if h.Held {
+		f.Held = true
+		f.Left = max(f.Left, h.Left)
+		f.Processes++
+	}
+	if h.Org != "" {
+		f.Org, f.Pool = h.Org, h.Pool
+	}
+	if len(h.Targets) > len(f.Targets) {
+		f.Targets = h.Targets
+	}
+	f.Age = min(f.Age, h.Age)
+}
+
+// Release has the fleet hold a request back no more: the processes at the addresses are asked in
+// turn until one knows it, which tells the others.
+func (t *Tool) Release(ctx context.Context, f route.Fingerprint, addrs []netip.AddrPort) error {
+	var last error
+	for _, addr := range addrs {
+		if last = t.release(ctx, addr, f); last == nil {
+			return nil
+		}
+	}
+	return errs.Errorf("request %s was not released: %w", f, last)
+}
+
+func (t *Tool) release(ctx context.Context, addr netip.AddrPort, f route.Fingerprint) error {
+	url := t.scheme + "://" + addr.String() + dispatch.PathRelease + "?fingerprint=" + f.String()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return errs.Errorf("door %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errs.Errorf("door %s: %s", addr, resp.Status)
+	}
+	return nil
+}
--- /dev/null
+++ b/dispatch/held.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pathhead/pathhead/internal/door"
+	"github.com/pathhead/pathhead/route"
+)
+
+// The paths at a process's operators' door of requests under which targets ended.
+const (
+	PathHeld    = "/v1/held"
+	PathRelease = "/v1/release"
+)
+
+// HandleHeld registers what operators see of requests under which targets ended, and may do about
+// them: GET /v1/held answers them as JSON ([route.HeldRequest]), those that are held back first, and
+// POST /v1/release?fingerprint=F has the whole fleet hold one back no more. It answers 404
+// where the process knows of none with that fingerprint, and 400 where that is none.
+func (d *Driver) HandleHeld(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathHeld, func(w http.ResponseWriter, _ *http.Request) {
+		d.Lock()
+		held := d.Board().HeldRequests(time.Now())
+		d.Unlock()
+		door.WriteJSON(w, http.StatusOK, held)
+	})
+	mux.HandleFunc("POST "+PathRelease, func(w http.ResponseWriter, r *http.Request) {
+		var f route.Fingerprint
+		if err := f.UnmarshalText([]byte(r.URL.Query().Get("fingerprint"))); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		d.Lock()
+		known := d.Board().Release(time.Now(), f)
+		d.Unlock()
+		if !known {
+			http.Error(w, "no target is known to have ended under it", http.StatusNotFound)
+			return
+		}
+		door.WriteJSON(w, http.StatusOK, struct{}{})
+	})
+}
+
+// Held returns how many requests are held back.
+func (d *Driver) Held() (n int) {
+	d.Lock()
+	defer d.Unlock()
+	for _, h := range d.Board().HeldRequests(time.Now()) {
+		if h.Held {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -23,6 +23,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/route"
 )
 
 // The exit codes of every program.
@@ -61,6 +63,19 @@
 	return slog.New(h).With("process", process)
 }
 
+// Crashes are the flags that bound what requests may do to targets.
+type Crashes struct {
+	CrashTargets int           `help:"Targets that may end under copies of one request before it is held back (2 to 8)." default:"3" env:"PATHHEAD_CRASH_TARGETS"`
+	CrashHold    time.Duration `help:"How long such a request is held back, for each further target twice as long, at most four times (1s to 1h)." default:"2m" env:"PATHHEAD_CRASH_HOLD"`
+}
+
+// CrashSettings returns the bounds that the flags set.
+func (c Crashes) CrashSettings() route.CrashSettings {
+	s := route.DefaultCrashSettings()
+	s.Targets, s.Hold = c.CrashTargets, c.CrashHold
+	return s
+}
+
 // Keys are the flags of a program's certificates.
 type Keys struct {
 	PeerCert  string `help:"Certificate file (PEM) for mutual TLS with peers and operators; read again when it changes." env:"PATHHEAD_PEER_CERT" placeholder:"FILE"`
--- /dev/null
+++ b/internal/e2e/crash_test.go
@@ -0,0 +1,72 @@
+package e2e
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/internal/load"
+)
+
+// crashText is what engines end on.
+const crashText = "a text that ends engines"
+
+// deadly is a request that ends each engine which begins to run it.
+func deadly() load.Arrival {
+	a := question("formosa-air", "rules", "a", 4)
+	a.Messages = append(a.Messages, load.Message{Role: "user", Content: crashText})
+	return a
+}
+
+// A request that ends each engine which begins to run it is held back once three have ended,
+// at whichever router its copies come; others are answered, as soon as an engine is there.
+func TestRequestEndsEngines(t *testing.T) {
+	t.Parallel()
+	s := newSystem(t, setup{engines: 5, routers: 2, engineFlags: []string{"--crash-on", crashText}})
+	var ended atomic.Int64
+	stop := make(chan struct{})
+	done := make(chan struct{}, len(s.engines))
+	for _, e := range s.engines {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-e.done:
+				}
+				ended.Add(1)
+				time.Sleep(300 * time.Millisecond)
+				e.run()
+			}
+		}()
+	}
+	defer func() {
+		close(stop)
+		for range s.engines {
+			<-done
+		}
+	}()
+	clients := []*load.Client{s.client(s.routers[0]), s.client(s.routers[1])}
+	held := func(n int) bool {
+		r := s.ask(clients[n%2], deadly())
+		require.False(t, r.OK())
+		return r.Status == http.StatusServiceUnavailable && r.Code == "crashes_targets"
+	}
+	asked := 0
+	s.eventually(func() bool {
+		asked += 2
+		return held(asked) && held(asked+1)
+	}, "both routers hold the request back")
+	known := ended.Load()
+	t.Logf("%d engines ended before both routers held the request back", known)
+	require.GreaterOrEqual(t, known, int64(3))
+	for n := range 10 {
+		require.True(t, held(n))
+	}
+	require.Equal(t, known, ended.Load(), "no engine ends once it is held back")
+	s.eventually(func() bool { return s.ask(clients[0], question("formosa-air", "rules", "b", 4)).OK() }, "others are answered")
+}
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -152,6 +153,9 @@
 		Request: j.request, Attempt: j.attempt, Path: r.URL.Path, Salt: j.CacheSalt,
 		Incarnation: e.incarnation, Weights: j.weights, ResumedAt: start, Prompt: route.Tokens(len(j.text)),
 	})
+	if e.cfg.CrashOn != "" && bytes.Contains(j.text, []byte(e.cfg.CrashOn)) {
+		e.cfg.Crash()
+	}
 	state := runCancelled
 	if e.prefill(ctx, j) && e.decode(ctx, w, j, start) {
 		state = runDone
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -14,18 +14,21 @@
 
 // EngineConfig describes a fake engine.
 type EngineConfig struct {
-	Name          string
-	Model         string
-	Weights       string
-	CacheBlocks   int
-	Slots         int
-	PrefillRate   float64 // tokens per second
-	DecodeTime    time.Duration
-	LoadTime      time.Duration
-	ReportLag     time.Duration
-	EventLag      time.Duration
-	EventLoss     float64
-	ChecksExpect  bool
+	Name         string
+	Model        string
+	Weights      string
+	CacheBlocks  int
+	Slots        int
+	PrefillRate  float64 // tokens per second
+	DecodeTime   time.Duration
+	LoadTime     time.Duration
+	ReportLag    time.Duration
+	EventLag     time.Duration
+	EventLoss    float64
+	ChecksExpect bool
+	// Crash is called when a prompt with the text CrashOn begins to run; without a text none does.
+	CrashOn       string
+	Crash         func()
 	ChecksFencing bool
 	Seed          uint64
 }
--- a/node/crash.go
+++ b/node/crash.go
@@ -55,10 +55,15 @@
 	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.TargetEnded(now, target) })
 }
 
-// sawCrash has others told at once; it does not block.
-func (n *Node) sawCrash() {
+// waker wakes a loop that looks for itself what there is to do.
+type waker chan struct{}
+
+func newWaker() waker { return make(waker, 1) }
+
+// wake wakes the loop; it does not block.
+func (w waker) wake() {
 	select {
-	case n.crashSeen <- struct{}{}:
+	case w <- struct{}{}:
 	default:
 	}
 }
@@ -77,6 +82,7 @@
 		} else {
 			n.tellEveryone(ctx)
 		}
+		n.recording.wake()
 		pause(ctx, crashPause)
 	}
 }
@@ -91,4 +97,6 @@
 // takeCrashes takes what another process knows of them.
 func (n *Node) takeCrashes(words []route.CrashWord) {
 	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.TakeCrashes(now, words) })
+	// What they tell may make a request one that is held back, whose last end was seen here.
+	n.recording.wake()
 }
--- /dev/null
+++ b/node/crash_record.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
+)
+
+// What the fleet holds back is recorded beside the lease, where each process that starts
+// and hears no relay reads it with the lease, in one call. It is written when something newly is held
+// back, by the node that saw the last target end. So a fleet all of whose nodes start anew does not
+// lose three more targets to the same request; what is only suspected is not recorded.
+
+// heldRow is the key of the record, in the lease's part of the table.
+const heldRow = "requests-held"
+
+const (
+	// mostHeldRecorded bounds the requests recorded: some 6 KB with four ends each, 25 KB with all.
+	mostHeldRecorded = 16
+	// recordTries is how often a write is tried that others' writes or an outage came before.
+	recordTries = 4
+	recordPause = 300 * time.Millisecond
+)
+
+// recordedEnd is an end of a target under a request, as it is recorded.
+type recordedEnd struct {
+	Print       route.Fingerprint `json:"fingerprint"`
+	Target      netip.AddrPort    `json:"target"`
+	Incarnation string            `json:"incarnation"`
+	// AtMS is when it ended by the store's clock, in milliseconds.
+	AtMS  int64 `json:"atMs"`
+	Begun bool  `json:"begun,omitempty"`
+}
+
+// encodeHeld renders words on ends by the store's clock.
+func encodeHeld(c StoreClock, now time.Time, words []route.CrashWord) json.RawMessage {
+	out := make([]recordedEnd, 0, len(words))
+	for _, w := range words {
+		_, at := c.ToStore(now.Add(-w.Age))
+		out = append(out, recordedEnd{
+			Print: w.Print, Target: w.Target.Target, Incarnation: string(w.Target.Incarnation), AtMS: at.Milliseconds(), Begun: w.Begun,
+		})
+	}
+	data, err := json.Marshal(out)
+	if err != nil {
+		panic("node: a record of requests held back does not encode")
+	}
+	return data
+}
+
+// decodeHeld returns what was recorded, as words of now.
+func decodeHeld(c StoreClock, now time.Time, data []byte) ([]route.CrashWord, error) {
+	var record []recordedEnd
+	if err := json.Unmarshal(data, &record); err != nil {
+		return nil, errs.Errorf("the record of requests held back: %w", err)
+	}
+	out := make([]route.CrashWord, 0, len(record))
+	for _, r := range record {
+		_, at := c.ToHere(time.Duration(r.AtMS) * time.Millisecond)
+		out = append(out, route.CrashWord{
+			CrashKey: route.CrashKey{Print: r.Print, Target: route.Mark{Target: r.Target, Incarnation: route.Incarnation(r.Incarnation)}},
+			Age:      max(0, now.Sub(at)), Begun: r.Begun,
+		})
+	}
+	return out, nil
+}
+
+// takeHeldRecord takes what the fleet recorded. A row that is none is passed over, and
+// the next record replaces it.
+func (n *Node) takeHeldRecord(row fleet.Row) {
+	c := n.store.Clock()
+	if !c.Known() {
+		return
+	}
+	words, err := decodeHeld(c, time.Now(), row.Data)
+	if err != nil {
+		n.log.Warn("what the fleet recorded was not read", "error", err)
+		return
+	}
+	n.takeCrashes(words)
+}
+
+// recordLoop records what is held back, after each target that this node saw end.
+func (n *Node) recordLoop(ctx context.Context) {
+	var recorded []route.CrashWord
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.recording:
+		}
+		for try := range recordTries {
+			if try > 0 && !pause(ctx, n.jitter(recordPause<<try)) {
+				return
+			}
+			n.Lock()
+			words, own := n.Board().HeldWords(time.Now(), mostHeldRecorded)
+			n.Unlock()
+			if !own || has(recorded, words) {
+				break
+			}
+			done, err := n.writeHeld(ctx, words)
+			if done {
+				recorded = words
+				break
+			}
+			n.log.Debug("what is held back was not recorded", "error", err)
+		}
+	}
+}
+
+// writeHeld writes the record, unless it has all of the words; done is false where it is to be tried again.
+func (n *Node) writeHeld(ctx context.Context, words []route.CrashWord) (done bool, err error) {
+	part, _ := n.duty.lease.Key()
+	row, ok, err := n.store.Get(ctx, part, heldRow)
+	clock := n.store.Clock()
+	if err != nil || !clock.Known() {
+		return false, err
+	}
+	if ok {
+		n.takeHeldRecord(row)
+		if recorded, err := decodeHeld(clock, time.Now(), row.Data); err == nil && has(recorded, words) {
+			return true, nil
+		}
+		n.Lock()
+		words, _ = n.Board().HeldWords(time.Now(), mostHeldRecorded)
+		n.Unlock()
+	}
+	_, err = n.store.Commit(ctx, rand.Text(), fleet.Write{Part: part, Sort: heldRow, Data: encodeHeld(clock, time.Now(), words), If: row.Rev})
+	return err == nil, err
+}
+
+// has reports whether all words of a list are among others.
+func has(known, words []route.CrashWord) bool {
+	keys := make(map[route.CrashKey]bool, len(known))
+	for _, w := range known {
+		keys[w.CrashKey] = true
+	}
+	for _, w := range words {
+		if !keys[w.CrashKey] {
+			return false
+		}
+	}
+	return true
+}
--- a/node/duty.go
+++ b/node/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -260,7 +261,8 @@
 // read reads the lease's row, and takes what its holder recorded of the newest weights.
 func (d *duty) read(ctx context.Context) bool {
 	part, sort := d.lease.Key()
-	row, ok, err := d.n.store.Get(ctx, part, sort)
+	rows, err := d.n.store.Range(ctx, part, "", rowsBeside)
+	row, ok := rowOf(rows, sort)
 	d.mu.Lock()
 	d.readAt = time.Now()
 	var unread error
@@ -278,9 +280,24 @@
 	}
 	d.takeRecord(note)
 	d.n.takeRecordedSize(nodes)
+	if held, ok := rowOf(rows, heldRow); ok {
+		d.n.takeHeldRecord(held)
+	}
 	return true
 }
 
+// rowsBeside is how many rows stand beside the lease, itself among them: one call reads them all.
+const rowsBeside = 4
+
+// rowOf returns the row with a key.
+func rowOf(rows []fleet.Row, sort string) (fleet.Row, bool) {
+	i := slices.IndexFunc(rows, func(r fleet.Row) bool { return r.Sort == sort })
+	if i < 0 {
+		return fleet.Row{}, false
+	}
+	return rows[i], true
+}
+
 // takeLease takes or renews the lease and reports whether it is held.
 func (d *duty) takeLease(ctx context.Context) bool {
 	d.mu.Lock()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -113,6 +113,7 @@
 		}
 		return 0
 	})
+	n.metrics.NewGauge("pathhead_held_requests", func() float64 { return float64(n.Held()) })
 	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(len(n.list.get())) })
 	n.metrics.NewGauge("pathhead_weights_oldest_seconds", func() float64 {
 		n.Lock()
@@ -125,12 +126,13 @@
 	})
 }
 
-// operatorsHandler serves the counters.
+// operatorsHandler serves the counters, and what is held back.
 func (n *Node) operatorsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+n.metricsPath, func(w http.ResponseWriter, _ *http.Request) {
 		n.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	n.HandleHeld(mux)
 	return mux
 }
--- a/node/node.go
+++ b/node/node.go
@@ -39,7 +39,9 @@
 	gossip   *peer.Gossip
 	crashes  *peer.CrashTalk
 	// crashSeen wakes the loop that tells others at once of targets that ended under requests.
-	crashSeen chan struct{}
+	crashSeen waker
+	// recording wakes the one that records what is held back.
+	recording waker
 	callers   callerConns
 	reaching  reaching
 	domains   domains
@@ -71,6 +73,8 @@
 	metricsAddr netip.AddrPort
 	metricsPath string
 	placement   route.Placer
+	// crashSettings bound what requests may do to targets.
+	crashSettings route.CrashSettings
 	// off are the mechanisms that an experiment switched off.
 	off route.Mechanisms
 	// placed are the requests that peers are still to be told of.
@@ -105,6 +109,11 @@
 	return func(n *Node) { n.placement = p }
 }
 
+// WithCrashSettings sets the bounds of what requests may do to targets.
+func WithCrashSettings(s route.CrashSettings) Option {
+	return func(n *Node) { n.crashSettings = s }
+}
+
 // WithoutMechanisms switches mechanisms off for an experiment.
 func WithoutMechanisms(off route.Mechanisms) Option {
 	return func(n *Node) { n.off = off }
@@ -146,18 +155,24 @@
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		adoption:  fleet.NewAdoption(part(s.Bounds.Revoke, revokePart), false, fleet.WithGrace(part(s.Bounds.Apply, applyPart))),
 		placement: route.Predict,
-		limits:    defaultLimits,
+
+		crashSettings: route.DefaultCrashSettings(),
+		limits:        defaultLimits,
 
 		smallFleet: DefaultSmallFleet,
 		placed:     make(chan route.Placed, placedHeld),
 		began:      time.Now(),
-		crashSeen:  make(chan struct{}, 1),
+		crashSeen:  newWaker(),
+		recording:  newWaker(),
 	}
 	n.set.Store(&s)
 	n.adoption.Strict()
 	for _, opt := range opts {
 		opt(n)
 	}
+	if err := n.crashSettings.Check(); err != nil {
+		return nil, err
+	}
 	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventsKept), event.WithSample(sampleOne))
 	n.counters = newCounters(n.metrics)
 	if n.peers == nil {
@@ -176,7 +191,7 @@
 		route.WithoutMechanisms(n.off),
 		route.WithPlaced(n.tellPlaced),
 		route.WithNumberedWeights(stalenessOf(s, time.Now())),
-		route.WithCrashes(route.DefaultCrashSettings(), n.sawCrash),
+		route.WithCrashes(n.crashSettings, n.crashSeen.wake),
 	)
 	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt))
 	n.crashes = peer.NewCrashTalk(n.crashesSince, n.takeCrashes)
@@ -265,7 +280,7 @@
 	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: n.started()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.crashLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.crashLoop, n.recordLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickEvery) })
--- a/route/crash.go
+++ b/route/crash.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/zeebo/errs/v2"
+
 	"github.com/pathhead/pathhead/event"
 )
 
@@ -44,6 +46,25 @@
 	return CrashSettings{Targets: 3, Hold: 2 * time.Minute, Kept: 1024}
 }
 
+// Check returns the fault of the settings.
+func (s CrashSettings) Check() error {
+	switch {
+	case s.Targets < leastCrashes || s.Targets > mostCrashes:
+		return errs.Errorf("%d targets that end before a request is held back, must be from %d to %d", s.Targets, leastCrashes, mostCrashes)
+	case s.Hold < time.Second || s.Hold > time.Hour:
+		return errs.Errorf("a request is held back for %s, must be from 1s to 1h", s.Hold)
+	case s.Kept < 1:
+		return errs.Errorf("%d requests are remembered, must be one at least", s.Kept)
+	}
+	return nil
+}
+
+// The bounds of [CrashSettings.Targets]: one end alone says nothing, and of more than mostEnds none are remembered.
+const (
+	leastCrashes = 2
+	mostCrashes  = mostEnds / 2
+)
+
 // The times of the count.
 const (
 	// suspectFor is how long after the last end a request is remembered.
@@ -76,6 +97,8 @@
 	newest time.Time
 	// org and pool are the request's, empty where no copy of it came here.
 	org, pool string
+	// own is true where this process saw the newest end.
+	own bool
 	// noted is true once it was logged that the request is held back.
 	noted bool
 }
@@ -204,7 +227,7 @@
 		if now.Sub(run.at) < brokenFor {
 			fell++
 			if s := b.endUnder(now, run.print, run.mark, run.end); s != nil {
-				s.org, s.pool = run.org, run.pool
+				s.org, s.pool, s.own = run.org, run.pool, true
 			}
 		}
 		return true
@@ -249,6 +272,7 @@
 		c.facts.Drop(CrashKey{Print: f, Target: oldest})
 	}
 	s.ends[m] = e
+	s.own = s.own && !e.at.After(s.newest)
 	s.newest = later(s.newest, e.at)
 	c.facts.Set(CrashKey{Print: f, Target: m}, e)
 	c.more = c.more || s.count() >= c.Targets
--- a/route/crash_words.go
+++ b/route/crash_words.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -139,3 +140,19 @@
 	b.crashes.seen()
 	return true
 }
+
+// HeldWords returns the ends under the requests that are held back, at most so many of them, those
+// that ended a target last first. Own reports whether this process saw the newest end under one of them.
+func (b *Board) HeldWords(now time.Time, most int) (words []CrashWord, own bool) {
+	c := &b.crashes
+	held := slices.DeleteFunc(slices.Collect(maps.Keys(c.suspects)), func(f Fingerprint) bool { return !c.holds(now, f) })
+	slices.SortFunc(held, func(a, b Fingerprint) int { return c.suspects[b].newest.Compare(c.suspects[a].newest) })
+	for _, f := range held[:min(most, len(held))] {
+		s := c.suspects[f]
+		own = own || s.own
+		for m, e := range s.ends {
+			words = append(words, CrashWord{CrashKey: CrashKey{Print: f, Target: m}, Age: now.Sub(e.at), Begun: e.begun})
+		}
+	}
+	return words, own
+}
--- a/router/callers.go
+++ b/router/callers.go
@@ -59,6 +59,8 @@
 	snap   *policy.Snapshot
 	begun  time.Time
 	labels map[string]string
+	// print is known once the body was read.
+	print route.Fingerprint
 }
 
 // withOrg checks a caller's key before anything else is read of the call.
@@ -181,7 +183,11 @@
 	data, err := readBody(v)
 	switch {
 	case err == nil:
-		return data, r.authenticate(v)
+		if !r.authenticate(v) {
+			return nil, false
+		}
+		v.print = route.FingerprintOf(v.org.Name, v.r.Method, v.r.Host, v.r.URL.RequestURI(), data)
+		return data, true
 	case errors.Is(err, errTooLarge):
 		drainBody(v)
 		v.w.Header().Set("Connection", "close")
@@ -262,6 +268,7 @@
 		ID:        id,
 		Revision:  v.snap.Revision,
 		Org:       v.org.Name,
+		Print:     v.print,
 		Pool:      pool,
 		Deadline:  v.begun.Add(timeout),
 		QueueTime: time.Duration(v.snap.Config.Requests.QueueTimeout),
--- a/router/engine.go
+++ b/router/engine.go
@@ -124,7 +124,7 @@
 	}
 	out.Delivered = c.tokens > 0
 	if err != nil {
-		out.Detail = err.Error()
+		out.Closed, out.Detail = transport.ClosedByTarget(err), err.Error()
 		return *out
 	}
 	out.Kind = route.OutcomeDone
@@ -208,7 +208,7 @@
 		err = c.answer.Whole(data)
 	}
 	if err != nil {
-		out.Detail = err.Error()
+		out.Closed, out.Detail = transport.ClosedByTarget(err), err.Error()
 		return *out
 	}
 	out.Kind = route.OutcomeDone
--- a/router/operators.go
+++ b/router/operators.go
@@ -38,6 +38,7 @@
 	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { door.WriteJSON(w, http.StatusOK, r.status()) })
 	mux.HandleFunc("GET /v1/events", r.handleEvents)
 	mux.HandleFunc("POST /v1/leave", r.handleLeave)
+	r.HandleHeld(mux)
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
--- a/router/poll.go
+++ b/router/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pathhead/pathhead/route"
+	"github.com/pathhead/pathhead/transport"
 )
 
 // The labels by which a VM on the list is a target.
@@ -90,7 +91,10 @@
 		return
 	}
 	r.Do(func(b *route.Board, now time.Time) []route.Action {
-		if err != nil {
+		switch {
+		case transport.NobodyListens(err):
+			return append(b.TargetEnded(now, addr), b.Unreachable(now, addr)...)
+		case err != nil:
 			return b.Unreachable(now, addr)
 		}
 		report.InFlight = inFlight
--- a/router/router.go
+++ b/router/router.go
@@ -52,6 +52,8 @@
 	PeerServer  *tls.Config
 	PeerClient  *tls.Config
 	Seed        uint64
+	// Crashes bounds what requests may do to targets.
+	Crashes route.CrashSettings
 }
 
 // DefaultSettings returns the settings that flags start from.
@@ -66,6 +68,7 @@
 		BalancerLag: 3 * time.Second,
 		DrainTime:   2 * time.Minute,
 		Placement:   "predict",
+		Crashes:     route.DefaultCrashSettings(),
 	}
 }
 
@@ -89,6 +92,9 @@
 			bad("%s is %s, must be from %s to %s", r.name, r.value, r.least, r.most)
 		}
 	}
+	if err := s.Crashes.Check(); err != nil {
+		bad("%w", err)
+	}
 	if s.Validity <= s.ConfigEvery {
 		bad("validity must be longer than config-every")
 	}
@@ -192,6 +198,7 @@
 		route.WithRouters(1+r.seedRouters),
 		route.WithPlacer(route.Placers()[s.Placement]),
 		route.WithNotes(r.events.Record),
+		route.WithCrashes(s.Crashes, func() {}),
 	)
 	r.Driver = dispatch.New(board,
 		dispatch.WithExport(func(e route.Export) { r.loops.Go(func() { r.export(e) }) }),
@@ -201,7 +208,7 @@
 	r.adoption = fleet.NewAdoption(s.Validity, r.seedRouters == 0)
 	r.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: r.id, Addr: s.Peers, Seeds: s.Seeds, Timeout: s.PeerTimeout, Seed: seed,
-		Payload: r.payload, Heard: r.heard,
+		Payload: r.payload, Heard: r.heard, Crashes: peer.NewCrashTalk(r.crashesSince, r.takeCrashes),
 	}, r.peers, r.events)
 	r.counters = newCounters(r.metrics)
 	r.gauges()
--- a/router/service.go
+++ b/router/service.go
@@ -93,7 +93,7 @@
 	data, err := transport.ReadAll(reply.Body, maxAnswer)
 	if err != nil {
 		// What is cut short is no answer.
-		out.Detail = err.Error()
+		out.Closed, out.Detail = transport.ClosedByTarget(err), err.Error()
 		return out
 	}
 	s.answer = dispatch.ServiceAnswer{Status: reply.Status, ContentType: reply.ContentType, Body: data}
@@ -106,6 +106,7 @@
 	if errors.Is(err, transport.ErrUnsent) {
 		out.Kind = route.OutcomeUnsent
 	}
+	out.Closed = transport.ClosedByTarget(err)
 	out.Silent = errors.Is(err, transport.ErrSilent)
 	out.Detail = err.Error()
 	return out
