soak, platformtest: copies of a request that ends targets, as a fault with its two promises

A new kind of step, request-deadly, at any moment and more than once, beside the others: copies of one request every 120 ms at any node, under which each engine ends that begins to run it. Two promises: no more than three runs are sent later than the contact time after the third engine began to end (nodes in touch), and no answered request is held back.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -75,6 +75,8 @@
 		}
 	case TargetGrey:
 		s.grey(ctx, step, sl)
+	case RequestDeadly:
+		s.sendDeadly(ctx, step)
 	case OrdersLate:
 		s.delayOrders(ctx, step, sl)
 	case NameWeights:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -36,6 +36,8 @@
 	AnswersInTime Promise = "answers within the route's time"
 	BackInTime    Promise = "service is back"
 	Runs          Promise = "processes keep running"
+	HeldBack      Promise = "requests that end targets are held back"
+	HeldRightly   Promise = "answered requests are not held back"
 )
 
 // Breach is a promise that was not kept.
@@ -70,7 +72,7 @@
 	}
 	for _, check := range []func(){
 		j.answers, j.sent, j.once, j.sends, j.configs, j.denied, j.leaving, j.orders, j.weights, j.pool,
-		j.stops, j.kept, j.late, j.back, j.ends,
+		j.stops, j.kept, j.late, j.back, j.ends, j.deadly, j.heldRightly,
 	} {
 		check()
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -73,10 +74,32 @@
 	}
 	removed := Attempt{ID: "k.0", Call: "k", Kind: SafeCall, Path: "/safe/x", Key: keyOf(1)}
 	moved := Attempt{ID: "v.0", Call: "v", Kind: SafeCall, Path: movePath + "x", Key: openKey}
+	deadly := func(r *Record, late int) {
+		for n := range 3 + late {
+			second := 20 + float64(n)/10
+			if n >= 3 {
+				second += 5
+			}
+			id := fmt.Sprint("d.", n)
+			add(r, Attempt{ID: id, Call: id, Kind: ResumeCall, Path: "/resume/d", Key: openKey, Parts: "dead:1", Body: "d", Deadly: true}, second, fmt.Sprint("e", 10+n))
+			r.Attempts[len(r.Attempts)-1].Status, r.Attempts[len(r.Attempts)-1].Seal, r.Attempts[len(r.Attempts)-1].Answer = http.StatusBadGateway, "", ""
+		}
+	}
+	refusedAgain := func(r *Record, second float64) {
+		again := r.Attempts[2]
+		again.ID, again.Sent, again.Done = "m.1", at(second), at(second+0.1)
+		again.Status, again.Seal, again.Answer, again.AnswerID = http.StatusServiceUnavailable, "", "crashes_targets: held", ""
+		r.Attempts = append(r.Attempts, again)
+	}
 	cases := map[string]struct {
 		change func(r *Record)
 		breaks Promise
 	}{
+		"a request that ends targets goes on":     {func(r *Record) { deadly(r, 4) }, HeldBack},
+		"a request that ends targets is known":    {func(r *Record) { deadly(r, 3) }, ""},
+		"a request that ends targets, by one cut": {func(r *Record) { deadly(r, 4); r.Troubles = []Trouble{trouble(OfNode, Pause, "a", 21, 26)} }, ""},
+		"an answered request is held back":        {func(r *Record) { refusedAgain(r, 33) }, HeldRightly},
+		"a request is held back before an answer": {func(r *Record) { refusedAgain(r, 31) }, ""},
 		"all is well":                 {func(*Record) {}, ""},
 		"an answer of another":        {func(r *Record) { r.Attempts[1].AnswerID = "s.0" }, OwnAnswer},
 		"a half answer as whole":      {func(r *Record) { r.Attempts[1].Answer = "the" }, OwnAnswer},
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -40,6 +40,8 @@
 	TargetDrain Kind = "target-drain"
 	TargetHide  Kind = "target-hide"
 	TargetGrey  Kind = "target-grey"
+	// RequestDeadly has copies of one request come, under which each engine ends that begins to run it.
+	RequestDeadly Kind = "request-deadly"
 	// OrdersLate has a target leave orders unanswered and carry them out late.
 	OrdersLate Kind = "orders-late"
 	// NameWeights names new weights, Reconfigure declares a new configuration.
@@ -130,6 +132,7 @@
 	{NameWeights, 0.7, 0, 0, 5},
 	{Reconfigure, 0.5, 0, 0, 5},
 	{TargetAgain, 0.3, 100 * time.Millisecond, 3 * time.Second, 6},
+	{RequestDeadly, 0.3, 4 * time.Second, 12 * time.Second, 2},
 }
 
 // links and outages are what the faults of links and of the store are drawn from.
@@ -243,7 +246,7 @@
 		}
 	case StoreLink, TargetLink:
 		s.Link = links[rng.IntN(len(links))]
-	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, NameWeights, Reconfigure:
+	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, RequestDeadly, NameWeights, Reconfigure:
 	}
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -68,6 +68,8 @@
 	// Err says why the answer is not whole; Left that the caller gave it up.
 	Err  string
 	Left bool
+	// Deadly says that engines end which begin to run it.
+	Deadly bool `json:",omitempty"`
 }
 
 // CallKind is a kind of call.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -272,7 +272,8 @@
 func (s *site) startTarget(sl *slot, id, service string, weights int64, at time.Time) error {
 	opts := []platformtest.Option{platformtest.WithFront(sl.proxy.Addr), platformtest.WithBorn(at.UnixMilli())}
 	if service == engineName {
-		opts = append(opts, platformtest.WithModel(modelName, weights), platformtest.WithEvents(streamEvents, eventGap))
+		opts = append(opts, platformtest.WithModel(modelName, weights), platformtest.WithEvents(streamEvents, eventGap),
+			platformtest.WithDeadly(deadlyParts, func(r *platformtest.Replica) { s.steps.Go(func() { s.endUnder(sl, r) }) }))
 	}
 	r, err := platformtest.Start(s.store, s.runs, id, service, netip.AddrPort{}, opts...)
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,9 +48,12 @@
 // Real nodes keep the promises under short seeded plans, and under the shortest of
 // those that failed once.
 func TestSoak(t *testing.T) {
-	restarted, err := ReadPlan("testdata/weights-restarted.json")
-	require.NoError(t, err)
-	plans := []Plan{restarted}
+	var plans []Plan
+	for _, file := range []string{"testdata/weights-restarted.json", "testdata/request-deadly.json"} {
+		plan, err := ReadPlan(file)
+		require.NoError(t, err)
+		plans = append(plans, plan)
+	}
 	for _, seed := range ciSeeds {
 		plans = append(plans, Draw(seed, ciTime, DefaultSize))
 	}
