node: a node that the others do not reach reads what is held back from the store

A node may be cut off from all others and reach the store, targets and its callers: it would send on what the others hold back, until three targets had ended under its own copies, with as many such nodes as there are. While it hears at most half of the nodes there were lately it reads the record once a second. Nothing is read by nodes that hear the others.

--- a/node/crash_record.go
+++ b/node/crash_record.go
@@ -87,13 +87,47 @@
 	n.takeCrashes(words)
 }
 
-// recordLoop records what is held back, after each target that this node saw end.
+// isolatedEvery is the time between two readings of the record by a node that others do not
+// reach: what they hold back must be known within the time of contact, of 3 s and more.
+const isolatedEvery = time.Second
+
+// isolated reports whether the node hears at most half of the nodes that there were lately. It may
+// still reach the store and targets, and its callers go on sending what the others hold back.
+func (n *Node) isolated() bool {
+	nodes, _ := n.relays.size()
+	n.Lock()
+	defer n.Unlock()
+	return 2*nodes <= n.Board().Crowd()
+}
+
+// readHeld reads the record.
+func (n *Node) readHeld(ctx context.Context) {
+	part, _ := n.duty.lease.Key()
+	row, ok, err := n.store.Get(ctx, part, heldRow)
+	if err != nil {
+		n.log.Debug("the record of what is held back was not read", "error", err)
+		return
+	}
+	if ok {
+		n.takeHeldRecord(row)
+	}
+}
+
+// recordLoop records what is held back, after each target that this node saw end, and reads
+// the record while the others do not reach this node.
 func (n *Node) recordLoop(ctx context.Context) {
 	var recorded []route.CrashWord
+	look := time.NewTicker(isolatedEvery)
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-look.C:
+			if n.isolated() {
+				n.readHeld(ctx)
+			}
+			continue
 		case <-n.recording:
 		}
 		for try := range recordTries {
--- a/node/fleet_crash_test.go
+++ b/node/fleet_crash_test.go
@@ -44,11 +44,11 @@
 	})
 }
 
-// guilty has copies of a request come to different nodes until some node holds it back.
+// guilty has copies of a request come to different nodes, but for the last, until some node holds it back.
 func (f *simFleet) guilty(print route.Fingerprint) {
 	for i := 0; f.holding(print) == 0; i++ {
 		require.Less(f.t, i, 30, "engines that ended under it")
-		f.copyOf(i%f.simSite.nodes, print)
+		f.copyOf(i%(f.simSite.nodes-1), print)
 		time.Sleep(endedPause + time.Millisecond)
 	}
 }
@@ -148,3 +148,30 @@
 		})
 	}
 }
+
+// Some nodes are cut off from all others, but not from the store, and their callers send copies of a request which
+// the others hold back meanwhile: they read that from the store within the time of contact. A node that hears the
+// others reads nothing for it.
+func TestFleetCrashesIsolated(t *testing.T) {
+	t.Parallel()
+	for name, nodes := range map[string]int{"a small fleet": 6, "a large fleet": 24} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, simSite{nodes: nodes, engines: 12, perSecond: 20})
+				f.settle()
+				defer f.end()
+				print := route.FingerprintOf("org", "POST", "host", "/", []byte("guilty"))
+				cut := f.nodes[nodes-1]
+				f.net.silence(cut.settings().Peers.Addr())
+				time.Sleep(peerTimeout)
+				f.guilty(print)
+				time.Sleep(cut.settings().Bounds.Contact)
+				require.Equal(t, nodes, f.holding(print), "nodes that hold it back")
+				require.True(t, cut.isolated())
+				for _, n := range f.nodes[:nodes-1] {
+					require.False(t, n.isolated(), "%s hears the others", n.settings().Name)
+				}
+			})
+		})
+	}
+}
--- a/route/retry.go
+++ b/route/retry.go
@@ -94,6 +94,9 @@
 	since time.Time
 }
 
+// Crowd returns how many routers there were lately, this one among them.
+func (b *Board) Crowd() int { return b.crowd.most }
+
 // see takes the number of routers known at a time.
 func (c *crowd) see(now time.Time, n int, over time.Duration) {
 	switch {
