internal/clock, node: what holds for a time goes by a clock that counts the time a VM was suspended

Cause: Go's time.Now carries the steady clock, which stands still while a machine is suspended. A node that woke took its confirmation of the configuration, its keys, its lease, its relay's word, its peers and its callers' time for as fresh as before.

Ruled out: a look for jumps of the time of day (a clock that is set looks the same), and a patch at each of some ninety places.

Change: one clock type, by how far CLOCK_BOOTTIME is ahead of CLOCK_MONOTONIC, handed to node, board, gossip, connections and the clients of store and targets. process-suspended (108) says so. Product's router and fleet process go by the steady clock still.

Failed without it: TestFleetSuspended (seven cases: nodes serve keys by what they heard 15 s before), TestFleetSuspendedHolder, TestFleetSuspendedRequest.

--- a/cmd/pathhead-node/main.go
+++ b/cmd/pathhead-node/main.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/pathhead/pathhead/internal/cli"
+	"github.com/pathhead/pathhead/internal/clock"
 	"github.com/pathhead/pathhead/node"
 	"github.com/pathhead/pathhead/platform"
 	"github.com/pathhead/pathhead/route"
@@ -57,11 +58,15 @@
 	dropped := counters.NewCounter("pathhead_log_lines_dropped_total")
 	log, out := f.StdoutLogger(set.Name, func(n int) { dropped.Add(n) })
 	defer out.Close()
-	opts := []node.Option{node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer), node.WithoutMechanisms(off), node.WithCrashSettings(f.CrashSettings())}
+	now, counts := clock.Machine()
+	if !counts {
+		log.Warn("this system tells no time that a suspended machine does not count; do not suspend it")
+	}
+	opts := []node.Option{node.WithClock(now), node.WithSmallFleet(f.SmallFleet), node.WithLogger(log), node.WithMetricSet(counters), node.WithPlacement(placer), node.WithoutMechanisms(off), node.WithCrashSettings(f.CrashSettings())}
 	if f.MetricsPort > 0 {
 		opts = append(opts, node.WithMetrics(netip.AddrPortFrom(set.Callers.Addr(), f.MetricsPort), f.MetricsPath))
 	}
-	n, err := node.New(set, platform.NewStore(set.Store, called), platform.Protocol{}, platform.NewEngines(called), opts...)
+	n, err := node.New(set, platform.NewStore(set.Store, called, platform.WithClock(now)), platform.Protocol{}, platform.NewEngines(called, platform.WithClock(now)), opts...)
 	if err != nil {
 		cli.Fail(cli.ExitUsage, err)
 	}
--- a/dispatch/driver.go
+++ b/dispatch/driver.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/pathhead/pathhead/internal/clock"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -17,6 +18,7 @@
 	export   func(route.Export)
 	arriving func()
 	ended    func(route.OutcomeKind)
+	now      clock.Clock
 }
 
 // Option changes a [Driver] at its construction.
@@ -37,6 +39,11 @@
 	return func(d *Driver) { d.ended = f }
 }
 
+// WithClock sets the clock that the board's time is told by.
+func WithClock(c clock.Clock) Option {
+	return func(d *Driver) { d.now = c }
+}
+
 // New returns a driver of a board.
 func New(b *route.Board, opts ...Option) *Driver {
 	d := &Driver{
@@ -45,6 +52,7 @@
 		export:   func(route.Export) {},
 		arriving: func() {},
 		ended:    func(route.OutcomeKind) {},
+		now:      clock.Steady,
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -65,7 +73,7 @@
 func (d *Driver) Do(change func(b *route.Board, now time.Time) []route.Action) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, a := range change(d.board, time.Now()) {
+	for _, a := range change(d.board, d.now()) {
 		d.deliver(a)
 	}
 }
--- a/dispatch/held.go
+++ b/dispatch/held.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/route"
@@ -21,7 +20,7 @@
 func (d *Driver) HandleHeld(mux *http.ServeMux) {
 	mux.HandleFunc("GET "+PathHeld, func(w http.ResponseWriter, _ *http.Request) {
 		d.Lock()
-		held := d.Board().HeldRequests(time.Now())
+		held := d.Board().HeldRequests(d.now())
 		d.Unlock()
 		door.WriteJSON(w, http.StatusOK, held)
 	})
@@ -32,7 +31,7 @@
 			return
 		}
 		d.Lock()
-		known := d.Board().Release(time.Now(), f)
+		known := d.Board().Release(d.now(), f)
 		d.Unlock()
 		if !known {
 			http.Error(w, "no target is known to have ended under it", http.StatusNotFound)
@@ -46,7 +45,7 @@
 func (d *Driver) Held() (n int) {
 	d.Lock()
 	defer d.Unlock()
-	for _, h := range d.Board().HeldRequests(time.Now()) {
+	for _, h := range d.Board().HeldRequests(d.now()) {
 		if h.Held {
 			n++
 		}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -15,6 +15,7 @@
 	ProcessFenced    Code = 105
 	SettingsReloaded Code = 106
 	SettingsRejected Code = 107
+	ProcessSuspended Code = 108
 
 	RequestArrived   Code = 201
 	RequestQueued    Code = 202
@@ -104,6 +105,7 @@
 	{ProcessFenced, "process-fenced", slog.LevelWarn, "The router could confirm its configuration with neither the stores nor a peer and refuses requests as not run."},
 	{SettingsReloaded, "settings-reloaded", slog.LevelInfo, "Changed settings are in effect; addresses stay as they were at the start."},
 	{SettingsRejected, "settings-rejected", slog.LevelWarn, "Changed settings have faults; the old ones stay in effect."},
+	{ProcessSuspended, "process-suspended", slog.LevelWarn, "The VM was suspended; the detail says for how long. What was believed for a time counts as that much older."},
 
 	{RequestArrived, "request-arrived", slog.LevelDebug, "A request passed the checks of the caller's door."},
 	{RequestQueued, "request-queued", slog.LevelDebug, "No target had room; the request waits in its organisation's queue."},
--- a/node/caches.go
+++ b/node/caches.go
@@ -127,7 +127,7 @@
 		// The list told of another one while this was read.
 		return cacheCursor{}, cacheRetry
 	}
-	if !n.Board().PartChanges(time.Now(), target, page.Start, anew, page.Changes) {
+	if !n.Board().PartChanges(n.now(), target, page.Start, anew, page.Changes) {
 		return cacheCursor{incarnation: at.incarnation}, cacheRetry
 	}
 	at.since, at.epoch = page.Next, page.Epoch
--- a/node/callers.go
+++ b/node/callers.go
@@ -80,7 +80,7 @@
 // handleCall answers one request of a caller.
 func (n *Node) handleCall(w http.ResponseWriter, r *http.Request) {
 	n.callers.headRead(r)
-	v := &visit{w: w, r: r, begun: time.Now(), uri: r.RequestURI}
+	v := &visit{w: w, r: r, begun: n.now(), uri: r.RequestURI}
 	if !strings.HasPrefix(v.uri, "/") {
 		v.uri = r.URL.RequestURI()
 	}
--- a/node/crash.go
+++ b/node/crash.go
@@ -91,7 +91,7 @@
 func (n *Node) crashesSince(after int64) ([]route.CrashWord, int64) {
 	n.Lock()
 	defer n.Unlock()
-	return n.Board().CrashesSince(time.Now(), after)
+	return n.Board().CrashesSince(n.now(), after)
 }
 
 // takeCrashes takes what another process knows of them.
--- a/node/crash_record.go
+++ b/node/crash_record.go
@@ -79,7 +79,7 @@
 	if !c.Known() {
 		return
 	}
-	words, err := decodeHeld(c, time.Now(), row.Data)
+	words, err := decodeHeld(c, n.now(), row.Data)
 	if err != nil {
 		n.log.Warn("what the fleet recorded was not read", "error", err)
 		return
@@ -135,7 +135,7 @@
 				return
 			}
 			n.Lock()
-			words, own := n.Board().HeldWords(time.Now(), mostHeldRecorded)
+			words, own := n.Board().HeldWords(n.now(), mostHeldRecorded)
 			n.Unlock()
 			if !own || has(recorded, words) {
 				break
@@ -160,14 +160,14 @@
 	}
 	if ok {
 		n.takeHeldRecord(row)
-		if recorded, err := decodeHeld(clock, time.Now(), row.Data); err == nil && has(recorded, words) {
+		if recorded, err := decodeHeld(clock, n.now(), row.Data); err == nil && has(recorded, words) {
 			return true, nil
 		}
 		n.Lock()
-		words, _ = n.Board().HeldWords(time.Now(), mostHeldRecorded)
+		words, _ = n.Board().HeldWords(n.now(), mostHeldRecorded)
 		n.Unlock()
 	}
-	_, err = n.store.Commit(ctx, rand.Text(), fleet.Write{Part: part, Sort: heldRow, Data: encodeHeld(clock, time.Now(), words), If: row.Rev})
+	_, err = n.store.Commit(ctx, rand.Text(), fleet.Write{Part: part, Sort: heldRow, Data: encodeHeld(clock, n.now(), words), If: row.Rev})
 	return err == nil, err
 }
 
--- a/node/duty.go
+++ b/node/duty.go
@@ -96,7 +96,7 @@
 func (d *duty) told() ([]route.Mark, []route.WeightsWord) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
+	now := d.n.now()
 	var words []route.WeightsWord
 	for _, w := range d.loaded {
 		if now.Sub(w.at) < loadedKept {
@@ -215,7 +215,7 @@
 
 // round takes or renews the lease and does what is due. It returns the pause until the next.
 func (d *duty) round(ctx context.Context, named map[string]string, targets []fleet.RollTarget) time.Duration {
-	now := time.Now()
+	now := d.n.now()
 	d.mu.Lock()
 	if d.workSince.IsZero() {
 		d.workSince = now
@@ -264,10 +264,10 @@
 	rows, err := d.n.store.Range(ctx, part, "", rowsBeside)
 	row, ok := rowOf(rows, sort)
 	d.mu.Lock()
-	d.readAt = time.Now()
+	d.readAt = d.n.now()
 	var unread error
 	if err == nil {
-		unread = d.lease.Read(time.Now(), row, ok)
+		unread = d.lease.Read(d.n.now(), row, ok)
 	}
 	note, nodes := d.lease.Note(), d.lease.Processes()
 	d.mu.Unlock()
@@ -310,7 +310,7 @@
 	}
 	record, nodes := d.record(), d.n.fleetSize()
 	d.mu.Lock()
-	begun := time.Now()
+	begun := d.n.now()
 	token := rand.Text()
 	d.lease.SetNote(record)
 	d.lease.SetProcesses(nodes)
@@ -319,7 +319,7 @@
 	if ok {
 		rev, err := d.n.store.Commit(ctx, token, w)
 		d.mu.Lock()
-		d.lease.Wrote(time.Now(), rev, err)
+		d.lease.Wrote(d.n.now(), rev, err)
 		settled := d.lease.Settled()
 		d.mu.Unlock()
 		if !settled {
@@ -330,7 +330,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	holds := d.lease.HoldsFor(time.Now(), orderMargin)
+	holds := d.lease.HoldsFor(d.n.now(), orderMargin)
 	if holds == d.held {
 		return holds
 	}
--- a/node/fetch.go
+++ b/node/fetch.go
@@ -61,7 +61,7 @@
 
 // fetchFrom takes the configuration of a peer, if it is newer.
 func (n *Node) fetchFrom(ctx context.Context, addr netip.AddrPort) {
-	begun := time.Now()
+	begun := n.now()
 	n.Lock()
 	have := n.adoption.Revision()
 	n.Unlock()
@@ -69,7 +69,7 @@
 	if err != nil {
 		n.counters.fetched("failed")
 		n.events.Record(event.Event{
-			Code: event.ConfigUnfetched, Detail: fmt.Sprintf("from peer %s, after %s: %v", addr, time.Since(begun).Round(time.Millisecond), err),
+			Code: event.ConfigUnfetched, Detail: fmt.Sprintf("from peer %s, after %s: %v", addr, n.now.Since(begun).Round(time.Millisecond), err),
 		})
 		return
 	}
--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,11 +57,13 @@
 	nodes []*Node
 	// doors are the nodes' ways to the store, in the order of the nodes.
 	doors []*simDoor
-	seeds []netip.AddrPort
-	stop  context.CancelFunc
-	work  context.Context
-	loops sync.WaitGroup
-	sizes simSizes
+	// suspended is how long each node's VM was suspended, in the order of the nodes.
+	suspended []*atomic.Int64
+	seeds     []netip.AddrPort
+	stop      context.CancelFunc
+	work      context.Context
+	loops     sync.WaitGroup
+	sizes     simSizes
 }
 
 func newSimFleet(t *testing.T, s simSite) *simFleet {
@@ -125,7 +128,10 @@
 	s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Weights, s.Bounds.Contact = 4*time.Second, 4*time.Second, 12*time.Second, 5*time.Second
 	door := &simDoor{simStore: f.store, net: f.net, addr: addr.Addr()}
 	f.doors = append(f.doors, door)
-	n, err := New(s, door, nil, f.store, WithPeers(peer.NewClient(peerCallTime, nil, peer.WithDial(f.net.dial(addr.Addr())))))
+	suspended := new(atomic.Int64)
+	f.suspended = append(f.suspended, suspended)
+	now := func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+	n, err := New(s, door, nil, f.store, WithClock(now), WithPeers(peer.NewClient(peerCallTime, nil, peer.WithDial(f.net.dial(addr.Addr())))))
 	require.NoError(f.t, err)
 	return n
 }
--- /dev/null
+++ b/node/fleet_suspended_test.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/dispatch"
+	"github.com/pathhead/pathhead/route"
+)
+
+// suspend has a node's VM wake after it was suspended for a time: by its clock that has passed, and
+// its timers have not moved.
+func (f *simFleet) suspend(node int, d time.Duration) { f.suspended[node].Add(int64(d)) }
+
+// suspendTime is longer than every bound for which the simulated nodes believe a thing.
+const suspendTime = 15 * time.Second
+
+// A node whose VM was suspended believes nothing that it believed for a time: not that its configuration and keys
+// are those in force, nor that it holds the lease, nor what a relay told, nor that the others live. It
+// serves keys again once it has heard anew, a relay, a follower and a node of a small fleet alike, and also
+// where all of them were suspended together.
+func TestFleetSuspended(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		nodes int
+		// which says which nodes are suspended.
+		which func(n *Node) bool
+	}{
+		"one of a small fleet":  {6, func(n *Node) bool { return n.settings().Name == "node-001" }},
+		"a follower":            {24, func(n *Node) bool { return !n.relays.leads() && n.settings().Name == "node-013" }},
+		"the relays":            {24, func(n *Node) bool { return n.relays.leads() }},
+		"all of a small fleet":  {6, func(*Node) bool { return true }},
+		"all of a large fleet":  {24, func(*Node) bool { return true }},
+		"half of a large fleet": {24, func(n *Node) bool { return n.settings().Name < "node-012" }},
+		"a node that is alone":  {1, func(*Node) bool { return true }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, simSite{nodes: c.nodes, engines: 8, perSecond: 20})
+				f.settle()
+				defer f.end()
+				for _, n := range f.nodes {
+					require.True(t, n.standing().keys, n.settings().Name)
+				}
+				var hit []*Node
+				for i, n := range f.nodes {
+					if c.which(n) {
+						hit = append(hit, n)
+						f.suspend(i, suspendTime)
+					}
+				}
+				require.NotEmpty(t, hit)
+				for _, n := range hit {
+					require.False(t, n.standing().keys, "%s serves keys by what it heard before", n.settings().Name)
+					require.False(t, n.relays.follows(), "%s goes by what a relay told before", n.settings().Name)
+					require.Empty(t, n.gossip.Live(), "%s takes others to live", n.settings().Name)
+				}
+				begun := time.Now()
+				serving := func() (n int) {
+					for _, node := range hit {
+						if node.standing().keys {
+							n++
+						}
+					}
+					return n
+				}
+				for serving() < len(hit) && time.Since(begun) < 5*time.Second {
+					time.Sleep(10 * time.Millisecond)
+				}
+				require.Equal(t, len(hit), serving(), "nodes that serve keys again")
+				t.Logf("%d nodes serve keys again after %s", len(hit), time.Since(begun))
+				require.Less(t, time.Since(begun), 3*time.Second)
+			})
+		})
+	}
+}
+
+// The holder of the lease that was suspended sends no order under the lease it had, which may be another's by now,
+// until it has read and written the lease's row.
+func TestFleetSuspendedHolder(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 5, engines: 20, perSecond: 10})
+		f.settle()
+		defer f.end()
+		f.store.name("2")
+		holder := -1
+		require.Eventually(t, func() bool {
+			for i, n := range f.nodes {
+				n.duty.mu.Lock()
+				if n.duty.held && n.duty.lease.HoldsFor(n.now(), orderMargin) {
+					holder = i
+				}
+				n.duty.mu.Unlock()
+			}
+			return holder >= 0
+		}, 5*time.Second, 10*time.Millisecond)
+		f.suspend(holder, 2*leaseTime)
+		n := f.nodes[holder]
+		n.duty.mu.Lock()
+		holds := n.duty.lease.HoldsFor(n.now(), 0)
+		n.duty.mu.Unlock()
+		require.False(t, holds, "it holds the lease by a time that is over")
+		time.Sleep(15 * time.Second)
+		require.Zero(t, f.store.older(), "engines on older weights")
+	})
+}
+
+// What a caller waits for goes on while the VM is suspended: a request whose time is over when it wakes
+// is ended at once, by no timer that was armed before.
+func TestFleetSuspendedRequest(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 1, engines: 2, perSecond: 1})
+		f.settle()
+		defer f.end()
+		n := f.nodes[0]
+		m, _, _ := n.snapshot().Model(simModel)
+		ended := make(chan *route.Refusal, 1)
+		f.loops.Go(func() {
+			req := route.Request{
+				Revision: 1, Pool: simPool, Model: m, Deadline: n.now().Add(time.Minute), QueueTime: time.Second, Repeatable: true,
+				MaxTries: 1, MaxTokens: 9, Parts: []route.Part{{ID: "p", Tokens: 100}},
+			}
+			ended <- n.Serve(f.work, req, dispatch.NewCall(), func(ctx context.Context, a route.Attempt) route.Outcome {
+				<-ctx.Done()
+				return route.Outcome{Request: a.Request, Attempt: a.ID, Kind: route.OutcomeBroken}
+			})
+		})
+		time.Sleep(time.Second)
+		f.suspend(0, time.Minute)
+		begun := time.Now()
+		refusal := <-ended
+		require.Equal(t, route.CauseDeadline, refusal.Cause)
+		require.LessOrEqual(t, time.Since(begun), 2*tickEvery)
+	})
+}
+
+// A tie to the store's clock that was taken before tells the right time after it.
+func TestSuspendedStoreClock(t *testing.T) {
+	t.Parallel()
+	now := time.Now()
+	tie := StoreClock{At: time.Hour, Begun: now, Heard: now}
+	woke := now.Add(suspendTime)
+	least, most := tie.ToStore(woke)
+	require.InDelta(t, time.Hour+suspendTime, least, float64(20*time.Millisecond), fmt.Sprint(least))
+	require.InDelta(t, time.Hour+suspendTime, most, float64(20*time.Millisecond))
+}
--- a/node/forward.go
+++ b/node/forward.go
@@ -47,11 +47,11 @@
 // forward carries an admitted request to its end.
 func (n *Node) forward(v *visit) {
 	f := &forwarding{n: n, v: v, req: n.request(v), head: callerHeader(v.r.Header)}
-	n.noteAges(time.Now())
+	n.noteAges(n.now())
 	n.askHolders(v.r.Context(), f.req)
 	c := dispatch.NamedCall(v.ask.ID)
 	refusal := n.Serve(v.r.Context(), f.req, c, f.send)
-	n.counters.finished(time.Since(v.begun), refusal)
+	n.counters.finished(n.now.Since(v.begun), refusal)
 	f.noteLate(refusal)
 	switch {
 	case refusal == nil:
@@ -77,7 +77,7 @@
 	}
 	f.n.events.Record(event.Event{
 		Code: event.RequestLate, Request: f.v.ask.ID, Org: f.req.Org,
-		Detail: event.Lateness{First: f.firstAfter, Aim: aim, Sent: f.sentAfter, Whole: time.Since(f.v.begun)}.String(),
+		Detail: event.Lateness{First: f.firstAfter, Aim: aim, Sent: f.sentAfter, Whole: f.n.now.Since(f.v.begun)}.String(),
 	})
 }
 
@@ -213,7 +213,7 @@
 		out.Detail = "the configuration or the key was not confirmed when the request was to be sent"
 		return out
 	}
-	now := time.Now()
+	now := f.n.now()
 	f.sentAfter = now.Sub(f.v.begun)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -332,7 +332,7 @@
 // writeWhole passes a whole answer on.
 func (f *forwarding) writeWhole(a *whole) {
 	f.done = true
-	f.firstAfter = time.Since(f.v.begun)
+	f.firstAfter = f.n.now.Since(f.v.begun)
 	copyHeader(f.v.w.Header(), a.header)
 	if f.v.r.Method != http.MethodHead {
 		setLength(f.v.w.Header(), len(a.body))
--- a/node/holders.go
+++ b/node/holders.go
@@ -61,7 +61,7 @@
 // Placed implements [peer.PlacedHandler].
 func (n *Node) Placed(w peer.PlacedWord) {
 	n.Lock()
-	n.Board().Filled(time.Now(), w.Placed.Fills)
+	n.Board().Filled(n.now(), w.Placed.Fills)
 	n.Unlock()
 	if w.Placed.Load.InFlight == 0 {
 		return
@@ -78,7 +78,7 @@
 	if !r.large {
 		return fleet.Member{}, false
 	}
-	m, ok := fleet.Home(r.roster.Relays(time.Now()), part)
+	m, ok := fleet.Home(r.roster.Relays(r.n.now()), part)
 	return m, ok && m.ID != r.roster.Self().ID
 }
 
@@ -107,14 +107,14 @@
 	}
 	n.Lock()
 	defer n.Unlock()
-	n.Board().Filled(time.Now(), answer.Fills)
+	n.Board().Filled(n.now(), answer.Fills)
 }
 
 // Holders implements [peer.HoldersHandler].
 func (n *Node) Holders(q peer.HoldersQuery) peer.HoldersAnswer {
 	n.Lock()
 	defer n.Unlock()
-	return peer.HoldersAnswer{Fills: n.Board().Holders(time.Now(), q.Blocks)}
+	return peer.HoldersAnswer{Fills: n.Board().Holders(n.now(), q.Blocks)}
 }
 
 var (
--- a/node/list.go
+++ b/node/list.go
@@ -184,7 +184,7 @@
 			pause(ctx, followPause)
 			continue
 		}
-		begun := time.Now()
+		begun := n.now()
 		read, err := n.store.Targets(ctx)
 		if ctx.Err() != nil {
 			return
@@ -219,7 +219,7 @@
 // life since. Others are told what was read, not what this node keeps beside it.
 func (n *Node) takeEntries(at time.Time, read Listing, relayed bool) {
 	read.Targets = n.withoutStores(read.Targets)
-	list := n.list.merge(time.Now(), at, read, relayed)
+	list := n.list.merge(n.now(), at, read, relayed)
 	n.relays.told(at, read.Targets)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		all := make([]route.Seen, 0, len(list))
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -118,7 +118,7 @@
 	n.metrics.NewGauge("pathhead_weights_oldest_seconds", func() float64 {
 		n.Lock()
 		defer n.Unlock()
-		return n.Board().OldestInUse(time.Now()).Seconds()
+		return n.Board().OldestInUse(n.now()).Seconds()
 	})
 	n.metrics.NewGauge("pathhead_gossip_bytes", func() float64 {
 		sent, read := n.peers.Traffic()
--- a/node/newest.go
+++ b/node/newest.go
@@ -76,7 +76,7 @@
 // declaration anew, in which a model without weights has none named.
 func (n *Node) watched(begun time.Time, before map[string]string, whole bool, c Changes) {
 	clock := n.store.Clock()
-	from, by := answered(clock, c.At, begun, time.Now())
+	from, by := answered(clock, c.At, begun, n.now())
 	if whole {
 		for model := range n.newestWeights() {
 			if _, ok := before[model]; !ok {
@@ -125,7 +125,7 @@
 	})
 	for _, s := range newer {
 		n.events.Record(event.Event{Code: event.WeightsNamed, Detail: fmt.Sprintf(
-			"%s %s, at least %s ago, says %s", s.Model, s.Weights, time.Since(s.First).Round(time.Millisecond), source)})
+			"%s %s, at least %s ago, says %s", s.Model, s.Weights, n.now.Since(s.First).Round(time.Millisecond), source)})
 	}
 	if len(newer) > 0 {
 		n.duty.poke()
@@ -147,7 +147,7 @@
 // heardNewest takes what a peer told in answer to a call from begun on; a zero begun
 // stands for a word that was not asked for.
 func (n *Node) heardNewest(begun time.Time, source string, words []route.NewestWord) {
-	heard := time.Now()
+	heard := n.now()
 	spans := make([]route.NewestSpan, 0, len(words))
 	for _, w := range words {
 		spans = append(spans, w.Span(begun, heard))
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/pathhead/pathhead/dispatch"
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/internal/clock"
 	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/peer"
 	"github.com/pathhead/pathhead/policy"
@@ -26,8 +27,10 @@
 
 // Node is the process of one VM.
 type Node struct {
-	set      atomic.Pointer[Settings]
-	log      *slog.Logger
+	set atomic.Pointer[Settings]
+	log *slog.Logger
+	// now tells the time by which all that holds for a while is judged.
+	now      clock.Clock
 	events   *event.Recorder
 	metrics  *metrics.Set
 	counters counters
@@ -89,6 +92,12 @@
 	return func(n *Node) { n.log = l }
 }
 
+// WithClock sets the clock by which the node judges all that holds for a while; without it that is
+// the steady one, which does not count the time that the machine is suspended.
+func WithClock(c clock.Clock) Option {
+	return func(n *Node) { n.now = c }
+}
+
 // WithMetrics sets where the counters are served.
 func WithMetrics(addr netip.AddrPort, path string) Option {
 	return func(n *Node) { n.metricsAddr, n.metricsPath = addr, path }
@@ -151,6 +160,7 @@
 	n := &Node{
 		store: store, protocol: protocol, engines: engines,
 		log:       slog.New(slog.DiscardHandler),
+		now:       clock.Steady,
 		metrics:   metrics.NewSet(),
 		rng:       rand.New(rand.NewPCG(seed, 1)),
 		adoption:  fleet.NewAdoption(part(s.Bounds.Revoke, revokePart), false, fleet.WithGrace(part(s.Bounds.Apply, applyPart))),
@@ -161,7 +171,6 @@
 
 		smallFleet: DefaultSmallFleet,
 		placed:     make(chan route.Placed, placedHeld),
-		began:      time.Now(),
 		crashSeen:  newWaker(),
 		recording:  newWaker(),
 	}
@@ -170,6 +179,7 @@
 	for _, opt := range opts {
 		opt(n)
 	}
+	n.began = n.now()
 	if err := n.crashSettings.Check(); err != nil {
 		return nil, err
 	}
@@ -178,7 +188,7 @@
 	if n.peers == nil {
 		n.peers = peer.NewClient(peerCallTime, nil, peer.WithObserver(n.countPeerBytes))
 	}
-	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns))
+	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns), transport.WithClock(n.now))
 	board := route.NewBoard(
 		route.WithSeed(seed),
 		route.WithRouters(len(s.Seeds)),
@@ -190,13 +200,13 @@
 		route.WithReusedAddresses(),
 		route.WithoutMechanisms(n.off),
 		route.WithPlaced(n.tellPlaced),
-		route.WithNumberedWeights(stalenessOf(s, time.Now())),
+		route.WithNumberedWeights(stalenessOf(s, n.now())),
 		route.WithCrashes(n.crashSettings, n.crashSeen.wake),
 	)
-	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt))
+	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt), dispatch.WithClock(n.now))
 	n.crashes = peer.NewCrashTalk(n.crashesSince, n.takeCrashes)
 	n.gossip = peer.NewGossip(peer.GossipConfig{
-		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed,
+		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed, Clock: n.now,
 		Payload: n.payload, Heard: n.heard, Newest: n.newestWords, HeardNewest: n.heardNewest,
 		Alone:       n.off.Has(route.OthersEntries),
 		Relays:      func() []fleet.Member { return n.relays.known() },
--- a/node/orders.go
+++ b/node/orders.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/zeebo/errs/v2"
 
@@ -14,7 +13,7 @@
 
 // act does one round under the lease.
 func (d *duty) act(ctx context.Context, named map[string]string, targets []fleet.RollTarget) {
-	steps := d.roll.Next(time.Now(), named, targets, route.OlderWeights)
+	steps := d.roll.Next(d.n.now(), named, targets, route.OlderWeights)
 	if d.setHolds(steps.Holds) {
 		d.n.tellBoard()
 		d.n.tellEveryone(ctx)
@@ -52,7 +51,7 @@
 	mark := route.Mark{Target: o.Target.Addr, Incarnation: o.Target.Incarnation}
 	detail := fmt.Sprintf("%s %s in place of %s, after %d orders", o.Target.Model, o.Weights, o.Target.Weights, o.Target.Orders)
 	d.mu.Lock()
-	holds, fence := d.lease.HoldsFor(time.Now(), orderMargin), d.lease.Fence()
+	holds, fence := d.lease.HoldsFor(d.n.now(), orderMargin), d.lease.Fence()
 	d.mu.Unlock()
 	if !holds {
 		return
@@ -115,7 +114,7 @@
 	d.states[mark] = state
 	loaded := !state.Busy && route.OlderWeights(t.Weights, state.Weights[t.Model])
 	if loaded {
-		d.loaded = append(d.loaded, loadedWord{route.WeightsWord{Target: mark, Model: t.Model, Weights: state.Weights[t.Model]}, time.Now()})
+		d.loaded = append(d.loaded, loadedWord{route.WeightsWord{Target: mark, Model: t.Model, Weights: state.Weights[t.Model]}, d.n.now()})
 		d.loaded = d.loaded[max(0, len(d.loaded)-maxLoadedTold):]
 	}
 	d.mu.Unlock()
--- a/node/peers.go
+++ b/node/peers.go
@@ -131,7 +131,7 @@
 func (n *Node) fleetSize() int {
 	nodes, _ := n.relays.size()
 	nodes = max(nodes, len(n.settings().Seeds))
-	if time.Since(n.began) < recordedFor {
+	if n.now.Since(n.began) < recordedFor {
 		nodes = max(nodes, int(n.recorded.Load()))
 	}
 	return nodes
--- a/node/recent.go
+++ b/node/recent.go
@@ -57,7 +57,7 @@
 	} else {
 		r.expectEcho(s)
 	}
-	next := r.roster.Next(time.Now())
+	next := r.roster.Next(r.n.now())
 	r.mu.Unlock()
 	if acting || len(next) == 0 {
 		return
@@ -84,7 +84,7 @@
 	others := n.relays.heardRecent(w)
 	n.Lock()
 	defer n.Unlock()
-	n.Board().Recently(time.Now(), others)
+	n.Board().Recently(n.now(), others)
 }
 
 // heardRecent notes what a relay has to tell others, and returns the requests that
@@ -141,7 +141,7 @@
 	for _, m := range r.roster.Reporters() {
 		out[m.Addr] = everything
 	}
-	for _, m := range r.roster.Next(time.Now()) {
+	for _, m := range r.roster.Next(r.n.now()) {
 		if delete(out, m.Addr); len(own) > 0 {
 			out[m.Addr] = peer.RecentWord{Recent: own, Relayed: true}
 		}
--- a/node/recent_test.go
+++ b/node/recent_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/internal/clock"
 	"github.com/pathhead/pathhead/peer"
 	"github.com/pathhead/pathhead/route"
 )
@@ -15,6 +16,7 @@
 func testRelays(id string) *relays {
 	self := fleet.Member{ID: id, Addr: netip.MustParseAddrPort("10.0.0.1:1"), Power: 1}
 	return &relays{
+		n:      &Node{now: clock.Steady},
 		roster: fleet.NewRoster[route.PeerState](time.Now(), self, time.Minute),
 		outbox: newOutbox(), echoes: make(map[route.Recent]int),
 	}
--- a/node/record.go
+++ b/node/record.go
@@ -95,7 +95,7 @@
 	if len(note) == 0 || !c.Known() {
 		return
 	}
-	spans, err := decodeRecord(c, time.Now(), note)
+	spans, err := decodeRecord(c, d.n.now(), note)
 	if err != nil {
 		d.n.log.Warn("what the holder of the lease recorded was not read", "error", err)
 		return
--- a/node/relay.go
+++ b/node/relay.go
@@ -69,7 +69,7 @@
 
 func newRelays(n *Node) *relays {
 	s := n.settings()
-	now := time.Now()
+	now := n.now()
 	self := fleet.Member{ID: s.Name, Addr: s.Peers, Zone: s.Zone, Epoch: now.UnixNano(), Power: s.Power}
 	return &relays{
 		n:      n,
@@ -91,7 +91,7 @@
 	live := r.n.gossip.Live()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := r.n.now()
 	if !r.large {
 		nodes = 1 + len(live)
 		if nodes <= r.n.smallFleet {
@@ -123,7 +123,7 @@
 	if !r.large {
 		return nil
 	}
-	return r.roster.Relays(time.Now())
+	return r.roster.Relays(r.n.now())
 }
 
 // heardOf takes the relays that a peer told of: the fleet is large, whatever this
@@ -131,7 +131,7 @@
 func (r *relays) heardOf(members []fleet.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := r.n.now()
 	if !r.large {
 		r.begin(now, nil)
 	}
@@ -143,7 +143,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.n.settings().Bounds
-	now := time.Now()
+	now := r.n.now()
 	return r.large && !r.acting && now.Sub(r.from.at) <= followGood &&
 		now.Sub(r.from.listAt) <= part(b.Drain, followListPart) &&
 		now.Sub(r.from.confirmedAt) <= part(b.Revoke, followKeysPart)
@@ -153,7 +153,7 @@
 func (r *relays) hears() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.large && !r.acting && time.Since(r.from.at) <= followGood
+	return r.large && !r.acting && r.n.now.Since(r.from.at) <= followGood
 }
 
 // leads reports whether this node relays for others.
@@ -168,7 +168,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []netip.AddrPort
-	for _, m := range r.roster.Members(time.Now()) {
+	for _, m := range r.roster.Members(r.n.now()) {
 		if m.ID != r.roster.Self().ID {
 			out = append(out, m.Addr)
 		}
@@ -180,14 +180,14 @@
 func (r *relays) others() route.PeerState {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return route.Join(r.roster.Others(time.Now(), ""))
+	return route.Join(r.roster.Others(r.n.now(), ""))
 }
 
 // note logs a change of this node's part.
 func (r *relays) note() {
 	follows := r.follows()
 	r.mu.Lock()
-	acting, id, nodes := r.acting, r.from.id, len(r.roster.Members(time.Now()))
+	acting, id, nodes := r.acting, r.from.id, len(r.roster.Members(r.n.now()))
 	was := r.noted
 	now := relayPart{acting: acting, follows: follows}
 	if follows {
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -45,17 +45,17 @@
 	n.domains.note(in.Word.From.Addr, in.Word.From.Zone)
 	n.Lock()
 	// A relay tells the other relays itself.
-	n.Board().TakeShared(time.Now(), in.Word.State.Shared, !in.Word.Relay)
+	n.Board().TakeShared(n.now(), in.Word.State.Shared, !in.Word.Relay)
 	n.Unlock()
 	in.Word.State.Shared = nil
 	own, word := n.relayState()
 	out := n.relays.answer(in, own)
 	out.Config = word
-	out.Newest = n.newestWords(time.Now())
+	out.Newest = n.newestWords(n.now())
 	out.Crashes = n.crashes.Asked(in.Crashes)
 	n.Lock()
 	defer n.Unlock()
-	now := time.Now()
+	now := n.now()
 	b := n.Board()
 	if out.News != nil {
 		after := int64(0)
@@ -72,14 +72,14 @@
 func (r *relays) brief() peer.RelayAnswer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return peer.RelayAnswer{Stamp: r.n.events.Clock().Now(), Word: r.roster.Brief(time.Now())}
+	return peer.RelayAnswer{Stamp: r.n.events.Clock().Now(), Word: r.roster.Brief(r.n.now())}
 }
 
 // answer answers a report but for what is on the board.
 func (r *relays) answer(in peer.RelayReport, own route.PeerState) peer.RelayAnswer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := r.n.now()
 	out := peer.RelayAnswer{Stamp: r.n.events.Clock().Now()}
 	r.roster.Reported(now, in.Word)
 	var states []route.PeerState
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -59,7 +59,7 @@
 	own, word := r.n.relayState()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
+	now := r.n.now()
 	if r.n.stopping.Load() {
 		r.roster.SetPower(0)
 	}
@@ -92,14 +92,14 @@
 func (r *relays) call(ctx context.Context, to fleet.Member, report peer.RelayReport) {
 	report, told := r.reportTo(to, report)
 	report.Crashes = r.n.crashes.Ask(to.Addr)
-	begun := time.Now()
+	begun := r.n.now()
 	answer, err := r.n.peers.Relay(ctx, to.Addr, report)
 	if err != nil {
 		r.n.log.Debug("a relay did not answer", "relay", to.ID, "error", err)
 		r.n.crashes.Failed(to.Addr)
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.roster.Failed(time.Now(), to.ID)
+		r.roster.Failed(r.n.now(), to.ID)
 		return
 	}
 	r.n.events.Clock().Observe(answer.Stamp)
@@ -139,13 +139,13 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.roster.Hint(time.Now(), append(answer.Word.Relays, answer.Word.From)...)
+	r.roster.Hint(r.n.now(), append(answer.Word.Relays, answer.Word.From)...)
 }
 
 // take takes a relay's answer to a report that was sent at begun.
 func (r *relays) take(begun time.Time, from fleet.Member, a peer.RelayAnswer) {
 	r.mu.Lock()
-	now := time.Now()
+	now := r.n.now()
 	if a.Same {
 		a.Word.Members = r.from.members
 	}
@@ -170,7 +170,7 @@
 	if !acting {
 		r.n.Lock()
 		defer r.n.Unlock()
-		r.n.Board().TakeParts(time.Now(), a.News.Parts)
+		r.n.Board().TakeParts(r.n.now(), a.News.Parts)
 	}
 }
 
@@ -231,7 +231,7 @@
 func (n *Node) relayState() (route.PeerState, fleet.PeerWord) {
 	n.Lock()
 	defer n.Unlock()
-	now := time.Now()
+	now := n.now()
 	state := n.Board().State(now)
 	// Each relay is told of shared parts once.
 	state.Fills, state.Kept, state.Shared = nil, nil, nil
--- a/node/stream.go
+++ b/node/stream.go
@@ -94,7 +94,7 @@
 	}
 	if !f.begun {
 		f.begin(resp)
-		f.firstAfter = time.Since(f.v.begun)
+		f.firstAfter = f.n.now.Since(f.v.begun)
 		f.n.counters.firstPart(f.firstAfter)
 	}
 	for line := range bytes.Lines(events) {
@@ -106,7 +106,7 @@
 		return err
 	}
 	f.n.Lock()
-	f.n.Board().Progress(time.Now(), a.Request, a.ID)
+	f.n.Board().Progress(f.n.now(), a.Request, a.ID)
 	f.n.Unlock()
 	return http.NewResponseController(f.v.w).Flush()
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -49,7 +49,7 @@
 		}
 		hold := n.watchTime()
 		before := n.newestWeights()
-		begun := time.Now()
+		begun := n.now()
 		changes, err := n.store.Watch(ctx, cursor, hold)
 		switch {
 		case ctx.Err() != nil:
@@ -74,7 +74,7 @@
 			// Others may have a valid one that this node was too late for.
 			n.fetchFromPeers(ctx)
 		}
-		if cursor == changes.Cursor && time.Since(begun) < hold/2 {
+		if cursor == changes.Cursor && n.now.Since(begun) < hold/2 {
 			// The store did not hold the call; without a pause it would be asked without end.
 			pause(ctx, n.jitter(hold/2))
 		}
@@ -149,7 +149,7 @@
 func (n *Node) storeState(err error) {
 	n.Lock()
 	defer n.Unlock()
-	was := n.adoption.Word(time.Now()).TableDown
+	was := n.adoption.Word(n.now()).TableDown
 	switch {
 	case err != nil && !was:
 		n.adoption.TableDown()
@@ -183,7 +183,7 @@
 func (n *Node) standing() standing {
 	n.Lock()
 	defer n.Unlock()
-	now := time.Now()
+	now := n.now()
 	s := standing{
 		age: time.Hour, behind: n.adoption.Behind(), outdated: n.adoption.Outdated(now), keys: n.adoption.Serving(now),
 	}
@@ -195,13 +195,24 @@
 
 // sweepLoop closes connections that are of no more use.
 func (n *Node) sweepLoop(ctx context.Context) {
+	began := n.aheadOf()
 	for pause(ctx, sweepEvery) {
+		if d := n.aheadOf() - began; d >= leastSuspended {
+			began += d
+			n.events.Record(event.Event{Code: event.ProcessSuspended, Detail: "for " + d.Round(time.Millisecond).String()})
+		}
 		n.conns.Sweep(n.list.has)
 		now, limits := time.Now(), n.callerLimits()
 		n.callers.closeOld(now.Add(-limits.IdleTime), now.Add(-limits.HeaderTime))
 	}
 }
 
+// aheadOf is how far the node's clock is ahead of the steady one, which stands still while the VM is suspended.
+func (n *Node) aheadOf() time.Duration { return n.now().Sub(time.Now()) }
+
+// leastSuspended is the least time suspended that is logged.
+const leastSuspended = 50 * time.Millisecond
+
 // sweepEvery is the time between two looks for idle and slow connections, which may
 // stay longer by that.
 const sweepEvery = time.Second
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -11,6 +11,7 @@
 
 	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/internal/clock"
 	"github.com/pathhead/pathhead/route"
 )
 
@@ -50,6 +51,7 @@
 	view *fleet.View[Payload]
 	rng  *rand.Rand
 	last time.Time
+	now  clock.Clock
 	// quiet says that peers seen and lost are no events.
 	quiet bool
 }
@@ -61,6 +63,8 @@
 	Seeds   []netip.AddrPort
 	Timeout time.Duration
 	Seed    uint64
+	// Clock tells the time by which peers count as heard; nil is the steady one.
+	Clock clock.Clock
 	// Payload returns what the process says of itself.
 	Payload func(now time.Time) Payload
 	// Heard takes a peer's word on configuration, got by a call that began at begun.
@@ -89,6 +93,9 @@
 		cfg.Newest = func(time.Time) []route.NewestWord { return nil }
 		cfg.HeardNewest = func(time.Time, string, []route.NewestWord) {}
 	}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Steady
+	}
 	epoch := time.Now().UnixNano()
 	return &Gossip{
 		id:      cfg.ID,
@@ -106,7 +113,8 @@
 		crashes: cfg.Crashes,
 		view:    fleet.NewView[Payload](cfg.ID, cfg.Addr, epoch, cfg.Seeds, cfg.Timeout),
 		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(epoch))),
-		last:    time.Now(),
+		last:    cfg.Clock(),
+		now:     cfg.Clock,
 	}
 }
 
@@ -114,7 +122,7 @@
 func (g *Gossip) Round(ctx context.Context) {
 	n := g.fanout()
 	g.mu.Lock()
-	addrs := g.view.Pick(time.Now(), g.rng, n)
+	addrs := g.view.Pick(g.now(), g.rng, n)
 	g.mu.Unlock()
 	g.exchangeAll(ctx, addrs)
 	g.expire()
@@ -162,7 +170,7 @@
 // Sweep exchanges with every seed and live peer, and returns their addresses.
 func (g *Gossip) Sweep(ctx context.Context) []netip.AddrPort {
 	g.mu.Lock()
-	addrs := g.view.Everyone(time.Now())
+	addrs := g.view.Everyone(g.now())
 	g.mu.Unlock()
 	g.exchangeAll(ctx, addrs)
 	return addrs
@@ -177,7 +185,7 @@
 }
 
 func (g *Gossip) exchange(ctx context.Context, addr netip.AddrPort) {
-	begun := time.Now()
+	begun := g.now()
 	half := g.half("", 0)
 	half.Crashes = g.crashes.Ask(addr)
 	out, err := g.peers.Exchange(ctx, addr, half)
@@ -224,7 +232,7 @@
 // each one's own word is newer.
 func (g *Gossip) relayed(fresh uint64) int {
 	g.mu.Lock()
-	own := g.view.Digest(time.Now(), freshTime)
+	own := g.view.Digest(g.now(), freshTime)
 	g.mu.Unlock()
 	switch {
 	case fresh == own, g.alone:
@@ -244,7 +252,7 @@
 		g.told(in.Relays)
 	}
 	g.mu.Lock()
-	joined := g.view.Merge(time.Now(), in.Entries)
+	joined := g.view.Merge(g.now(), in.Entries)
 	if g.quiet {
 		joined = nil
 	}
@@ -258,7 +266,7 @@
 // of processes other than the two.
 func (g *Gossip) half(to string, relay int) Exchange {
 	stamp := g.rec.Clock().Now()
-	now := time.Now()
+	now := g.now()
 	payload := g.payload(now)
 	relays := g.relays()
 	newest := g.newest(now)
@@ -299,7 +307,7 @@
 
 func (g *Gossip) expire() {
 	g.mu.Lock()
-	now := time.Now()
+	now := g.now()
 	lost := g.view.Expire(g.last, now)
 	if g.quiet {
 		lost = nil
@@ -336,5 +344,5 @@
 func (g *Gossip) Live() []Entry {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.view.Live(time.Now())
+	return g.view.Live(g.now())
 }
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs/v2"
+
+	"github.com/pathhead/pathhead/internal/clock"
 )
 
 // The bounds of a connection.
@@ -55,6 +57,7 @@
 	dialTimeout time.Duration
 	maxConns    func(netip.AddrPort) int
 	opened      func()
+	now         clock.Clock
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -80,12 +83,18 @@
 	return func(p *Pool) { p.opened = f }
 }
 
+// WithClock sets the clock by which connections are kept and a process that stood still is noticed.
+func WithClock(c clock.Clock) Option {
+	return func(p *Pool) { p.now = c }
+}
+
 // NewPool returns a pool without connections.
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
 		dialTimeout: defaultDialTimeout,
 		maxConns:    func(netip.AddrPort) int { return 0 },
 		opened:      func() {},
+		now:         clock.Steady,
 		idle:        make(map[netip.AddrPort][]*conn),
 		open:        make(map[netip.AddrPort]int),
 	}
@@ -130,7 +139,7 @@
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
 		p.idle[target] = list
-		if time.Now().Before(c.until) {
+		if p.now().Before(c.until) {
 			return c
 		}
 		p.forget(c)
@@ -232,7 +241,7 @@
 		return
 	}
 	c.used = true
-	c.keptAt = time.Now()
+	c.keptAt = p.now()
 	c.until = c.keptAt.Add(d)
 	p.idle[c.target] = append(p.idle[c.target], c)
 }
@@ -270,7 +279,7 @@
 func (p *Pool) Sweep(wanted func(netip.AddrPort) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.now()
 	for target, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
--- a/transport/send.go
+++ b/transport/send.go
@@ -50,18 +50,18 @@
 	if req.Fresh {
 		open = p.dial
 	}
-	asked := time.Now()
+	asked := p.now()
 	c, err := open(ctx, req.Target)
 	if err != nil {
 		return nil, err
 	}
-	if took := time.Since(asked); took > p.dialTimeout {
+	if took := p.now.Since(asked); took > p.dialTimeout {
 		// Opening ends by then, so this process stood still. What its caller checked
 		// before may hold no more, and nothing has been sent yet.
 		c.discard()
 		return nil, ErrUnsent.Errorf("target %s: this process stood still for some %s", req.Target, took.Round(time.Millisecond))
 	}
-	x := &exchange{conn: c, ctx: ctx, fresh: req.Fresh, begun: time.Now()}
+	x := &exchange{conn: c, ctx: ctx, fresh: req.Fresh, begun: p.now()}
 	x.stop = context.AfterFunc(ctx, func() {
 		// A connection whose deadline cannot be set is closed already.
 		_ = c.SetDeadline(time.Unix(1, 0))
