--- a/dispatch/held.go
+++ b/dispatch/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pathhead/pathhead/internal/door"
 	"github.com/pathhead/pathhead/route"
@@ -41,6 +42,18 @@
 	})
 }
 
+// CrashesSince returns what the board knows of targets that ended under requests, beyond a version of it.
+func (d *Driver) CrashesSince(after int64) (words []route.CrashWord, version int64) {
+	d.Lock()
+	defer d.Unlock()
+	return d.Board().CrashesSince(d.now(), after)
+}
+
+// TakeCrashes takes what another process knows of them.
+func (d *Driver) TakeCrashes(words []route.CrashWord) {
+	d.Do(func(b *route.Board, now time.Time) []route.Action { return b.TakeCrashes(now, words) })
+}
+
 // Held returns how many requests are held back.
 func (d *Driver) Held() (n int) {
 	d.Lock()
--- a/node/crash.go
+++ b/node/crash.go
@@ -20,19 +20,12 @@
 // mayHaveEnded looks whether a target has ended at which an attempt broke off. It opens a
 // connection, unless others go on there; one that is taken serves the next request.
 func (n *Node) mayHaveEnded(target netip.AddrPort) {
-	if !n.reaching.begin(target) {
-		return
-	}
-	go func() {
-		defer n.reaching.end(target)
+	n.tryBeside(target, func() bool {
 		time.Sleep(endedPause)
 		n.Lock()
-		look := n.Board().MayHaveEnded(target)
-		n.Unlock()
-		if look {
-			n.tryTarget(target)
-		}
-	}()
+		defer n.Unlock()
+		return n.Board().MayHaveEnded(target)
+	})
 }
 
 // tryTarget opens a connection to a target and tells the board what came of it.
@@ -87,16 +80,9 @@
 	}
 }
 
-// crashesSince returns what the node knows of targets that ended under requests.
-func (n *Node) crashesSince(after int64) ([]route.CrashWord, int64) {
-	n.Lock()
-	defer n.Unlock()
-	return n.Board().CrashesSince(n.now(), after)
-}
-
 // takeCrashes takes what another process knows of them.
 func (n *Node) takeCrashes(words []route.CrashWord) {
-	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.TakeCrashes(now, words) })
+	n.TakeCrashes(words)
 	// What they tell may make a request one that is held back, whose last end was seen here.
 	n.recording.wake()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -204,7 +204,7 @@
 		route.WithCrashes(n.crashSettings, n.crashSeen.wake),
 	)
 	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt), dispatch.WithClock(n.now))
-	n.crashes = peer.NewCrashTalk(n.crashesSince, n.takeCrashes)
+	n.crashes = peer.NewCrashTalk(n.CrashesSince, n.takeCrashes)
 	n.gossip = peer.NewGossip(peer.GossipConfig{
 		ID: s.Name, Addr: s.Peers, Seeds: s.Seeds, Timeout: peerTimeout, Seed: seed, Clock: n.now,
 		Payload: n.payload, Heard: n.heard, Newest: n.newestWords, HeardNewest: n.heardNewest,
--- a/node/reach.go
+++ b/node/reach.go
@@ -41,11 +41,18 @@
 // Connections may go silent for good while new ones work; a target that takes one is
 // not gone. It does not wait for that.
 func (n *Node) reach(target netip.AddrPort) {
+	n.tryBeside(target, func() bool { return true })
+}
+
+// tryBeside tries a target with a new connection, if wanted says so and it is not being tried. It does not wait for that.
+func (n *Node) tryBeside(target netip.AddrPort, wanted func() bool) {
 	if !n.reaching.begin(target) {
 		return
 	}
 	go func() {
 		defer n.reaching.end(target)
-		n.tryTarget(target)
+		if wanted() {
+			n.tryTarget(target)
+		}
 	}()
 }
--- a/route/crash.go
+++ b/route/crash.go
@@ -17,8 +17,8 @@
 // brings out. Its copies come one after another, to whichever process; each takes a
 // target with it and all that runs there. So the processes of a fleet count together the targets
 // that ended under copies of one request, told apart by [Fingerprint], and hold back one under
-// which enough have ended. Without it 37 of nine targets' starts ended in half a minute, and up to
-// half of all other requests failed; with it those that the copies under way reach.
+// which enough have ended. Without it 37 targets of a service of nine ended in half a minute, and up to
+// half of all other requests failed; with it three and those that copies under way reach (TestCrashFleetGuilty).
 //
 // A target that ends takes along whatever it runs, so a request that runs at one is only a
 // suspect. What keeps the innocent from being held back:
--- a/router/peers.go
+++ b/router/peers.go
@@ -46,18 +46,6 @@
 	}
 }
 
-// crashesSince returns what the router knows of targets that ended under requests.
-func (r *Router) crashesSince(after int64) ([]route.CrashWord, int64) {
-	r.Lock()
-	defer r.Unlock()
-	return r.Board().CrashesSince(time.Now(), after)
-}
-
-// takeCrashes takes what another process knows of them.
-func (r *Router) takeCrashes(words []route.CrashWord) {
-	r.Do(func(b *route.Board, now time.Time) []route.Action { return b.TakeCrashes(now, words) })
-}
-
 // Exchange implements [peer.Handler].
 func (r *Router) Exchange(in peer.Exchange) peer.Exchange { return r.gossip.Exchange(in) }
 
