node: the record of what is held back is written once the store is back, and its entries are checked

Found in reading the diff: after some 4 s of the store's absence a node gave the record up until the next target ended (now it tries once a second, TestFleetCrashesStoreAway); an entry without a request would have counted as the word that a target lives (TestFleetCrashesOverRestart has such a record); copies whose Host header differs in its port were told apart.

--- a/node/crash_record.go
+++ b/node/crash_record.go
@@ -21,13 +21,8 @@
 // heldRow is the key of the record, in the lease's part of the table.
 const heldRow = "requests-held"
 
-const (
-	// mostHeldRecorded bounds the requests recorded: some 6 KB with four ends each, 25 KB with all.
-	mostHeldRecorded = 16
-	// recordTries is how often a write is tried that others' writes or an outage came before.
-	recordTries = 4
-	recordPause = 300 * time.Millisecond
-)
+// mostHeldRecorded bounds the requests recorded: some 6 KB with four ends each, 25 KB with all.
+const mostHeldRecorded = 16
 
 // recordedEnd is an end of a target under a request, as it is recorded.
 type recordedEnd struct {
@@ -63,6 +58,9 @@
 	}
 	out := make([]route.CrashWord, 0, len(record))
 	for _, r := range record {
+		if !r.Print.Known() || !r.Target.IsValid() {
+			return nil, errs.Errorf("the record of requests held back: an entry without request or target")
+		}
 		_, at := c.ToHere(time.Duration(r.AtMS) * time.Millisecond)
 		out = append(out, route.CrashWord{
 			CrashKey: route.CrashKey{Print: r.Print, Target: route.Mark{Target: r.Target, Incarnation: route.Incarnation(r.Incarnation)}},
@@ -87,9 +85,9 @@
 	n.takeCrashes(words)
 }
 
-// isolatedEvery is the time between two readings of the record by a node that others do not
-// reach: what they hold back must be known within the time of contact, of 3 s and more.
-const isolatedEvery = time.Second
+// lookEvery is the time between two readings of the record by a node that others do not reach, and
+// between two tries to write it: what is held back must be known within the time of contact, of 3 s and more.
+const lookEvery = time.Second
 
 // isolated reports whether the node hears at most half of the nodes that there were lately. It may
 // still reach the store and targets, and its callers go on sending what the others hold back.
@@ -116,8 +114,11 @@
 // recordLoop records what is held back, after each target that this node saw end, and reads
 // the record while the others do not reach this node.
 func (n *Node) recordLoop(ctx context.Context) {
-	var recorded []route.CrashWord
-	look := time.NewTicker(isolatedEvery)
+	var (
+		recorded []route.CrashWord
+		owed     bool
+	)
+	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for {
 		select {
@@ -127,48 +128,48 @@
 			if n.isolated() {
 				n.readHeld(ctx)
 			}
-			continue
+			if !owed {
+				continue
+			}
 		case <-n.recording:
 		}
-		for try := range recordTries {
-			if try > 0 && !pause(ctx, n.jitter(recordPause<<try)) {
-				return
-			}
-			n.Lock()
-			words, own := n.Board().HeldWords(n.now(), mostHeldRecorded)
-			n.Unlock()
-			if !own || has(recorded, words) {
-				break
-			}
-			done, err := n.writeHeld(ctx, words)
-			if done {
-				recorded = words
-				break
-			}
+		n.Lock()
+		words, own := n.Board().HeldWords(n.now(), mostHeldRecorded)
+		n.Unlock()
+		if owed = own && !has(recorded, words); !owed {
+			continue
+		}
+		if err := n.writeHeld(ctx, words); err != nil {
 			n.log.Debug("what is held back was not recorded", "error", err)
+			continue
 		}
+		recorded, owed = words, false
 	}
 }
 
-// writeHeld writes the record, unless it has all of the words; done is false where it is to be tried again.
-func (n *Node) writeHeld(ctx context.Context, words []route.CrashWord) (done bool, err error) {
+// writeHeld writes the record, unless it has all of the words, joined with what others recorded. It
+// fails where another wrote in between or the store is away, and is tried again then.
+func (n *Node) writeHeld(ctx context.Context, words []route.CrashWord) error {
 	part, _ := n.duty.lease.Key()
 	row, ok, err := n.store.Get(ctx, part, heldRow)
+	if err != nil {
+		return err
+	}
 	clock := n.store.Clock()
-	if err != nil || !clock.Known() {
-		return false, err
+	if !clock.Known() {
+		return errs.Errorf("the store's clock is not known")
 	}
 	if ok {
 		n.takeHeldRecord(row)
 		if recorded, err := decodeHeld(clock, n.now(), row.Data); err == nil && has(recorded, words) {
-			return true, nil
+			return nil
 		}
 		n.Lock()
 		words, _ = n.Board().HeldWords(n.now(), mostHeldRecorded)
 		n.Unlock()
 	}
 	_, err = n.store.Commit(ctx, rand.Text(), fleet.Write{Part: part, Sort: heldRow, Data: encodeHeld(clock, n.now(), words), If: row.Rev})
-	return err == nil, err
+	return err
 }
 
 // has reports whether all words of a list are among others.
--- a/node/fleet_crash_test.go
+++ b/node/fleet_crash_test.go
@@ -135,15 +135,17 @@
 					time.Sleep(time.Second)
 					require.Zero(t, f.holding(suspected))
 				})
-				row := store.rows[key]
-				row.Data = []byte("no record")
-				store.rows[key] = row
-				play(func(f *simFleet) {
-					require.Zero(t, f.holding(held))
-					f.guilty(held)
-					time.Sleep(2 * time.Second)
-				})
-				play(func(f *simFleet) { require.Equal(t, nodes, f.holding(held)) })
+				for _, spoiled := range []string{"no record", `[{"fingerprint":"00000000000000000000000000000000","target":"10.0.0.1:1"}]`} {
+					row := store.rows[key]
+					row.Data = []byte(spoiled)
+					store.rows[key] = row
+					play(func(f *simFleet) {
+						require.Zero(t, f.holding(held))
+						f.guilty(held)
+						time.Sleep(2 * time.Second)
+					})
+					play(func(f *simFleet) { require.Equal(t, nodes, f.holding(held)) })
+				}
 			})
 		})
 	}
@@ -175,3 +177,31 @@
 		})
 	}
 }
+
+// What is held back while the store is away is recorded once it is back.
+func TestFleetCrashesStoreAway(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 6, engines: 9, perSecond: 20})
+		f.settle()
+		defer f.end()
+		for _, d := range f.doors {
+			d.down.Store(true)
+		}
+		f.guilty(route.FingerprintOf("org", "POST", "host", "/", []byte("guilty")))
+		time.Sleep(5 * time.Second)
+		part, _ := f.nodes[0].duty.lease.Key()
+		recorded := func() bool {
+			f.store.mu.Lock()
+			defer f.store.mu.Unlock()
+			_, ok := f.store.rows[[2]string{part, heldRow}]
+			return ok
+		}
+		require.False(t, recorded())
+		for _, d := range f.doors {
+			d.down.Store(false)
+		}
+		time.Sleep(3 * time.Second)
+		require.True(t, recorded())
+	})
+}
--- a/node/forward.go
+++ b/node/forward.go
@@ -113,7 +113,7 @@
 			req.Priority = *v.org.Priority
 		}
 	}
-	req.Print = route.FingerprintOf(req.Org, v.r.Method, v.r.Host, v.uri, v.body)
+	req.Print = route.FingerprintOf(req.Org, v.r.Method, hostOf(v.r.Host), v.uri, v.body)
 	if n.off.Has(route.Urgency) {
 		req.Priority = 0
 	}
