route, peer: two mutants that lived, killed by stricter tests

A herd of other requests that pushes out what is held back: the test looked only after the ends had been told again; it looks before that now. What CrashTalk.Failed was said to do, the cursors do; what it does is to forget a process that may be gone for good, which its comment and test say now. No change of logic.

--- a/peer/crashes.go
+++ b/peer/crashes.go
@@ -101,7 +101,8 @@
 	}
 }
 
-// Failed notes that a process did not answer: what it was told is not known.
+// Failed notes that a process did not answer. It may be gone for good, and what is known of it is
+// forgotten; if it answers again it is told everything once more.
 func (t *CrashTalk) Failed(addr netip.AddrPort) {
 	if t == nil {
 		return
--- a/peer/crashes_test.go
+++ b/peer/crashes_test.go
@@ -62,6 +62,10 @@
 	a.ask(addr, nil)
 	sent, _ = a.ask(addr, b)
 	require.Len(t, sent.Words, 1, "what got no answer is told again")
+	require.Contains(t, a.peers, addr)
+	a.ask(addr, nil)
+	require.NotContains(t, a.peers, addr, "one that does not answer is forgotten")
+	a.ask(addr, b)
 	require.Equal(t, 1, b.took)
 	for range 3 {
 		sent, answered = a.ask(addr, b)
--- a/route/crash_test.go
+++ b/route/crash_test.go
@@ -286,10 +286,12 @@
 			{CrashKey: CrashKey{Target: Mark{testAddr(n), "k"}}},
 		})
 	}
+	_, held := w.held(t, guiltyPrint)
+	require.True(t, held, "after a herd of others")
 	for n := range 3 * mostEnds {
 		w.board.TakeCrashes(w.now, []CrashWord{{CrashKey: CrashKey{guiltyPrint, Mark{testAddr(n), "l"}}, Age: time.Second}})
 	}
-	_, held := w.held(t, guiltyPrint)
+	_, held = w.held(t, guiltyPrint)
 	require.True(t, held)
 	w.now = w.now.Add(sweepEvery)
 	w.board.Tick(w.now)
