--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -22,12 +22,12 @@
 	now, ok := ahead()
 	require.True(t, ok)
 	m := newMachine(now - 5*time.Second)
-	require.InDelta(t, 5*time.Second, m.now().Sub(time.Now()), float64(10*time.Millisecond))
+	require.InDelta(t, 5*time.Second, time.Until(m.now()), float64(10*time.Millisecond))
 	m.begun += 3 * time.Second
 	time.Sleep(readEvery)
-	require.InDelta(t, 5*time.Second, m.now().Sub(time.Now()), float64(10*time.Millisecond))
+	require.InDelta(t, 5*time.Second, time.Until(m.now()), float64(10*time.Millisecond))
 	m = newMachine(now - grain/2)
-	require.InDelta(t, 0, m.now().Sub(time.Now()), float64(5*time.Millisecond))
+	require.InDelta(t, 0, time.Until(m.now()), float64(5*time.Millisecond))
 }
 
 func BenchmarkMachine(b *testing.B) {
--- a/node/watch.go
+++ b/node/watch.go
@@ -208,7 +208,7 @@
 }
 
 // aheadOf is how far the node's clock is ahead of the steady one, which stands still while the VM is suspended.
-func (n *Node) aheadOf() time.Duration { return n.now().Sub(time.Now()) }
+func (n *Node) aheadOf() time.Duration { return time.Until(n.now()) }
 
 // leastSuspended is the least time suspended that is logged.
 const leastSuspended = 50 * time.Millisecond
