e2e: the engines that ended under a request are counted before the count is held against the next

Each process is counted once it was waited for, which may be after its copy was answered; and a copy that fell with an engine is refused as held back too, as may-have-run, which the test took for held. It asks for not-run now, waits until the count stands still, and looks half a second later again: stricter in both.

--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pathhead/pathhead/internal/load"
+	"github.com/pathhead/pathhead/route"
 )
 
 // crashText is what engines end on.
@@ -54,19 +55,27 @@
 	held := func(n int) bool {
 		r := s.ask(clients[n%2], deadly())
 		require.False(t, r.OK())
-		return r.Status == http.StatusServiceUnavailable && r.Code == "crashes_targets"
+		return r.Status == http.StatusServiceUnavailable && r.Code == "crashes_targets" && r.Verdict == route.NotRun.String()
 	}
 	asked := 0
 	s.eventually(func() bool {
 		asked += 2
 		return held(asked) && held(asked+1)
 	}, "both routers hold the request back")
+	// An engine is counted once its process was waited for, which may be after its copy was answered.
 	known := ended.Load()
+	s.eventually(func() bool {
+		before := known
+		time.Sleep(500 * time.Millisecond)
+		known = ended.Load()
+		return known == before
+	}, "all engines that ended are counted")
 	t.Logf("%d engines ended before both routers held the request back", known)
 	require.GreaterOrEqual(t, known, int64(3))
 	for n := range 10 {
 		require.True(t, held(n))
 	}
+	time.Sleep(500 * time.Millisecond)
 	require.Equal(t, known, ended.Load(), "no engine ends once it is held back")
 	s.eventually(func() bool { return s.ask(clients[0], question("formosa-air", "rules", "b", 4)).OK() }, "others are answered")
 }
