platform, route, node: an answer's word on its target's limit is read and logged

Sight for the hypotheses on LIMIT: no log line told that a target had named a limit, nor to which node. Event 314 says who named which limit to which node, and when it ended. Nothing is decided by it yet.

--- a/node/forward.go
+++ b/node/forward.go
@@ -229,6 +229,9 @@
 	}
 	defer resp.Body.Close()
 	meaning, incarnation := f.n.protocol.Read(resp.Status, resp.Header)
+	if meaning != MeaningOther {
+		f.said(a, resp.Header, now)
+	}
 	if meaning != MeaningAnswer {
 		// The rest of a refusal is of no interest, but its connection is.
 		_, err := transport.ReadAll(resp.Body, maxRefusal)
@@ -245,6 +248,14 @@
 	return f.whole(a, resp, out)
 }
 
+// said takes what an answer to an attempt sent at a time says of its target, before any of it is passed on.
+func (f *forwarding) said(a route.Attempt, h http.Header, sent time.Time) {
+	said := f.n.protocol.Said(h)
+	f.n.Lock()
+	defer f.n.Unlock()
+	f.n.Board().Said(f.n.now(), route.Mark{Target: a.Target, Incarnation: a.Incarnation}, sent, said)
+}
+
 // maxRefusal bounds the body of a target's refusal, in bytes.
 const maxRefusal = 64 << 10
 
--- a/route/identity.go
+++ b/route/identity.go
@@ -72,6 +72,7 @@
 	t.learned, t.service = 0, defaultService
 	t.unreported = true
 	t.unused = ""
+	t.limit = targetLimit{}
 	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
 	t.recent = nil
 	t.suspectedAt, t.silentAt = time.Time{}, time.Time{}
