route: targets' limits are kept by all routers as one account

Cause: of the head of an answer nodes read whether the request had run. Class: a word of the protocol that nobody reads.

The change: a target's limit is bound to its incarnation and kept like an organisation's, as one account of all routers, each of which tells what it wanted to send and sent. Words have a number that grows with each change any router saw, so that an echo of an older word takes nothing back. A router that only heard of the limit keeps it too. An answer without the word ends the limit if its request was sent after the limit was heard of. Others take what a target does not, without a wait. 0 bytes where no target names a limit.

TestNamedLimitBound: 1, 8, 90 and 390 routers, limits of 0.5, 2 and 10, five histories, all routers counted.

--- a/route/allowance.go
+++ b/route/allowance.go
@@ -138,21 +138,33 @@
 	a.refill(now, g)
 	asked := a.others.asked + a.asked.rate(now)
 	a.asked.add(now, cost)
+	if !a.allows(g, cost, draw, asked) {
+		return false
+	}
+	a.charge(now, cost)
+	return true
+}
+
+// allows reports whether a cost may be charged beside what else is asked for, in its unit a
+// second, and charges nothing.
+func (a *allowance) allows(g grant, cost, draw, asked float64) bool {
 	need := cost
 	if g.whole {
 		// A request larger than the burst is not refused for ever.
 		need = min(cost, g.burst)
 	}
 	reserve := max(0, asked-g.rate) * wordReach.Seconds()
-	if a.level < need+reserve {
-		asked += cost / askedOver.Seconds()
-		if chance := (g.rate + a.level/evenTime.Seconds()) / asked; draw >= chance {
-			return false
-		}
+	if a.level >= need+reserve {
+		return true
 	}
+	asked += cost / askedOver.Seconds()
+	return draw < (g.rate+a.level/evenTime.Seconds())/asked
+}
+
+// charge takes a cost off.
+func (a *allowance) charge(now time.Time, cost float64) {
 	a.level -= cost
 	a.used.add(now, cost)
-	return true
 }
 
 // giveBack takes a charge back that was not used.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -197,6 +197,7 @@
 	c.target.attempts[a.ID] = a
 	c.target.prefill += a.uncached
 	c.target.tokens += r.size()
+	a.chargeLimit(now)
 	b.note(event.Event{
 		Code: event.RequestPlaced, Request: r.ID, Attempt: a.ID, Org: r.Org,
 		Target: c.target.name(), Revision: b.snap.Revision, Detail: a.Reason,
@@ -282,6 +283,9 @@
 		r.weights = a.Weights
 	}
 	a.target.sends.add(now, 1)
+	if o.Kind == OutcomeUnsent {
+		a.giveBackLimit(now)
+	}
 	if o.Kind == OutcomeDone {
 		a.target.answeredAt = now
 		if o.TargetError {
--- a/route/limit.go
+++ b/route/limit.go
@@ -131,9 +131,14 @@
 // together returns how many routers this one shares its account of limits with, itself
 // among them, and how many there may be.
 func (b *Board) together(now time.Time) (known, all int) {
+	return b.togetherWith(now, b.counted, b.toldAt)
+}
+
+// togetherWith is together for an account of which so many other routers told at a time.
+func (b *Board) togetherWith(now time.Time, counted int, toldAt time.Time) (known, all int) {
 	known = 1
-	if now.Sub(b.toldAt) <= touchTime && !b.off.Has(LimitAccount) {
-		known += b.counted
+	if now.Sub(toldAt) <= touchTime && !b.off.Has(LimitAccount) {
+		known += counted
 	}
 	all = max(b.sharers.most, b.routers)
 	if b.unknownSize && !b.alone && known == 1 && all <= b.inSettings && now.Sub(b.begun) < meetOthers {
--- a/route/peers.go
+++ b/route/peers.go
@@ -18,6 +18,8 @@
 	Loads    []Load
 	Demands  []Demand
 	Fills    []Fill
+	// Limits are the limits that targets named.
+	Limits []LimitWord
 	// Silent are targets that gave no sign of life lately.
 	Silent []SilentWord
 	// Hot are the parts that prompts are asked about most.
@@ -83,6 +85,10 @@
 func (s PeerState) Aged(age time.Duration) PeerState {
 	if age > touchTime {
 		s.Demands, s.Counted = nil, 0
+		s.Limits = slices.Clone(s.Limits)
+		for i, w := range s.Limits {
+			s.Limits[i] = w.forgotten()
+		}
 	}
 	return s
 }
@@ -118,7 +124,11 @@
 	loaded := make(map[WeightsWord]bool)
 	hot := make(map[uint64]float64)
 	silent := make(map[Mark]int)
+	limits := make(map[Mark]LimitWord)
 	for _, s := range states {
+		for _, w := range s.Limits {
+			limits[w.Target] = limits[w.Target].joined(w)
+		}
 		out.Shared = append(out.Shared, s.Shared...)
 		for _, w := range s.Silent {
 			silent[w.Target] += w.Routers
@@ -146,6 +156,7 @@
 	out.Loads = slices.Collect(maps.Values(loads))
 	out.Leaving = slices.Collect(maps.Keys(leaving))
 	out.Loaded = slices.Collect(maps.Keys(loaded))
+	out.Limits = slices.Collect(maps.Values(limits))
 	for m, n := range silent {
 		out.Silent = append(out.Silent, SilentWord{m, n})
 	}
@@ -158,7 +169,7 @@
 
 // State returns what this router tells its peers.
 func (b *Board) State(now time.Time) PeerState {
-	s := PeerState{Counted: 1, Revision: b.Revision(), Leaving: b.Marks(), Kept: b.newlyKept, Demands: b.demands(now)}
+	s := PeerState{Counted: 1, Revision: b.Revision(), Leaving: b.Marks(), Kept: b.newlyKept, Demands: b.demands(now), Limits: b.toldLimits(now)}
 	s.Leaving = s.Leaving[:min(len(s.Leaving), maxMarks)]
 	for _, t := range b.targets {
 		if len(t.attempts) > 0 && len(s.Loads) < maxLoads {
@@ -226,6 +237,7 @@
 	b.mergeSilent(now, states)
 	b.dropFills(now)
 	b.shareLimits(now, states)
+	b.mergeLimits(now, states)
 	return b.dispatch(now)
 }
 
@@ -244,7 +256,7 @@
 			delete(b.peers, id)
 			continue
 		}
-		s.Loads, s.Fills, s.Leaving = nil, nil, nil
+		s.Loads, s.Fills, s.Leaving, s.Limits = nil, nil, nil, nil
 		b.peers[id] = s
 	}
 }
--- a/route/place.go
+++ b/route/place.go
@@ -71,6 +71,19 @@
 // nil if none has room.
 func (b *Board) choose(now time.Time, p *pool, r *request) (best *candidate, extra time.Duration) {
 	cs := b.candidates(now, p, r)
+	for {
+		best, extra = b.bestOf(cs, p, r)
+		if best == nil || b.withinLimit(now, best.target, r) {
+			return best, extra
+		}
+		// Waiting for one that is at its limit would not bring room there: others take the request.
+		full := best.target
+		cs = slices.DeleteFunc(cs, func(c candidate) bool { return c.target == full })
+	}
+}
+
+// bestOf is choose among some candidates, whose order it changes.
+func (b *Board) bestOf(cs []candidate, p *pool, r *request) (best *candidate, extra time.Duration) {
 	if len(cs) == 0 {
 		return nil, 0
 	}
--- a/route/request.go
+++ b/route/request.go
@@ -252,6 +252,8 @@
 	tries     int
 	unsent    int
 	tried     map[netip.AddrPort]bool
+	// wants are the targets with a limit that it was to go to.
+	wants     map[netip.AddrPort]bool
 	verdict   Verdict
 	delivered bool
 	weights   string
@@ -361,8 +363,10 @@
 	first   bool
 	firstAt time.Time
 	// fills are the readings that the attempt began.
-	fills     []fillKey
-	fetched   bool
+	fills   []fillKey
+	fetched bool
+	// limited says that it was charged to its target's limit.
+	limited   bool
 	progress  time.Time
 	cancelled bool
 	// withdrawn says that it was cancelled for no fault of the target.
--- /dev/null
+++ b/route/target_limit.go
@@ -0,0 +1,215 @@
+package route
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/pathhead/pathhead/event"
+)
+
+// A target may name the requests a second that it takes from all routers together. All of
+// them keep that as one account, by the same rule as organisations' limits: each takes off
+// what the others say that they sent. A router that knows the limit from others alone keeps
+// it too, so that none learns of it by sending.
+
+// targetLimit is a target's limit as this router knows it; it ends with the target's incarnation.
+type targetLimit struct {
+	named     bool
+	perSecond float64
+	// seq grows with each change that any router saw, so that the newest word is told from
+	// its echoes; at is when this router took it.
+	seq uint64
+	at  time.Time
+	// account is what may be sent, counted how many other routers told of it at toldAt.
+	account allowance
+	counted int
+	toldAt  time.Time
+}
+
+// LimitWord is what routers tell each other of a target's limit.
+type LimitWord struct {
+	Target Mark
+	// Seq orders words on one incarnation; of two with the same the lesser limit counts.
+	Seq uint64
+	// Named is false for a limit that ended.
+	Named     bool
+	PerSecond float64
+	// Asked and Used are the requests a second that so many routers wanted to send and sent.
+	Asked, Used float64
+	Routers     int
+	// Level is the sum of what so many routers know to be left of it, as Levels says.
+	Level  float64
+	Levels int
+}
+
+// The bounds of targets' limits.
+const (
+	// limitPart is the part of a limit that is used; the rest is for what is sent before all
+	// have heard of it.
+	limitPart = 0.95
+	// limitBurst is what may be sent at once, as a time of the limit, and leastBurst what may at the
+	// least, in requests.
+	limitBurst = 500 * time.Millisecond
+	leastBurst = 2
+	// leastLimit stands for a limit of nothing, whose end is learned by a rare try alone, in
+	// requests a second.
+	leastLimit = 0.1
+	// endedKept is how long others are told that a limit ended.
+	endedKept = 5 * time.Second
+	// maxLimitWords bounds the words on limits of a [PeerState].
+	maxLimitWords = 64
+)
+
+// saidLimit takes an answer's word on the target's limit. One that names none lifts the limit
+// only if its request was sent after the limit was heard of: answers overtake each other.
+func (b *Board) saidLimit(now time.Time, t *target, sent time.Time, l SaidLimit) {
+	known := &t.limit
+	switch {
+	case l.Unread, !l.Named && !known.named:
+	case l.Named && known.named && l.PerSecond == known.perSecond:
+		known.at = now
+	case l.Named, sent.After(known.at):
+		b.setLimit(now, t, LimitWord{Seq: known.seq + 1, Named: l.Named, PerSecond: l.PerSecond}, "an answer")
+	}
+}
+
+// setLimit puts the newest word on a target's limit in force.
+func (b *Board) setLimit(now time.Time, t *target, w LimitWord, source string) {
+	l := &t.limit
+	text := "none any more"
+	if w.Named {
+		text = fmt.Sprintf("%g requests a second from all routers", w.PerSecond)
+	}
+	if w.Named != l.named || w.PerSecond != l.perSecond {
+		b.note(event.Event{Code: event.TargetLimit, Target: t.name(), Detail: text + ", says " + source})
+	}
+	if w.Named && !l.named {
+		l.account = newAllowance(now)
+	}
+	l.named, l.perSecond, l.seq, l.at = w.Named, w.PerSecond, w.Seq, now
+}
+
+// grantedBy is this router's and those routers' part of a target's limit that tell it what they
+// use; the others have an equal part each, since nobody knows what they use.
+func (b *Board) grantedBy(now time.Time, l *targetLimit) grant {
+	known, all := b.togetherWith(now, l.counted, l.toldAt)
+	rate := limitPart * max(l.perSecond, leastLimit)
+	part := float64(known) / float64(all)
+	burst := max(leastBurst, rate*limitBurst.Seconds())
+	return grant{rate: rate * part, burst: burst * part, whole: known == all, alone: known == 1}
+}
+
+// withinLimit reports whether a request that is to go to the target may. However often it
+// is looked at, it is counted once and has one draw, so that looking again is no second try.
+func (b *Board) withinLimit(now time.Time, t *target, r *request) bool {
+	if !t.limit.named {
+		return true
+	}
+	a, g := &t.limit.account, b.grantedBy(now, &t.limit)
+	a.refill(now, g)
+	if !r.wants[t.addr] {
+		if r.wants == nil {
+			r.wants = make(map[netip.AddrPort]bool)
+		}
+		r.wants[t.addr] = true
+		a.asked.add(now, 1)
+	}
+	asked := a.others.asked + max(0, a.asked.rate(now)-1/askedOver.Seconds())
+	return a.allows(g, 1, drawOf(r.ID, t), asked)
+}
+
+// drawOf is a number from 0 to 1 that a request and a target always have together.
+func drawOf(request string, t *target) float64 {
+	return float64(mix(xxh3.HashString(request)^t.hash)>>11) / (1 << 53)
+}
+
+// chargeLimit takes an attempt off its target's limit.
+func (a *attempt) chargeLimit(now time.Time) {
+	if l := &a.target.limit; l.named {
+		a.limited = true
+		l.account.charge(now, 1)
+	}
+}
+
+// giveBackLimit gives back what an attempt was charged that did not reach its target.
+func (a *attempt) giveBackLimit(now time.Time) {
+	if a.limited && a.target.limit.named {
+		a.target.limit.account.giveBack(now, 1)
+	}
+}
+
+// toldLimits returns what this router tells of targets' limits.
+func (b *Board) toldLimits(now time.Time) []LimitWord {
+	var out []LimitWord
+	for _, t := range b.targets {
+		l := &t.limit
+		if len(out) == maxLimitWords || !l.named && (l.seq == 0 || now.Sub(l.at) > endedKept) {
+			continue
+		}
+		w := LimitWord{Target: t.mark(), Seq: l.seq, Named: l.named, PerSecond: l.perSecond}
+		if l.named {
+			f := l.account.flow(now)
+			w.Asked, w.Used, w.Routers = f.asked, f.used, 1
+			if f.known {
+				w.Level, w.Levels = f.level, 1
+			}
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+// joined is a word of more routers on the same target.
+func (w LimitWord) joined(o LimitWord) LimitWord {
+	if o.newer(w) {
+		w.Target, w.Seq, w.Named, w.PerSecond = o.Target, o.Seq, o.Named, o.PerSecond
+	}
+	w.Asked += o.Asked
+	w.Used += o.Used
+	w.Routers += o.Routers
+	w.Level += o.Level
+	w.Levels += o.Levels
+	return w
+}
+
+// newer reports whether the word replaces another.
+func (w LimitWord) newer(o LimitWord) bool {
+	switch {
+	case w.Seq != o.Seq:
+		return w.Seq > o.Seq
+	case w.Named != o.Named:
+		return w.Named
+	}
+	return w.Named && w.PerSecond < o.PerSecond
+}
+
+// forgotten is the word as it counts once it is old: the limit, and nobody's use.
+func (w LimitWord) forgotten() LimitWord {
+	return LimitWord{Target: w.Target, Seq: w.Seq, Named: w.Named, PerSecond: w.PerSecond}
+}
+
+// mergeLimits takes what the other routers told of targets' limits and of their use.
+func (b *Board) mergeLimits(now time.Time, states map[string]PeerState) {
+	told := make(map[netip.AddrPort]LimitWord)
+	for _, s := range states {
+		for _, w := range s.Limits {
+			if t, ok := b.targets[w.Target.Target]; ok && w.Target.Incarnation.Same(t.incarnation) {
+				told[t.addr] = told[t.addr].joined(w)
+			}
+		}
+	}
+	for _, t := range b.targets {
+		l, w := &t.limit, told[t.addr]
+		if own := (LimitWord{Seq: l.seq, Named: l.named, PerSecond: l.perSecond}); w.newer(own) {
+			b.setLimit(now, t, w, "a peer")
+		}
+		if !l.named {
+			continue
+		}
+		l.counted, l.toldAt = w.Routers, now
+		l.account.hear(now, b.grantedBy(now, l), flowOf(w.Asked, w.Used, w.Level, w.Levels))
+	}
+}
--- /dev/null
+++ b/route/target_limit_fleet_test.go
@@ -0,0 +1,340 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The bound on what a target that names a limit gets: in each such window so many times what the
+// limit allows, and some more.
+const (
+	namedWindow = 4 * time.Second
+	namedTimes  = 1.5
+	namedMore   = 5
+)
+
+func namedBound(limit float64) float64 { return namedTimes*limit*namedWindow.Seconds() + namedMore }
+
+// namedFleet is the routers of one fleet before some targets of a service, of which the first
+// names a limit. They report four times a second and hear of the others what these said two
+// reports before, as over relays.
+type namedFleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	targets int
+	// limit is what the first target names, nil for none.
+	limit *float64
+	// namedAt is when it began to.
+	namedAt time.Time
+	boards  []*Board
+	// side is the part of the fleet that a router reaches.
+	side []int
+	told [][]PeerState
+	asks int
+	// sent are the times at which requests came to the first target.
+	sent []time.Time
+	// late are answers that are yet to come.
+	late []lateAnswer
+}
+
+// lateAnswer is an answer under way.
+type lateAnswer struct {
+	at, sent time.Time
+	router   int
+	attempt  Attempt
+	said     Said
+}
+
+// answerTime is how long a request takes at a target.
+const answerTime = 50 * time.Millisecond
+
+func newNamedFleet(t *testing.T, n, targets int, seed uint64) *namedFleet {
+	f := &namedFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: epoch, targets: targets, side: make([]int, n), boards: make([]*Board, n)}
+	for i := range n {
+		f.start(i)
+	}
+	f.play(2*time.Second, 5)
+	return f
+}
+
+// start starts a router anew.
+func (f *namedFleet) start(i int) {
+	b := NewBoard(WithSeed(f.rng.Uint64()), WithRouters(min(3, len(f.boards))), WithUnknownSize())
+	b.Adopt(f.now, testSetup{}.snapshot(f.t))
+	var seen []Seen
+	for k := range f.targets {
+		seen = append(seen, Seen{Addr: testAddr(k), Labels: map[string]string{"s": "s"}})
+	}
+	b.Targets(f.now, seen)
+	for k := range f.targets {
+		b.Report(f.now, testAddr(k), Report{Incarnation: "i", Slots: 64})
+	}
+	f.boards[i] = b
+}
+
+// name has the first target name a limit from now on.
+func (f *namedFleet) name(limit float64) { f.limit, f.namedAt = &limit, f.now }
+
+// report lets all routers hear of each other.
+func (f *namedFleet) report() {
+	states := make([]PeerState, len(f.boards))
+	for i, b := range f.boards {
+		states[i] = b.State(f.now)
+	}
+	f.told = append(f.told, states)
+	if len(f.told) < 3 {
+		return
+	}
+	f.told = f.told[len(f.told)-3:]
+	bySide := make(map[int][]PeerState)
+	for i, s := range f.told[0] {
+		bySide[f.side[i]] = append(bySide[f.side[i]], s)
+	}
+	sums := make(map[int]PeerState)
+	for side, states := range bySide {
+		sums[side] = Join(states)
+	}
+	for i, b := range f.boards {
+		sum := sums[f.side[i]]
+		if sum.Speaks < 2 {
+			b.Peers(f.now, nil, len(f.boards))
+			continue
+		}
+		b.Peers(f.now, map[string]PeerState{"others": withoutOwn(sum, f.told[0][i])}, len(f.boards))
+	}
+}
+
+// withoutOwn is a joined state less what one router told.
+func withoutOwn(sum, own PeerState) PeerState {
+	out := PeerState{Speaks: sum.Speaks - 1, Counted: sum.Counted - 1}
+	for _, w := range sum.Limits {
+		for _, o := range own.Limits {
+			if o.Target == w.Target {
+				w.Asked, w.Used, w.Routers = w.Asked-o.Asked, w.Used-o.Used, w.Routers-o.Routers
+				w.Level, w.Levels = w.Level-o.Level, w.Levels-o.Levels
+			}
+		}
+		out.Limits = append(out.Limits, w)
+	}
+	return out
+}
+
+// play has so many requests a second come to the routers for a time.
+func (f *namedFleet) play(d time.Duration, perSecond float64) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(fleetStep) {
+		if f.now.Sub(epoch)%fleetReport == 0 {
+			f.report()
+		}
+		f.answer()
+		for n := poisson(f.rng, perSecond*fleetStep.Seconds()); n > 0; n-- {
+			f.ask(f.rng.IntN(len(f.boards)))
+		}
+	}
+}
+
+// ask sends a request to a router, and on to the target that it chooses.
+func (f *namedFleet) ask(i int) {
+	f.asks++
+	req := Request{ID: fmt.Sprint(f.asks), Revision: 1, Pool: "s", Deadline: f.now.Add(4 * time.Second), QueueTime: time.Second}
+	f.take(i, f.boards[i].Arrive(f.now, req))
+}
+
+// take plays a router's sends.
+func (f *namedFleet) take(i int, actions []Action) {
+	for _, a := range actions {
+		send, ok := a.(Send)
+		if !ok {
+			continue
+		}
+		late := lateAnswer{at: f.now.Add(answerTime), sent: f.now, router: i, attempt: send.Attempt}
+		if send.Attempt.Target == testAddr(0) {
+			f.sent = append(f.sent, f.now)
+			if f.limit != nil {
+				late.said.Limit = SaidLimit{Named: true, PerSecond: *f.limit}
+			}
+		}
+		f.late = append(f.late, late)
+	}
+}
+
+// answer plays the answers that come now.
+func (f *namedFleet) answer() {
+	for len(f.late) > 0 && !f.late[0].at.After(f.now) {
+		l := f.late[0]
+		f.late = f.late[1:]
+		b := f.boards[l.router]
+		b.Said(f.now, Mark{l.attempt.Target, "i"}, l.sent, l.said)
+		f.take(l.router, b.Ended(f.now, Outcome{Request: l.attempt.Request, Attempt: l.attempt.ID, Kind: OutcomeDone}))
+	}
+}
+
+// most returns the most requests that came to the first target in one window that begins from a time on.
+func (f *namedFleet) most(from time.Time) int {
+	most, first := 0, 0
+	for i, at := range f.sent {
+		if at.Before(from) {
+			first = i + 1
+			continue
+		}
+		for at.Sub(f.sent[first]) > namedWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// since returns how many came from a time on.
+func (f *namedFleet) since(from time.Time) int {
+	n := 0
+	for _, at := range f.sent {
+		if !at.Before(from) {
+			n++
+		}
+	}
+	return n
+}
+
+func poisson(rng *rand.Rand, mean float64) int {
+	n := 0
+	for left := math.Exp(-mean); ; n++ {
+		if left /= rng.Float64(); left > 1 {
+			return n
+		}
+	}
+}
+
+// told is how long after its first word a target's limit is held against what it gets.
+const toldTime = 500 * time.Millisecond
+
+// namedPlays are histories of a fleet in which a target gets more than the limit that it names, and
+// the limit that holds at their end.
+func namedPlays() map[string]func(f *namedFleet, limit, perSecond float64) {
+	return map[string]func(f *namedFleet, limit, perSecond float64){
+		"named under load": func(f *namedFleet, limit, perSecond float64) {
+			f.play(4*time.Second, perSecond)
+			f.name(limit)
+			f.play(20*time.Second, perSecond)
+		},
+		"load comes after a rest": func(f *namedFleet, limit, perSecond float64) {
+			f.name(limit)
+			f.play(10*time.Second, 2)
+			f.play(15*time.Second, perSecond)
+		},
+		"a third start again": func(f *namedFleet, limit, perSecond float64) {
+			f.name(limit)
+			f.play(8*time.Second, perSecond)
+			for i := 0; i < len(f.boards); i += 3 {
+				f.start(i)
+			}
+			f.play(10*time.Second, perSecond)
+		},
+		"one after the other starts again": func(f *namedFleet, limit, perSecond float64) {
+			f.name(limit)
+			f.play(5*time.Second, perSecond)
+			for i := range min(20, len(f.boards)) {
+				f.start(i)
+				f.play(300*time.Millisecond, perSecond)
+			}
+		},
+		"a sixth is cut off": func(f *namedFleet, limit, perSecond float64) {
+			f.name(limit)
+			f.play(8*time.Second, perSecond)
+			for i := range f.side {
+				f.side[i] = cutOff(i, 6)
+			}
+			f.play(10*time.Second, perSecond)
+		},
+	}
+}
+
+// A target that names a limit gets no more than it allows in any window, over all routers together
+// and however few requests a second that is for each, and nearly as much where more is asked.
+func TestNamedLimitBound(t *testing.T) {
+	for name, play := range namedPlays() {
+		for _, n := range []int{1, 8, 90, 390} {
+			for _, limit := range []float64{0.5, 2, 10} {
+				t.Run(fmt.Sprintf("%s/%d routers/%g", name, n, limit), func(t *testing.T) {
+					t.Parallel()
+					f := newNamedFleet(t, n, 4, 1)
+					// Each of the four targets would get three times the limit.
+					play(f, limit, 4*3*limit)
+					most := f.most(f.namedAt.Add(toldTime))
+					used := float64(f.since(f.now.Add(-8*time.Second))) / (8 * limit)
+					t.Logf("%d in one window, allowed %.0f; %.2f of the limit used at the end", most, namedBound(limit), used)
+					require.LessOrEqual(t, float64(most), namedBound(limit))
+				})
+			}
+		}
+	}
+}
+
+// usedPlay is so long that the least limit allows 60 requests in it.
+const usedPlay = 2 * time.Minute
+
+// What a target takes under its limit is used to four fifths at the least, while more is asked.
+func TestNamedLimitUsed(t *testing.T) {
+	for _, n := range []int{1, 8, 90, 390} {
+		for _, limit := range []float64{0.5, 2, 10} {
+			t.Run(fmt.Sprintf("%d routers/%g", n, limit), func(t *testing.T) {
+				t.Parallel()
+				f := newNamedFleet(t, n, 4, 2)
+				f.name(limit)
+				f.play(10*time.Second, 4*3*limit)
+				begun := f.now
+				f.play(usedPlay, 4*3*limit)
+				used := float64(f.since(begun)) / (usedPlay.Seconds() * limit)
+				t.Logf("%.2f of the limit used, %d in one window, allowed %.0f", used, f.most(begun), namedBound(limit))
+				require.GreaterOrEqual(t, used, 0.8)
+			})
+		}
+	}
+}
+
+// A limit that is raised, lowered or ended is known to all routers once one of them was told, and
+// an answer to a request from before the limit was heard of does not end it.
+func TestNamedLimitChanges(t *testing.T) {
+	f := newNamedFleet(t, 8, 4, 3)
+	knows := func(limit float64) {
+		t.Helper()
+		for i, b := range f.boards {
+			l := b.targets[testAddr(0)].limit
+			require.True(t, l.named && l.perSecond == limit || !l.named && limit == 0, "router %d knows %+v, not %g", i, l, limit)
+		}
+	}
+	for _, limit := range []float64{2, 1, 4} {
+		f.name(limit)
+		f.play(6*time.Second, 40)
+		knows(limit)
+	}
+	before := f.now.Add(-10 * time.Second)
+	f.boards[0].Said(f.now, Mark{testAddr(0), "i"}, before, Said{})
+	f.boards[1].Said(f.now, Mark{testAddr(0), "other"}, f.now, Said{})
+	f.boards[2].Said(f.now, Mark{testAddr(0), "i"}, f.now, Said{Limit: SaidLimit{Unread: true}})
+	f.play(time.Second, 0)
+	knows(4)
+	f.limit = nil
+	f.play(6*time.Second, 40)
+	knows(0)
+	begun := f.now
+	f.play(8*time.Second, 40)
+	require.Greater(t, f.since(begun), 60, "requests once the limit has ended, in place of some 30")
+}
+
+// A limit ends with the incarnation that named it.
+func TestNamedLimitEndsWithIncarnation(t *testing.T) {
+	f := newNamedFleet(t, 1, 4, 4)
+	b := f.boards[0]
+	b.Said(f.now, Mark{testAddr(0), "i"}, f.now, Said{Limit: SaidLimit{Named: true, PerSecond: 2}})
+	require.True(t, b.targets[testAddr(0)].limit.named)
+	b.Report(f.now, testAddr(0), Report{Incarnation: "next", Slots: 64})
+	require.False(t, b.targets[testAddr(0)].limit.named)
+	b.Peers(f.now, map[string]PeerState{"p": {Limits: []LimitWord{{Target: Mark{testAddr(0), "i"}, Seq: 9, Named: true, PerSecond: 2}}}}, 2)
+	require.False(t, b.targets[testAddr(0)].limit.named, "what others told of the one before says nothing of this one")
+}
