--- a/node/forward.go
+++ b/node/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -229,14 +230,19 @@
 	}
 	defer resp.Body.Close()
 	meaning, incarnation := f.n.protocol.Read(resp.Status, resp.Header)
+	var said route.Said
 	if meaning != MeaningOther {
-		f.said(a, resp.Header, now)
+		said = f.n.protocol.Said(resp.Status, resp.Header)
+		f.said(a, now, said)
 	}
 	if meaning != MeaningAnswer {
 		// The rest of a refusal is of no interest, but its connection is.
 		_, err := transport.ReadAll(resp.Body, maxRefusal)
 		out.Kind, out.Incarnation = route.OutcomeRefused, incarnation
 		out.Detail = http.StatusText(resp.Status)
+		if said.Rest > 0 {
+			out.Detail += fmt.Sprintf(", the target asks for %s of rest", said.Rest)
+		}
 		if err != nil {
 			out.Detail += ", cut short: " + err.Error()
 		}
@@ -249,8 +255,7 @@
 }
 
 // said takes what an answer to an attempt sent at a time says of its target, before any of it is passed on.
-func (f *forwarding) said(a route.Attempt, h http.Header, sent time.Time) {
-	said := f.n.protocol.Said(h)
+func (f *forwarding) said(a route.Attempt, sent time.Time, said route.Said) {
 	f.n.Lock()
 	defer f.n.Unlock()
 	f.n.Board().Said(f.n.now(), route.Mark{Target: a.Target, Incarnation: a.Incarnation}, sent, said)
--- a/node/ports.go
+++ b/node/ports.go
@@ -64,7 +64,7 @@
 	// Read says what the head of a target's answer means, and which incarnation gave it where that is told.
 	Read(status int, h http.Header) (m Meaning, incarnation route.Incarnation)
 	// Said returns what the head of a target's answer says of the target.
-	Said(h http.Header) route.Said
+	Said(status int, h http.Header) route.Said
 	// Refuse writes a refusal to a caller.
 	Refuse(w http.ResponseWriter, f route.Refusal)
 	// Fault tells a caller that its request is wrong in itself.
--- a/route/said.go
+++ b/route/said.go
@@ -5,6 +5,8 @@
 // Said is what an answer says of the target that gave it.
 type Said struct {
 	Limit SaidLimit
+	// Rest is for how long the target, which turned a request away, wants none of this router.
+	Rest time.Duration
 }
 
 // SaidLimit is an answer's word on how many requests a second its target takes from all
