route, platform: a target's own answer says that it leaves

What callers saw: answers, but of a target that may end at any moment under them. Requests reached it 11.4 and 11.6 s after its answers had told the two nodes that sent them that it leaves (2 s are allowed).

Cause: nodes learn from the list, polls and each other who leaves; an answer's word went past them. The store was away as the target began to leave, so that the list read on its return had it as ready. Class: a word of the protocol that nobody reads, as with targets' limits. Ruled out: a mark that was taken back (no node noted one at any time, and the board undoes none within an incarnation); requests placed before the word.

The change: the word marks the incarnation that gave it, for good, and others are told as of any mark. One of another incarnation that answers at the address marks that one.

TestSaidLeavingHolds: nothing that list, peers or older answers say takes it back, and a new start at the address or under the id is not held to it.

--- a/node/forward.go
+++ b/node/forward.go
@@ -230,11 +230,12 @@
 	}
 	defer resp.Body.Close()
 	meaning, incarnation := f.n.protocol.Read(resp.Status, resp.Header)
-	var said route.Said
-	if meaning != MeaningOther {
-		said = f.n.protocol.Said(resp.Status, resp.Header)
-		f.said(a, now, said)
+	said := f.n.protocol.Said(resp.Status, resp.Header)
+	by := route.Mark{Target: a.Target, Incarnation: a.Incarnation}
+	if meaning == MeaningOther {
+		by.Incarnation = incarnation
 	}
+	f.said(by, now, said)
 	if meaning != MeaningAnswer {
 		// The rest of a refusal is of no interest, but its connection is.
 		_, err := transport.ReadAll(resp.Body, maxRefusal)
@@ -254,11 +255,16 @@
 	return f.whole(a, resp, out)
 }
 
-// said takes what an answer to an attempt sent at a time says of its target, before any of it is passed on.
-func (f *forwarding) said(a route.Attempt, sent time.Time, said route.Said) {
+// said takes what an answer to an attempt sent at a time says of the target that gave it, before any of it
+// is passed on.
+func (f *forwarding) said(by route.Mark, sent time.Time, said route.Said) {
+	if by.Incarnation == "" {
+		// Another target answered, which does not say who it is.
+		return
+	}
 	f.n.Lock()
 	defer f.n.Unlock()
-	f.n.Board().Said(f.n.now(), route.Mark{Target: a.Target, Incarnation: a.Incarnation}, sent, said)
+	f.n.Board().Said(f.n.now(), by, sent, said)
 }
 
 // maxRefusal bounds the body of a target's refusal, in bytes.
--- a/route/said.go
+++ b/route/said.go
@@ -4,7 +4,9 @@
 
 // Said is what an answer says of the target that gave it.
 type Said struct {
-	Limit SaidLimit
+	// Leaving says that the target leaves.
+	Leaving bool
+	Limit   SaidLimit
 	// Rest is for how long the target, which turned a request away, wants none of this router.
 	Rest time.Duration
 }
@@ -21,6 +23,10 @@
 // Said takes what an answer to a request that was sent at a time says of its target. It is
 // believed of the incarnation that answered, and ends with it.
 func (b *Board) Said(now time.Time, m Mark, sent time.Time, s Said) {
+	if s.Leaving {
+		// The target knows it before the list does, which may be away or behind.
+		b.mark(m, "its own answer")
+	}
 	if t, ok := b.targets[m.Target]; ok && m.Incarnation.Same(t.incarnation) {
 		b.saidLimit(now, t, sent, s.Limit)
 	}
