route, node: a target that asks for rest gets none of this router's requests until it is over

The service's other targets failed a share of their requests at the time.

Cause: of a refusal nodes kept that it had not run. It raised the target's price as a failure does, for some seconds; where all targets of a service are as dear, the one that asks for rest is as cheap as they. Hypothesis 3 (one request sent again) did not hold: the requests had different callers.

The change: a target rests until the latest time that it asked for, at this router, in this incarnation; no later answer takes it back. Placement leaves it out, and what all targets of a pool rest for longer than a request may wait is refused at once, with the time until the first takes one.

TestSaidRestHolds.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -53,6 +53,7 @@
 	TargetUnnamed   Code = 312
 	TargetEnded     Code = 313
 	TargetLimit     Code = 314
+	TargetRests     Code = 315
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -146,6 +147,7 @@
 	{TargetUnnamed, "target-unnamed", slog.LevelWarn, "An entry of the list of targets names none: it does not decode, lacks a field, or has a state or value without a meaning. It is passed over; the detail has its id and the fault. Logged once for as long as the fault lasts."},
 	{TargetEnded, "target-ended", slog.LevelWarn, "A target ended while it ran requests of this process: nothing listens at its address, or a new start was seen there. The detail has the incarnation that ended and how many requests fell with it."},
 	{TargetLimit, "target-limit", slog.LevelInfo, "A target's answers name a limit on the requests a second that it takes from all routers together, name another one, or none any more; the detail has it and who said so."},
+	{TargetRests, "target-rests", slog.LevelInfo, "A target turned a request away and asked for rest: this process sends it nothing until that is over. The detail has for how long."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process serves under a new revision."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which confirms it."},
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -68,6 +68,9 @@
 	if held := b.heldRefusal(now, r); held != nil {
 		return held
 	}
+	if rests := b.restRefusal(now, p, r); rests != nil {
+		return rests
+	}
 	wait := p.queue.wait(r.Org, b.weight(r.Org), p.drained.rate(now))
 	if limit := b.queueTime(r); wait > limit {
 		return &Refusal{
@@ -480,7 +483,7 @@
 	if !ok {
 		return b.minRetryAfter
 	}
-	return max(b.minRetryAfter, p.queue.wait(r.Org, b.weight(r.Org), p.drained.rate(now)))
+	return max(b.minRetryAfter, b.restOver(now, p), p.queue.wait(r.Org, b.weight(r.Org), p.drained.rate(now)))
 }
 
 // uncharge gives back the charge of a request that ends without having run anywhere.
--- a/route/board.go
+++ b/route/board.go
@@ -69,6 +69,8 @@
 	filling map[fillKey]fill
 	// off are the mechanisms that an experiment switched off.
 	off Mechanisms
+	// restsTo is until when some target wants no requests.
+	restsTo time.Time
 	// crashes are the targets that ended under requests.
 	crashes crashes
 	// zone is where this router runs, empty if it is of no account.
--- a/route/identity.go
+++ b/route/identity.go
@@ -73,6 +73,7 @@
 	t.unreported = true
 	t.unused = ""
 	t.limit = targetLimit{}
+	t.restsTo = time.Time{}
 	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
 	t.recent = nil
 	t.suspectedAt, t.silentAt = time.Time{}, time.Time{}
--- a/route/place.go
+++ b/route/place.go
@@ -220,7 +220,7 @@
 
 func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
 	for _, t := range p.members {
-		if t.usable() {
+		if t.usable() && !t.rests(now) {
 			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: b.missCost(now, t) + b.farService(t, r)})
 		}
 	}
@@ -230,7 +230,7 @@
 // engineCandidates lists the engines that serve the request's model; of a large
 // pool only those worth predicting for.
 func (b *Board) engineCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
-	list := b.servers(p, r)
+	list := b.awake(now, b.servers(p, r))
 	if len(list) > fullScan {
 		cs = b.narrow(cs, list, r)
 	} else {
--- a/route/said.go
+++ b/route/said.go
@@ -1,6 +1,11 @@
 package route
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/pathhead/pathhead/event"
+)
 
 // Said is what an answer says of the target that gave it.
 type Said struct {
@@ -29,5 +34,72 @@
 	}
 	if t, ok := b.targets[m.Target]; ok && m.Incarnation.Same(t.incarnation) {
 		b.saidLimit(now, t, sent, s.Limit)
+		b.saidRest(now, t, s.Rest)
+	}
+}
+
+// saidRest takes a target's word that it wants no requests of this router for a time. A price
+// would not do: where the others of its pool fail, it is soon the cheapest again.
+func (b *Board) saidRest(now time.Time, t *target, rest time.Duration) {
+	until := now.Add(rest)
+	if rest <= 0 || !until.After(t.restsTo) {
+		return
+	}
+	if !t.rests(now) {
+		b.note(event.Event{Code: event.TargetRests, Target: t.name(), Detail: "for " + rest.String()})
+	}
+	t.restsTo = until
+	if until.After(b.restsTo) {
+		b.restsTo = until
+	}
+}
+
+// rests reports whether the target wants no requests of this router now.
+func (t *target) rests(now time.Time) bool { return now.Before(t.restsTo) }
+
+// awake returns the servers that do not rest.
+func (b *Board) awake(now time.Time, list []server) []server {
+	if !now.Before(b.restsTo) {
+		return list
+	}
+	var out []server
+	for _, s := range list {
+		if !s.target.rests(now) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// restOver is how long it takes until a target of the pool takes requests again, zero if one does.
+func (b *Board) restOver(now time.Time, p *pool) time.Duration {
+	if !now.Before(b.restsTo) {
+		return 0
+	}
+	least := time.Duration(0)
+	for _, t := range p.members {
+		if !t.usable() {
+			continue
+		}
+		left := t.restsTo.Sub(now)
+		if left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// restRefusal refuses a request at once that no target of its pool takes before its time is over.
+func (b *Board) restRefusal(now time.Time, p *pool, r *request) *Refusal {
+	over := b.restOver(now, p)
+	if over <= b.queueTime(r) {
+		return nil
+	}
+	return &Refusal{
+		Cause: CauseOverload, RetryAfter: max(over, b.minRetryAfter),
+		Detail: fmt.Sprintf("all targets of the pool rest, the first for %s more", over.Round(time.Millisecond)),
 	}
 }
--- a/route/said_test.go
+++ b/route/said_test.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -74,3 +76,54 @@
 		})
 	}
 }
+
+// askSaid has a request come to the board and returns where it is sent, or why it is not.
+func askSaid(b *Board, now time.Time, id string) (to netip.AddrPort, refused *Refusal) {
+	for _, a := range b.Arrive(now, Request{ID: id, Revision: 1, Pool: "s", Deadline: now.Add(time.Minute), QueueTime: time.Second}) {
+		switch a := a.(type) {
+		case Send:
+			to = a.Attempt.Target
+			b.Ended(now, Outcome{Request: id, Attempt: a.Attempt.ID, Kind: OutcomeDone})
+		case Refuse:
+			refused = &a.Refusal
+		}
+	}
+	return to, refused
+}
+
+// A target that asks for rest gets nothing of this router until that is over, and others what it does
+// not take; once all rest, a request is refused at once with the time until the first takes one again.
+func TestSaidRestHolds(t *testing.T) {
+	b := saidBoard(t, 2)
+	first, second := Mark{testAddr(0), "x"}, Mark{testAddr(1), "x"}
+	at := func(s float64) time.Time { return epoch.Add(seconds(s)) }
+	goes := func(now time.Time) (to map[netip.AddrPort]bool) {
+		to = make(map[netip.AddrPort]bool)
+		for n := range 20 {
+			target, refused := askSaid(b, now, fmt.Sprint(now, n))
+			require.Nil(t, refused)
+			to[target] = true
+		}
+		return to
+	}
+	both := map[netip.AddrPort]bool{testAddr(0): true, testAddr(1): true}
+	b.Said(at(0), Mark{testAddr(0), "y"}, at(0), Said{Rest: time.Minute})
+	require.Equal(t, both, goes(at(0)), "another asked for it")
+	b.Said(at(0), first, at(0), Said{Rest: 3 * time.Second})
+	b.Said(at(1), first, at(0), Said{Rest: time.Second})
+	b.Said(at(1), first, at(1), Said{})
+	require.Equal(t, map[netip.AddrPort]bool{testAddr(1): true}, goes(at(2.9)), "a shorter word and an answer take nothing back")
+	require.Equal(t, both, goes(at(3)))
+
+	b.Said(at(4), first, at(4), Said{Rest: 5 * time.Second})
+	b.Said(at(4), second, at(4), Said{Rest: 8 * time.Second})
+	to, refused := askSaid(b, at(6), "all rest")
+	require.False(t, to.IsValid())
+	require.NotNil(t, refused)
+	require.Equal(t, 3*time.Second, refused.RetryAfter)
+	require.Equal(t, NotRun, refused.Verdict)
+	_, refused = askSaid(b, at(8.5), "one is back soon")
+	require.Nil(t, refused, "a request waits for a rest that is over in its time")
+	listSaid(b, at(8.6), 2, "z", false)
+	require.Equal(t, both, goes(at(8.6)), "a new start asked for nothing")
+}
--- a/route/target.go
+++ b/route/target.go
@@ -108,6 +108,8 @@
 	unused string
 	// peers is what other routers have in flight here.
 	peerInFlight int
+	// restsTo is until when it wants no requests of this router.
+	restsTo time.Time
 	// limit is its newest word on the requests that it takes.
 	limit targetLimit
 	// round and candidate are scratch of one placement.
