--- a/route/board.go
+++ b/route/board.go
@@ -339,10 +339,14 @@
 	Failing     bool              `json:"failing"`
 	InFlight    int               `json:"inFlight"`
 	Horizon     time.Duration     `json:"horizonNs"`
+	// Limit is the requests a second that the target takes from all routers, nil where it names none.
+	Limit *float64 `json:"limitPerSecond,omitempty"`
+	// Rests is for how much longer it wants no requests of this router.
+	Rests time.Duration `json:"restsNs,omitempty"`
 }
 
 // View returns the targets in the order of their addresses.
-func (b *Board) View() []TargetView {
+func (b *Board) View(now time.Time) []TargetView {
 	all := make([]*target, 0, len(b.targets))
 	for _, t := range b.targets {
 		all = append(all, t)
@@ -354,6 +358,13 @@
 			Addr: t.addr, Name: t.name(), Incarnation: t.incarnation, Weights: t.weights(),
 			Leaving: t.leaving, Failing: t.failing, InFlight: len(t.attempts), Horizon: t.horizon.age,
 		}
+		if t.limit.named {
+			limit := t.limit.perSecond
+			v.Limit = &limit
+		}
+		if t.rests(now) {
+			v.Rests = t.restsTo.Sub(now)
+		}
 		for _, p := range t.pools {
 			v.Pools = append(v.Pools, p.compiled.Name)
 		}
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -338,3 +338,23 @@
 	b.Peers(f.now, map[string]PeerState{"p": {Limits: []LimitWord{{Target: Mark{testAddr(0), "i"}, Seq: 9, Named: true, PerSecond: 2}}}}, 2)
 	require.False(t, b.targets[testAddr(0)].limit.named, "what others told of the one before says nothing of this one")
 }
+
+// Where a pool's only target is at its limit, requests wait for it and are looked at again and again: none
+// has a second try by that, and the limit is used as if each were looked at once.
+func TestNamedLimitAlone(t *testing.T) {
+	for _, limit := range []float64{2, 10} {
+		f := newNamedFleet(t, 3, 1, 5)
+		f.name(limit)
+		begun := f.now
+		for range 3000 {
+			f.play(2*fleetStep, 3*limit)
+			for i, b := range f.boards {
+				f.take(i, b.Tick(f.now))
+			}
+		}
+		used := float64(f.since(begun)) / (f.now.Sub(begun).Seconds() * limit)
+		t.Logf("%.2f of the limit used, %d in one window, allowed %.0f", used, f.most(begun.Add(toldTime)), namedBound(limit))
+		require.GreaterOrEqual(t, used, 0.8)
+		require.LessOrEqual(t, float64(f.most(begun.Add(toldTime))), namedBound(limit))
+	}
+}
--- a/route/target_restart_test.go
+++ b/route/target_restart_test.go
@@ -12,7 +12,7 @@
 func restarted(t *testing.T, w *world, opts ...Option) *Board {
 	b := NewBoard(append([]Option{WithSeed(2)}, opts...)...)
 	b.Adopt(w.now, w.snap)
-	require.Empty(t, b.View())
+	require.Empty(t, b.View(epoch))
 	return b
 }
 
--- a/router/operators.go
+++ b/router/operators.go
@@ -55,7 +55,7 @@
 		Serving:  r.applyServing(),
 		Draining: r.draining.Load(),
 		Peers:    peers,
-		Targets:  r.Board().View(),
+		Targets:  r.Board().View(time.Now()),
 		Queued:   r.Board().Queued(),
 		InFlight: r.Board().Requests(),
 	}
@@ -82,8 +82,8 @@
 		r.protocol.Fault(w, http.StatusBadRequest, "invalid_target", err.Error())
 		return
 	}
-	r.Do(func(b *route.Board, _ time.Time) []route.Action {
-		for _, t := range b.View() {
+	r.Do(func(b *route.Board, now time.Time) []route.Action {
+		for _, t := range b.View(now) {
 			if t.Addr == addr {
 				b.Leaving(route.Mark{Target: addr, Incarnation: t.Incarnation})
 			}
