soak: targets that say in their answers what they need, and a judge of the three promises

Three kinds of steps (limit, leaving, rest; the list has the target as ready all the time) and three promises, with records that break and excuse each.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -77,6 +77,8 @@
 		s.grey(ctx, step, sl)
 	case RequestDeadly:
 		s.sendDeadly(ctx, step)
+	case TargetNamesLimit, TargetSaysLeaving, TargetRests:
+		s.needs(ctx, step, sl)
 	case OrdersLate:
 		s.delayOrders(ctx, step, sl)
 	case NameWeights:
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -38,6 +38,9 @@
 	Runs          Promise = "processes keep running"
 	HeldBack      Promise = "requests that end targets are held back"
 	HeldRightly   Promise = "answered requests are not held back"
+	ToldLeaving   Promise = "targets whose answers say that they leave get no work"
+	LimitKept     Promise = "targets get no more than the limit that they name"
+	RestKept      Promise = "targets that ask for rest get it"
 )
 
 // Breach is a promise that was not kept.
@@ -73,6 +76,7 @@
 	for _, check := range []func(){
 		j.answers, j.sent, j.once, j.sends, j.configs, j.denied, j.leaving, j.orders, j.weights, j.pool,
 		j.stops, j.kept, j.late, j.back, j.ends, j.deadly, j.heldRightly,
+		j.leavingTold, j.limits, j.rests,
 	} {
 		check()
 	}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -91,20 +91,48 @@
 		again.Status, again.Seal, again.Answer, again.AnswerID = http.StatusServiceUnavailable, "", "crashes_targets: held", ""
 		r.Attempts = append(r.Attempts, again)
 	}
+	// says has requests come to e1, so many a second from 20 s to 30 s, whose answers say something of it.
+	says := func(r *Record, perSecond int, header, value string, shed bool) {
+		for n := range 10 * perSecond {
+			second := 20 + float64(n)/float64(perSecond)
+			id := fmt.Sprint("w.", n)
+			a := Attempt{ID: id, Call: id, Kind: ResumeCall, Path: "/resume/w", Key: openKey, Parts: "ab:1"}
+			add(r, a, second, "e1")
+			seen := platformtest.Arrival{ID: id, Replica: "e1", At: at(second + 0.1), Said: http.Header{header: {value}}}
+			if shed {
+				seen.Shed = seen.At
+				r.Runs = r.Runs[:len(r.Runs)-1]
+				last := &r.Attempts[len(r.Attempts)-1]
+				last.Status, last.Seal, last.Answer, last.AnswerID = http.StatusServiceUnavailable, "", "", ""
+			}
+			r.Arrivals = append(r.Arrivals, seen)
+		}
+	}
+	paused := func(r *Record, from, until float64) {
+		r.Troubles = append(r.Troubles, trouble(OfNode, Pause, "a", from, until))
+	}
 	cases := map[string]struct {
 		change func(r *Record)
 		breaks Promise
 	}{
+		"a target that says it leaves is used on": {func(r *Record) { says(r, 1, platformtest.SaysLeaving, "1", false) }, ToldLeaving},
+		"it is used by a node that was paused":    {func(r *Record) { says(r, 1, platformtest.SaysLeaving, "1", false); paused(r, 20.5, 30) }, ""},
+		"a limit is gone over":                    {func(r *Record) { says(r, 4, platformtest.SaysLimit, "1", false) }, LimitKept},
+		"a limit is kept":                         {func(r *Record) { says(r, 4, platformtest.SaysLimit, "4", false) }, ""},
+		"a limit is gone over after a pause":      {func(r *Record) { says(r, 4, platformtest.SaysLimit, "1", false); paused(r, 20, 20.6) }, ""},
+		"a target gets no rest":                   {func(r *Record) { says(r, 2, platformtest.SaysRest, "3", true) }, RestKept},
+		"a target gets its rest":                  {func(r *Record) { says(r, 2, platformtest.SaysRest, "1", true) }, ""},
+		"a target gets no rest after a pause":     {func(r *Record) { says(r, 2, platformtest.SaysRest, "3", true); paused(r, 20, 30) }, ""},
 		"a request that ends targets goes on":     {func(r *Record) { deadly(r, 4) }, HeldBack},
 		"a request that ends targets is known":    {func(r *Record) { deadly(r, 3) }, ""},
 		"a request that ends targets, by one cut": {func(r *Record) { deadly(r, 4); r.Troubles = []Trouble{trouble(OfNode, Pause, "a", 21, 26)} }, ""},
 		"an answered request is held back":        {func(r *Record) { refusedAgain(r, 33) }, HeldRightly},
 		"a request is held back before an answer": {func(r *Record) { refusedAgain(r, 31) }, ""},
-		"all is well":                 {func(*Record) {}, ""},
-		"an answer of another":        {func(r *Record) { r.Attempts[1].AnswerID = "s.0" }, OwnAnswer},
-		"a half answer as whole":      {func(r *Record) { r.Attempts[1].Answer = "the" }, OwnAnswer},
-		"a half answer with an error": {func(r *Record) { r.Attempts[1].Answer, r.Attempts[1].Err = "the", "EOF" }, ""},
-		"an answer without a seal":    {func(r *Record) { r.Attempts[1].Seal = "" }, OwnAnswer},
+		"all is well":                             {func(*Record) {}, ""},
+		"an answer of another":                    {func(r *Record) { r.Attempts[1].AnswerID = "s.0" }, OwnAnswer},
+		"a half answer as whole":                  {func(r *Record) { r.Attempts[1].Answer = "the" }, OwnAnswer},
+		"a half answer with an error":             {func(r *Record) { r.Attempts[1].Answer, r.Attempts[1].Err = "the", "EOF" }, ""},
+		"an answer without a seal":                {func(r *Record) { r.Attempts[1].Seal = "" }, OwnAnswer},
 		"a stream with a gap": {func(r *Record) {
 			r.Attempts[0].Answer = platformtest.Event("s.0", 2)
 			r.Attempts[0].Err = "EOF"
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,6 +42,10 @@
 	TargetGrey  Kind = "target-grey"
 	// RequestDeadly has copies of one request come, under which each engine ends that begins to run it.
 	RequestDeadly Kind = "request-deadly"
+	// TargetNamesLimit, TargetSaysLeaving and TargetRests have a target say in its answers what it needs.
+	TargetNamesLimit  Kind = "target-names-limit"
+	TargetSaysLeaving Kind = "target-says-leaving"
+	TargetRests       Kind = "target-rests"
 	// OrdersLate has a target leave orders unanswered and carry them out late.
 	OrdersLate Kind = "orders-late"
 	// NameWeights names new weights, Reconfigure declares a new configuration.
@@ -133,6 +137,9 @@
 	{Reconfigure, 0.5, 0, 0, 5},
 	{TargetAgain, 0.3, 100 * time.Millisecond, 3 * time.Second, 6},
 	{RequestDeadly, 0.3, 4 * time.Second, 12 * time.Second, 2},
+	{TargetNamesLimit, 0.4, 4 * time.Second, 15 * time.Second, 4},
+	{TargetSaysLeaving, 0.4, time.Second, 6 * time.Second, 3},
+	{TargetRests, 0.4, 3 * time.Second, 10 * time.Second, 4},
 }
 
 // links and outages are what the faults of links and of the store are drawn from.
@@ -246,7 +253,8 @@
 		}
 	case StoreLink, TargetLink:
 		s.Link = links[rng.IntN(len(links))]
-	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, RequestDeadly, NameWeights, Reconfigure:
+	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, RequestDeadly,
+		TargetNamesLimit, TargetSaysLeaving, TargetRests, NameWeights, Reconfigure:
 	}
 }
 
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -121,6 +121,8 @@
 	Attempts []Attempt
 	Runs     []platformtest.Run
 	Orders   []platformtest.OrderSeen
+	// Arrivals are the requests that came to targets, in their order.
+	Arrivals []platformtest.Arrival
 	Configs  []Declared
 	Named    []Named
 	Targets  []Target
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -342,7 +342,7 @@
 // snapshot returns the record as it is now.
 func (s *site) snapshot() Record {
 	// Runs come first: an attempt is noted before any run of it can be.
-	runs, orders := s.runs.All(), s.runs.Orders()
+	runs, orders, arrivals := s.runs.All(), s.runs.Orders(), s.runs.AllArrivals()
 	s.mu.Lock()
 	weights := make(map[string]int64)
 	for _, sl := range s.slots {
@@ -360,6 +360,6 @@
 		out.Troubles = append([]Trouble(nil), r.Troubles...)
 		out.Configs = append([]Declared(nil), r.Configs...)
 	})
-	out.Runs, out.Orders, out.Now = runs, orders, time.Now()
+	out.Runs, out.Orders, out.Arrivals, out.Now = runs, orders, arrivals, time.Now()
 	return out
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -49,7 +49,7 @@
 // those that failed once.
 func TestSoak(t *testing.T) {
 	var plans []Plan
-	for _, file := range []string{"testdata/weights-restarted.json", "testdata/request-deadly.json"} {
+	for _, file := range []string{"testdata/weights-restarted.json", "testdata/request-deadly.json", "testdata/target-says.json"} {
 		plan, err := ReadPlan(file)
 		require.NoError(t, err)
 		plans = append(plans, plan)
