--- a/dispatch/ports.go
+++ b/dispatch/ports.go
@@ -97,7 +97,9 @@
 	Weights     string
 	Attempt     string
 	// NotRun says that the target did not run the request, by its own word.
-	NotRun      bool
+	NotRun bool
+	// Said is what the target says of itself.
+	Said        route.Said
 	ContentType string
 	Body        io.ReadCloser
 	// Chunks reads the body as a stream of chunks; at its end without a finish
--- a/internal/standin/complete.go
+++ b/internal/standin/complete.go
@@ -91,6 +91,9 @@
 	}
 	w.Header().Set(wire.HeaderIncarnation, e.incarnation)
 	if status, why := e.admit(j, r.Header); why != "" {
+		if after := e.faults.get().RetryAfter; after != "" {
+			w.Header().Set("Retry-After", after)
+		}
 		refuse(w, status, why)
 		return
 	}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -34,6 +34,8 @@
 	EventLoss float64 `json:"eventLoss"`
 	// RefuseAll answers every request with a refusal before running.
 	RefuseAll bool `json:"refuseAll"`
+	// RetryAfter is what refusals say by the header of that name; nothing if it is empty.
+	RetryAfter string `json:"retryAfter"`
 	// FailAfterRun runs the request, then answers status 500.
 	FailAfterRun bool `json:"failAfterRun"`
 	// HideFinish ends streams without the finish mark.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -76,6 +76,9 @@
 	}
 	f := s.faults.get()
 	if f.RefuseAll {
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		refuse(w, http.StatusServiceUnavailable, "told to refuse")
 		return
 	}
--- a/router/engine.go
+++ b/router/engine.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -64,12 +65,14 @@
 	if a.Import.Tokens > 0 {
 		c.r.importKept(ctx, a)
 	}
+	sent := time.Now()
 	reply, err := c.comp.Send(ctx, a, sending)
 	if err != nil {
 		*out = unanswered(*out, err)
 		return nil, out
 	}
 	out.Incarnation = reply.Incarnation
+	c.r.said(a, sent, reply)
 	if reply.Status == http.StatusOK && identityMatches(a, reply) {
 		return reply, nil
 	}
@@ -78,6 +81,15 @@
 	return nil, out
 }
 
+// said takes what the head of an answer says of the target that gave it, which is the one that was asked
+// unless it names another.
+func (r *Router) said(a route.Attempt, sent time.Time, reply *dispatch.Reply) {
+	by := route.Mark{Target: a.Target, Incarnation: cmp.Or(reply.Incarnation, a.Incarnation)}
+	r.Lock()
+	defer r.Unlock()
+	r.Board().Said(time.Now(), by, sent, reply.Said)
+}
+
 // identityMatches checks what a target echoes before any of its answer is used.
 // A target that echoes nothing is trusted to be what it was polled as.
 func identityMatches(a route.Attempt, r *dispatch.Reply) bool {
--- a/router/service.go
+++ b/router/service.go
@@ -78,6 +78,7 @@
 func (s *serviceCall) send(ctx context.Context, a route.Attempt) route.Outcome {
 	out := route.Outcome{Request: a.Request, Attempt: a.ID, Kind: route.OutcomeBroken}
 	r := s.visit.r
+	sent := time.Now()
 	reply, err := s.r.protocol.Call(ctx, a, dispatch.ServiceCall{
 		Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header, Body: s.body, Once: s.once,
 	})
@@ -86,6 +87,7 @@
 	}
 	defer reply.Body.Close()
 	out.Incarnation = reply.Incarnation
+	s.r.said(a, sent, reply)
 	if reply.NotRun || !echoes(reply.Attempt, a.ID) {
 		out.Kind, out.Detail = classify(reply)
 		return out
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
@@ -223,3 +224,10 @@
 func addrOf(s *httptest.Server) netip.AddrPort {
 	return s.Listener.Addr().(*net.TCPAddr).AddrPort()
 }
+
+// A target that turned a request away with 429 or 503 may ask for rest; no other answer does.
+func TestSaid(t *testing.T) {
+	for status, want := range map[int]time.Duration{503: 3 * time.Second, 429: 3 * time.Second, 200: 0, 500: 0} {
+		require.Equal(t, want, said(status, http.Header{"Retry-After": {"3"}}).Rest, "status %d", status)
+	}
+}
