route, node, ctl: what targets say of themselves is counted, listed and told in refusals

Operators could not tell a pool that is full from one whose targets name a limit or rest. A refusal's detail says how many of them do, gauges count them at each node (pathhead_targets_saying), and pathheadctl status lists limit and rest. TestSaidRestHolds checks the texts and the time to come back of a request that waited for a rest which was lengthened meanwhile.

--- a/ctl/status.go
+++ b/ctl/status.go
@@ -135,9 +135,14 @@
 			continue
 		}
 		fmt.Fprintln(t.out)
-		return t.table("TARGET\tADDRESS\tPOOLS\tWEIGHTS\tLEAVING\tFAILING\tHORIZON", func(row func(string, ...any)) {
+		return t.table("TARGET\tADDRESS\tPOOLS\tWEIGHTS\tLEAVING\tFAILING\tLIMIT\tRESTS\tHORIZON", func(row func(string, ...any)) {
 			for _, v := range p.status.Targets {
-				row("%s\t%s\t%v\t%v\t%t\t%t\t%s", v.Name, v.Addr, v.Pools, v.Weights, v.Leaving, v.Failing, v.Horizon.Round(time.Millisecond))
+				limit := "none"
+				if v.Limit != nil {
+					limit = fmt.Sprintf("%g/s", *v.Limit)
+				}
+				row("%s\t%s\t%v\t%v\t%t\t%t\t%s\t%s\t%s", v.Name, v.Addr, v.Pools, v.Weights, v.Leaving, v.Failing,
+					limit, v.Rests.Round(time.Millisecond), v.Horizon.Round(time.Millisecond))
 			}
 		})
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -86,6 +86,18 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_requests_total{end=%q,verdict=%q}", "answered", route.Ran)).Inc()
 }
 
+// targetsSaying counts the targets of which something that they said of themselves holds.
+func (n *Node) targetsSaying(said func(v route.TargetView) bool) (count int) {
+	n.Lock()
+	defer n.Unlock()
+	for _, v := range n.Board().View(n.now()) {
+		if said(v) {
+			count++
+		}
+	}
+	return count
+}
+
 // gauges registers the metrics that are read when they are asked for.
 func (n *Node) gauges() {
 	n.metrics.NewGauge("pathhead_revision", func() float64 {
@@ -115,6 +127,13 @@
 	})
 	n.metrics.NewGauge("pathhead_held_requests", func() float64 { return float64(n.Held()) })
 	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(len(n.list.get())) })
+	for word, said := range map[string]func(v route.TargetView) bool{
+		"limit":   func(v route.TargetView) bool { return v.Limit != nil },
+		"leaving": func(v route.TargetView) bool { return v.Leaving },
+		"rest":    func(v route.TargetView) bool { return v.Rests > 0 },
+	} {
+		n.metrics.NewGauge(fmt.Sprintf("pathhead_targets_saying{word=%q}", word), func() float64 { return float64(n.targetsSaying(said)) })
+	}
 	n.metrics.NewGauge("pathhead_weights_oldest_seconds", func() float64 {
 		n.Lock()
 		defer n.Unlock()
--- a/route/board.go
+++ b/route/board.go
@@ -308,7 +308,7 @@
 		case !now.Before(r.Deadline):
 			out = append(out, b.expire(now, r)...)
 		case r.attempt == nil && !now.Before(r.queuedTo):
-			out = append(out, b.refuse(now, r, CauseOverload, "no target had room in time")...)
+			out = append(out, b.refuse(now, r, CauseOverload, b.pools[r.Pool].noRoom(now))...)
 		}
 	}
 	for _, t := range b.targets {
--- a/route/said.go
+++ b/route/said.go
@@ -103,3 +103,21 @@
 		Detail: fmt.Sprintf("all targets of the pool rest, the first for %s more", over.Round(time.Millisecond)),
 	}
 }
+
+// noRoom says why a request found no target, and how many of them keep others out by their own word.
+func (p *pool) noRoom(now time.Time) string {
+	limits, rest := 0, 0
+	for _, t := range p.members {
+		switch {
+		case t.rests(now):
+			rest++
+		case t.limit.named:
+			limits++
+		}
+	}
+	text := "no target had room in time"
+	if limits+rest > 0 {
+		text += fmt.Sprintf("; of %d targets %d name a limit and %d rest", len(p.members), limits, rest)
+	}
+	return text
+}
--- a/route/said_test.go
+++ b/route/said_test.go
@@ -124,6 +124,11 @@
 	require.Equal(t, NotRun, refused.Verdict)
 	_, refused = askSaid(b, at(8.5), "one is back soon")
 	require.Nil(t, refused, "a request waits for a rest that is over in its time")
-	listSaid(b, at(8.6), 2, "z", false)
-	require.Equal(t, both, goes(at(8.6)), "a new start asked for nothing")
+	b.Said(at(8.5), first, at(8.5), Said{Rest: 2 * time.Second})
+	last := b.Tick(at(9.5))
+	require.Len(t, last, 1)
+	require.Equal(t, "no target had room in time; of 2 targets 0 name a limit and 2 rest", last[0].(Refuse).Refusal.Detail)
+	require.Equal(t, time.Second, last[0].(Refuse).Refusal.RetryAfter)
+	listSaid(b, at(9.6), 2, "z", false)
+	require.Equal(t, both, goes(at(9.6)), "a new start asked for nothing")
 }
