route: routers do not each take a target's limit for unused when a load begins at once

What callers saw: nothing yet; found by a fuzz test over histories of fleets. Where 15 times the limit came at once to a target at rest whose limit all knew, it got up to 117 requests in 4 s where 65 are allowed (390 routers, limit 10), 28 of 17 (limit 2), and 54 of 53 with 12 routers.

Cause: routers hear of each other's requests up to 0.75 s late. Until then each took the whole account for unused. Organisations' limits have a slack for that time; a target's has next to none.

The change: what a router is asked just now, beyond one request, it takes the others to be asked too; and where less is known to be asked for than the limit, a request goes by a chance that grows with what is known. Others take what does not go. Organisations' limits are as they were.

The fuzz test counted requests of routers that had been started anew and had not heard of the limit; such a history broke it by one (8 of 7.2). They cannot keep what they do not know, and a restart excuses them, so those are not counted now; all others are, from the first moment on.

--- a/route/target_limit.go
+++ b/route/target_limit.go
@@ -118,7 +118,24 @@
 		a.asked.add(now, 1)
 	}
 	asked := a.others.asked + max(0, a.asked.rate(now)-1/askedOver.Seconds())
-	return a.allows(g, 1, drawOf(r.ID, t), asked)
+	draw := drawOf(r.ID, t)
+	return draw < b.foreseen(now, &t.limit, g, asked) && a.allows(g, 1, draw, max(asked, b.askedAlike(now, &t.limit)))
+}
+
+// foreseen is the chance with which a request goes as far as the load may begin at once elsewhere too, so asked
+// being known to be asked for. Each of many routers would take a limit that nobody uses for its own, and what they
+// send in the time until they hear of each other is more than it allows. Where as much is asked as the limit, all know.
+func (b *Board) foreseen(now time.Time, l *targetLimit, g grant, asked float64) float64 {
+	_, all := b.togetherWith(now, l.counted, l.toldAt)
+	return l.account.level/float64(all) + asked/g.rate
+}
+
+// askedAlike is what all routers ask for together if the others are asked what this one was just now.
+// What they were told of each other is older than a load that begins at once: routers that each take a limit for
+// unused use it as often as there are routers. One request alone says nothing of the others.
+func (b *Board) askedAlike(now time.Time, l *targetLimit) float64 {
+	_, all := b.togetherWith(now, l.counted, l.toldAt)
+	return float64(all) * max(0, l.account.asked.level(now)-1/askedOver.Seconds())
 }
 
 // drawOf is a number from 0 to 1 that a request and a target always have together.
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
 // The bound on what a target that names a limit gets: in each such window so many times what the
@@ -33,12 +34,16 @@
 	// namedAt is when it began to.
 	namedAt time.Time
 	boards  []*Board
-	// side is the part of the fleet that a router reaches.
-	side []int
-	told [][]PeerState
-	asks int
-	// sent are the times at which requests came to the first target.
-	sent []time.Time
+	// side is the part of the fleet that a router reaches; frozen ones neither serve nor report.
+	side   []int
+	frozen map[int]bool
+	// opts are those of the routers, single says that the first router alone uses the first target.
+	opts   []Option
+	single bool
+	told   [][]PeerState
+	asks   int
+	// sent are the times at which requests came to the first target, knowing those from routers that knew its limit.
+	sent, knowing []time.Time
 	// late are answers that are yet to come.
 	late []lateAnswer
 }
@@ -54,8 +59,14 @@
 // answerTime is how long a request takes at a target.
 const answerTime = 50 * time.Millisecond
 
-func newNamedFleet(t *testing.T, n, targets int, seed uint64) *namedFleet {
-	f := &namedFleet{t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: epoch, targets: targets, side: make([]int, n), boards: make([]*Board, n)}
+func newNamedFleet(t *testing.T, n, targets int, seed uint64, changes ...func(f *namedFleet)) *namedFleet {
+	f := &namedFleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: epoch, targets: targets,
+		side: make([]int, n), frozen: make(map[int]bool), boards: make([]*Board, n),
+	}
+	for _, change := range changes {
+		change(f)
+	}
 	for i := range n {
 		f.start(i)
 	}
@@ -65,10 +76,13 @@
 
 // start starts a router anew.
 func (f *namedFleet) start(i int) {
-	b := NewBoard(WithSeed(f.rng.Uint64()), WithRouters(min(3, len(f.boards))), WithUnknownSize())
+	b := NewBoard(append([]Option{WithSeed(f.rng.Uint64()), WithRouters(min(3, len(f.boards))), WithUnknownSize()}, f.opts...)...)
 	b.Adopt(f.now, testSetup{}.snapshot(f.t))
 	var seen []Seen
 	for k := range f.targets {
+		if f.single && k == 0 && i > 0 {
+			continue
+		}
 		seen = append(seen, Seen{Addr: testAddr(k), Labels: map[string]string{"s": "s"}})
 	}
 	b.Targets(f.now, seen)
@@ -94,16 +108,29 @@
 	f.told = f.told[len(f.told)-3:]
 	bySide := make(map[int][]PeerState)
 	for i, s := range f.told[0] {
-		bySide[f.side[i]] = append(bySide[f.side[i]], s)
+		if !f.frozen[i] {
+			bySide[f.side[i]] = append(bySide[f.side[i]], s)
+		}
 	}
 	sums := make(map[int]PeerState)
 	for side, states := range bySide {
 		sums[side] = Join(states)
 	}
 	for i, b := range f.boards {
+		if f.frozen[i] {
+			continue
+		}
 		sum := sums[f.side[i]]
+		if f.single {
+			// One that alone uses the target shares its limit with nobody.
+			sum.Speaks = 1
+		}
 		if sum.Speaks < 2 {
-			b.Peers(f.now, nil, len(f.boards))
+			routers := len(f.boards)
+			if f.single {
+				routers = 1
+			}
+			b.Peers(f.now, nil, routers)
 			continue
 		}
 		b.Peers(f.now, map[string]PeerState{"others": withoutOwn(sum, f.told[0][i])}, len(f.boards))
@@ -133,7 +160,9 @@
 		}
 		f.answer()
 		for n := poisson(f.rng, perSecond*fleetStep.Seconds()); n > 0; n-- {
-			f.ask(f.rng.IntN(len(f.boards)))
+			if i := f.rng.IntN(len(f.boards)); !f.frozen[i] {
+				f.ask(i)
+			}
 		}
 	}
 }
@@ -155,6 +184,9 @@
 		late := lateAnswer{at: f.now.Add(answerTime), sent: f.now, router: i, attempt: send.Attempt}
 		if send.Attempt.Target == testAddr(0) {
 			f.sent = append(f.sent, f.now)
+			if f.boards[i].targets[testAddr(0)].limit.named {
+				f.knowing = append(f.knowing, f.now)
+			}
 			if f.limit != nil {
 				late.said.Limit = SaidLimit{Named: true, PerSecond: *f.limit}
 			}
@@ -175,14 +207,17 @@
 }
 
 // most returns the most requests that came to the first target in one window that begins from a time on.
-func (f *namedFleet) most(from time.Time) int {
+func (f *namedFleet) most(from time.Time) int { return mostIn(f.sent, from) }
+
+// mostIn returns the most times in one window that begins from a time on.
+func mostIn(times []time.Time, from time.Time) int {
 	most, first := 0, 0
-	for i, at := range f.sent {
+	for i, at := range times {
 		if at.Before(from) {
 			first = i + 1
 			continue
 		}
-		for at.Sub(f.sent[first]) > namedWindow {
+		for at.Sub(times[first]) > namedWindow {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -275,6 +310,29 @@
 	}
 }
 
+// surge has a load of 15 times the limit come at once to a target that names it, as all know, after a rest in
+// which nobody asked for anything.
+func surge(t *testing.T, routers int, limit float64) {
+	f := newNamedFleet(t, routers, 4, 1)
+	f.name(limit)
+	f.play(4*time.Second, 4*3*limit)
+	f.play(10*time.Second, 0)
+	f.play(3*time.Second, 4*15*limit)
+	f.play(5*time.Second, 4*3*limit)
+	most := f.most(f.namedAt.Add(toldTime))
+	t.Logf("%d in one window, allowed %.0f", most, namedBound(limit))
+	require.LessOrEqual(t, float64(most), namedBound(limit))
+}
+
+// Routers that cannot know yet what the others are asked do not each take a limit for unused, however many they are.
+func TestNamedLimitSurge(t *testing.T) {
+	for _, n := range []int{1, 4, 8, 12, 90, 390} {
+		for _, limit := range []float64{0.5, 2, 10} {
+			t.Run(fmt.Sprintf("%d routers/%g", n, limit), func(t *testing.T) { surge(t, n, limit) })
+		}
+	}
+}
+
 // usedPlay is so long that the least limit allows 60 requests in it.
 const usedPlay = 2 * time.Minute
 
@@ -358,3 +416,72 @@
 		require.LessOrEqual(t, float64(f.most(begun.Add(toldTime))), namedBound(limit))
 	}
 }
+
+// A limit is kept over any history of a fleet: routers that start anew, are cut off, freeze and wake, singly and
+// many at once, under any load. One that was started anew and has not heard of the limit yet cannot keep it; what
+// it sends meanwhile is not counted.
+func TestNamedLimitFuzz(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(rt, "routers")
+		limit := rapid.Float64Range(0.2, 8).Draw(rt, "limit")
+		f := newNamedFleet(t, n, 3, rapid.Uint64().Draw(rt, "seed"))
+		f.name(limit)
+		pick := func() int { return rapid.IntRange(0, n-1).Draw(rt, "router") }
+		for range rapid.IntRange(1, 10).Draw(rt, "steps") {
+			switch rapid.SampledFrom([]string{"start", "start many", "cut", "part", "heal", "freeze", "wake", "play"}).Draw(rt, "step") {
+			case "start":
+				f.start(pick())
+			case "start many":
+				for i := pick(); i >= 0; i-- {
+					f.start(i)
+				}
+			case "cut":
+				i := pick()
+				f.side[i] = i + 1
+			case "part":
+				for i := range f.side {
+					f.side[i] = i % 2
+				}
+			case "heal":
+				clear(f.side)
+			case "freeze":
+				f.frozen[pick()] = true
+			case "wake":
+				clear(f.frozen)
+			case "play":
+			}
+			load := rapid.Float64Range(0, 8).Draw(rt, "load")
+			f.play(time.Duration(rapid.IntRange(100, 4000).Draw(rt, "ms"))*time.Millisecond, 3*load*limit)
+		}
+		if most := mostIn(f.knowing, f.namedAt); float64(most) > namedBound(limit) {
+			rt.Fatalf("%d in one window, allowed %.1f", most, namedBound(limit))
+		}
+	})
+}
+
+// The ways that were weighed, on the same history: how much of the limit is used, and the most in one window.
+// Equal parts use a small limit too, by chance, but what one router is not asked for no other takes; one
+// router for each target uses no more than what comes to it.
+func TestNamedLimitWays(t *testing.T) {
+	ways := map[string]func(f *namedFleet){
+		"one account": func(*namedFleet) {},
+		"equal parts": func(f *namedFleet) { f.opts = []Option{WithoutMechanisms(LimitAccount)} },
+		"one router":  func(f *namedFleet) { f.single = true },
+	}
+	for name, way := range ways {
+		for _, n := range []int{6, 90} {
+			for _, limit := range []float64{2, 10} {
+				f := newNamedFleet(t, n, 4, 7, way)
+				f.name(limit)
+				f.play(5*time.Second, 12*limit)
+				begun := f.now
+				f.play(usedPlay, 12*limit)
+				used := float64(f.since(begun)) / (usedPlay.Seconds() * limit)
+				t.Logf("%s, %d routers, limit %g: %.2f used, %d of %.0f in one window", name, n, limit, used, f.most(begun), namedBound(limit))
+				if name == "one account" {
+					require.GreaterOrEqual(t, used, 0.8)
+				}
+			}
+		}
+	}
+}
