--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -56,6 +56,9 @@
 	case StoreForgets:
 		s.note(Trouble{Scope: OfStore, Kind: StoreForgets})
 		s.store.Forget()
+	case StoreReturns:
+		s.note(Trouble{Scope: OfStore, Kind: StoreReturns, Detail: step.Length.String()})
+		s.store.GoBack(step.Length)
 	case StoreLink:
 		s.impair(ctx, step, n.link, n.name)
 	case TargetLink:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,8 @@
 	// StoreFails has the store fail at a node's door, or at all of them.
 	StoreFails   Kind = "store-fails"
 	StoreForgets Kind = "store-forgets"
+	// StoreReturns has the store come back as it was a length ago, in a new era.
+	StoreReturns Kind = "store-returns"
 	// StoreLink impairs a node's link to the store, TargetLink all nodes' links to a target.
 	StoreLink  Kind = "store-link"
 	TargetLink Kind = "target-link"
@@ -140,6 +142,7 @@
 	{TargetNamesLimit, 0.4, 4 * time.Second, 15 * time.Second, 4},
 	{TargetSaysLeaving, 0.4, time.Second, 6 * time.Second, 3},
 	{TargetRests, 0.4, 3 * time.Second, 10 * time.Second, 4},
+	{StoreReturns, 0.2, 300 * time.Millisecond, 8 * time.Second, 3},
 }
 
 // links and outages are what the faults of links and of the store are drawn from.
@@ -253,7 +256,7 @@
 		}
 	case StoreLink, TargetLink:
 		s.Link = links[rng.IntN(len(links))]
-	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, RequestDeadly,
+	case OrdersLate, Pause, Kill, Stop, HangUp, Join, StoreForgets, StoreReturns, TargetCrash, TargetAgain, TargetDrain, TargetHide, TargetGrey, RequestDeadly,
 		TargetNamesLimit, TargetSaysLeaving, TargetRests, NameWeights, Reconfigure:
 	}
 }
