--- a/route/limit_fleet_test.go
+++ b/route/limit_fleet_test.go
@@ -196,7 +196,7 @@
 		mean := times * f.rate / promptMean * fleetStep.Seconds()
 		used := 0.0
 		f.now = f.now.Add(fleetStep / 2)
-		for range f.poisson(mean) {
+		for range poisson(f.rng, mean) {
 			used += f.ask()
 		}
 		f.now = f.now.Add(-fleetStep / 2)
@@ -205,10 +205,10 @@
 }
 
 // poisson draws how many requests come where so many come on average.
-func (f *limitFleet) poisson(mean float64) int {
+func poisson(rng *rand.Rand, mean float64) int {
 	n := 0
 	for left := math.Exp(-mean); ; n++ {
-		if left /= f.rng.Float64(); left > 1 {
+		if left /= rng.Float64(); left > 1 {
 			return n
 		}
 	}
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -236,15 +235,6 @@
 	return n
 }
 
-func poisson(rng *rand.Rand, mean float64) int {
-	n := 0
-	for left := math.Exp(-mean); ; n++ {
-		if left /= rng.Float64(); left > 1 {
-			return n
-		}
-	}
-}
-
 // told is how long after its first word a target's limit is held against what it gets.
 const toldTime = 500 * time.Millisecond
 
