--- a/node/forward.go
+++ b/node/forward.go
@@ -235,7 +235,7 @@
 	if meaning == MeaningOther {
 		by.Incarnation = incarnation
 	}
-	f.said(by, now, said)
+	f.takeSaid(by, now, said)
 	if meaning != MeaningAnswer {
 		// The rest of a refusal is of no interest, but its connection is.
 		_, err := transport.ReadAll(resp.Body, maxRefusal)
@@ -255,9 +255,9 @@
 	return f.whole(a, resp, out)
 }
 
-// said takes what an answer to an attempt sent at a time says of the target that gave it, before any of it
+// takeSaid takes what an answer to an attempt sent at a time says of the target that gave it, before any of it
 // is passed on.
-func (f *forwarding) said(by route.Mark, sent time.Time, said route.Said) {
+func (f *forwarding) takeSaid(by route.Mark, sent time.Time, said route.Said) {
 	if by.Incarnation == "" {
 		// Another target answered, which does not say who it is.
 		return
--- a/route/identity.go
+++ b/route/identity.go
@@ -101,16 +101,13 @@
 }
 
 // Leaving takes a mark from a peer or an operator.
-func (b *Board) Leaving(m Mark) { b.mark(m, "a peer") }
-
-// mark notes that an incarnation is leaving, whether it is the one on the board now or not.
-func (b *Board) mark(m Mark, source string) {
+func (b *Board) Leaving(m Mark) {
 	if b.marks[m] {
 		return
 	}
 	b.marks[m] = true
-	if t, ok := b.targets[m.Target]; ok && m.Incarnation.Same(t.incarnation) {
-		b.markLeaving(t, source)
+	if t, ok := b.marked(m); ok {
+		b.markLeaving(t, "a peer")
 	}
 }
 
--- a/route/said.go
+++ b/route/said.go
@@ -29,10 +29,13 @@
 // believed of the incarnation that answered, and ends with it.
 func (b *Board) Said(now time.Time, m Mark, sent time.Time, s Said) {
 	if s.Leaving {
-		// The target knows it before the list does, which may be away or behind.
-		b.mark(m, "its own answer")
+		b.marks[m] = true
 	}
 	if t, ok := b.targets[m.Target]; ok && m.Incarnation.Same(t.incarnation) {
+		if s.Leaving {
+			// The target knows it before the list does, which may be away or behind.
+			b.markLeaving(t, "its own answer")
+		}
 		b.saidLimit(now, t, sent, s.Limit)
 		b.saidRest(now, t, s.Rest)
 	}
--- a/route/target_limit.go
+++ b/route/target_limit.go
@@ -79,11 +79,11 @@
 // setLimit puts the newest word on a target's limit in force.
 func (b *Board) setLimit(now time.Time, t *target, w LimitWord, source string) {
 	l := &t.limit
-	text := "none any more"
-	if w.Named {
-		text = fmt.Sprintf("%g requests a second from all routers", w.PerSecond)
-	}
 	if w.Named != l.named || w.PerSecond != l.perSecond {
+		text := "none any more"
+		if w.Named {
+			text = fmt.Sprintf("%g requests a second from all routers", w.PerSecond)
+		}
 		b.note(event.Event{Code: event.TargetLimit, Target: t.name(), Detail: text + ", says " + source})
 	}
 	if w.Named && !l.named {
@@ -122,9 +122,10 @@
 	return draw < b.foreseen(now, &t.limit, g, asked) && a.allows(g, 1, draw, max(asked, b.askedAlike(now, &t.limit)))
 }
 
-// foreseen is the chance with which a request goes as far as the load may begin at once elsewhere too, so asked
-// being known to be asked for. Each of many routers would take a limit that nobody uses for its own, and what they
-// send in the time until they hear of each other is more than it allows. Where as much is asked as the limit, all know.
+// foreseen is the chance with which a request goes although a load may begin at this moment, at all routers at
+// once. Each of many would take a limit that nobody uses for its own, and what they send until they hear of each
+// other is more than it allows. The more is known to be asked for, the less can come unforeseen; where that is
+// as much as the limit, the chance is one.
 func (b *Board) foreseen(now time.Time, l *targetLimit, g grant, asked float64) float64 {
 	_, all := b.togetherWith(now, l.counted, l.toldAt)
 	return l.account.level/float64(all) + asked/g.rate
--- a/router/engine.go
+++ b/router/engine.go
@@ -72,7 +72,7 @@
 		return nil, out
 	}
 	out.Incarnation = reply.Incarnation
-	c.r.said(a, sent, reply)
+	c.r.takeSaid(a, sent, reply)
 	if reply.Status == http.StatusOK && identityMatches(a, reply) {
 		return reply, nil
 	}
@@ -81,9 +81,9 @@
 	return nil, out
 }
 
-// said takes what the head of an answer says of the target that gave it, which is the one that was asked
+// takeSaid takes what the head of an answer says of the target that gave it, which is the one that was asked
 // unless it names another.
-func (r *Router) said(a route.Attempt, sent time.Time, reply *dispatch.Reply) {
+func (r *Router) takeSaid(a route.Attempt, sent time.Time, reply *dispatch.Reply) {
 	by := route.Mark{Target: a.Target, Incarnation: cmp.Or(reply.Incarnation, a.Incarnation)}
 	r.Lock()
 	defer r.Unlock()
--- a/router/service.go
+++ b/router/service.go
@@ -87,7 +87,7 @@
 	}
 	defer reply.Body.Close()
 	out.Incarnation = reply.Incarnation
-	s.r.said(a, sent, reply)
+	s.r.takeSaid(a, sent, reply)
 	if reply.NotRun || !echoes(reply.Attempt, a.ID) {
 		out.Kind, out.Detail = classify(reply)
 		return out
