route, node, platform: a service moves to another release on the operator's order

What callers saw: nothing read op/rollout/SERVICE. Replicas of a new release got work as soon as the list had them, as much as any others; a bad one failed its part of all requests for as long as it ran, and status/rollout/SERVICE was never written.

Change: one path from order to status. The board (route/rollout.go) keeps the share: each router gives the release on trial at most half of exposureShare of what it sends itself, so that the sum holds whoever is cut off or starts anew; a second try goes to the old release; the few replicas on trial are the same on all routers, and become more with the share, so that each has the load of an old one. A release that a pool did not have before gets nothing for 1.5 s, so that the order may arrive first. The judge (route/rollout_judge.go) is Page's cumulative sum of likelihood ratios over the sums of all routers, told with the states that are joined anyway; each router stops by its own reading of it. One node advances the roll-out (node/rollout.go), chosen by rendezvous; each write names the row that it replaces and no phase is taken back, so that a second one does no harm. Completed is recorded only after all routers said that they have nothing at the old release.

Why it holds: shares and stops need no agreement. Not built: the judge by route and by time, a second test beside it, pathheadctl rollout, a roll-out in the soak, the product's own interface.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -86,6 +86,8 @@
 	CacheExported  Code = 607
 	CacheImported  Code = 608
 	LeaseAwaited   Code = 609
+	RolloutPhase   Code = 610
+	RolloutUnsaved Code = 611
 )
 
 // Entry is one line of the catalogue.
@@ -177,6 +179,8 @@
 	{CacheExported, "cache-exported", slog.LevelInfo, "A hot prefix was exported to the kept KV cache."},
 	{CacheImported, "cache-imported", slog.LevelInfo, "A kept prefix was imported into an engine."},
 	{LeaseAwaited, "lease-awaited", slog.LevelInfo, "There is work under a lease that another process held last; the detail names it and its fencing number. Logged once for each piece of work."},
+	{RolloutPhase, "rollout-phase", slog.LevelInfo, "A roll-out to another release entered a phase at this process; the detail has the pool, the release, the phase and why."},
+	{RolloutUnsaved, "rollout-unsaved", slog.LevelWarn, "The state of a roll-out could not be read or written in the store; it is tried again."},
 }
 
 // entry finds a code in the catalogue; an unknown code is a programmer error.
--- /dev/null
+++ b/node/fleet_rollout_test.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/route"
+)
+
+// phases counts the nodes whose board has a roll-out in a phase.
+func (f *simFleet) phases(phase route.RolloutPhase) (n int) {
+	for _, node := range f.nodes {
+		node.Lock()
+		for _, u := range node.Board().Rollouts(node.now()) {
+			if u.Phase == phase {
+				n++
+			}
+		}
+		node.Unlock()
+	}
+	return n
+}
+
+// An order reaches all nodes of a large fleet, one of them records its states, and another goes on
+// where that one falls silent, so that each state is written once.
+func TestFleetRollout(t *testing.T) {
+	t.Parallel()
+	for name, lost := range map[string]bool{"all nodes live": false, "the one that advances it is lost": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, simSite{nodes: 30, engines: 12, perSecond: 60})
+				f.settle()
+				defer f.end()
+				f.store.rollOut("v2", 15*time.Second)
+				time.Sleep(2 * time.Second)
+				require.Equal(t, len(f.nodes), f.phases(route.RolloutTrial))
+				if lost {
+					f.loseHome()
+				}
+				time.Sleep(14 * time.Second)
+				// No target has the release: too little is known of it to move anything there.
+				require.Equal(t, route.RolloutRolledBack, f.store.status.Phase)
+				silent := 0
+				if lost {
+					silent = 1
+				}
+				require.GreaterOrEqual(t, f.phases(route.RolloutRolledBack), len(f.nodes)-silent)
+				require.Equal(t, 2, f.store.calls["status write"], "the beginning and the end")
+			})
+		})
+	}
+}
+
+// loseHome cuts the node off from all others and from the store that advances the roll-out.
+func (f *simFleet) loseHome() {
+	for i, n := range f.nodes {
+		members := n.relays.known()
+		home, ok := fleet.Home(members, uint64(f.store.order.Revision))
+		require.True(f.t, ok)
+		if home.ID == n.settings().Name {
+			f.net.silence(n.settings().Peers.Addr())
+			f.doors[i].down.Store(true)
+			return
+		}
+	}
+	f.t.Fatal("no node advances the roll-out")
+}
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -33,6 +33,10 @@
 	// named are the newest weights, loaded what engines have.
 	named  string
 	loaded map[netip.AddrPort]*simEngine
+	// order is a roll-out that was ordered at orderedAt of the counter, status what is recorded of it.
+	order     route.RolloutOrder
+	orderedAt int64
+	status    RolloutStatus
 }
 
 func newSimStore(engines int) *simStore {
@@ -175,6 +179,9 @@
 	if s.namedAt > after {
 		out.Named = []Naming{{Model: simModel, Weights: s.named, Revision: s.namedAt}}
 	}
+	if s.orderedAt > after {
+		out.Rollouts = []route.RolloutOrder{s.order}
+	}
 	var err error
 	if s.declaredAt > after {
 		out.Declared, err = s.Parse(s.revision, s.text)
@@ -182,6 +189,53 @@
 	return out, err
 }
 
+// rollOut orders a roll-out.
+func (s *simStore) rollOut(release string, d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counter++
+	s.orderedAt = s.counter
+	s.order = route.RolloutOrder{Pool: simPool, Release: release, Revision: s.counter, Duration: d}
+}
+
+// RolloutStatus implements [RolloutRecord].
+func (d *simDoor) RolloutStatus(ctx context.Context, pool string) (RolloutStatus, error) {
+	if err := d.pass(ctx); err != nil {
+		return RolloutStatus{}, err
+	}
+	return d.simStore.RolloutStatus(ctx, pool)
+}
+
+// RecordRollout implements [RolloutRecord].
+func (d *simDoor) RecordRollout(ctx context.Context, pool string, s RolloutStatus) (int64, error) {
+	if err := d.pass(ctx); err != nil {
+		return 0, err
+	}
+	return d.simStore.RecordRollout(ctx, pool, s)
+}
+
+// RolloutStatus implements [RolloutRecord].
+func (s *simStore) RolloutStatus(context.Context, string) (RolloutStatus, error) {
+	s.call("status read")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status, nil
+}
+
+// RecordRollout implements [RolloutRecord].
+func (s *simStore) RecordRollout(_ context.Context, _ string, st RolloutStatus) (int64, error) {
+	s.call("status write")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st.Revision != s.status.Revision {
+		return 0, fleet.ErrConflict.Errorf("the status has changed")
+	}
+	s.counter++
+	st.Revision = s.counter
+	s.status = st
+	return s.counter, nil
+}
+
 // declare puts a configuration in force.
 func (s *simStore) declare(text string) {
 	s.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -69,9 +69,10 @@
 	limits   Limits
 	list     targetList
 	// faulty are the entries of the newest reading of the list that name no target.
-	faulty map[FaultyEntry]bool
-	duty   *duty
-	relays *relays
+	faulty   map[FaultyEntry]bool
+	duty     *duty
+	relays   *relays
+	rollouts *rollouts
 	// smallFleet is the size of fleet up to which all nodes talk to each other.
 	smallFleet int
 	// metricsAddr is where the counters are served, invalid for nowhere.
@@ -205,6 +206,7 @@
 		route.WithoutMechanisms(n.off),
 		route.WithPlaced(n.tellPlaced),
 		route.WithNumberedWeights(stalenessOf(s, n.now())),
+		route.WithExposure(s.Bounds.Exposure),
 		route.WithCrashes(n.crashSettings, n.crashSeen.wake),
 	)
 	n.Driver = dispatch.New(board, dispatch.WithEnded(n.counters.attempt), dispatch.WithClock(n.now))
@@ -219,6 +221,7 @@
 	}, n.peers, n.events)
 	n.duty = newDuty(n)
 	n.relays = newRelays(n)
+	n.rollouts = &rollouts{n: n, recorded: make(map[string]RolloutStatus)}
 	n.gauges()
 	return n, nil
 }
@@ -294,7 +297,7 @@
 	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: n.started()})
 	// The loops outlive ctx, since answers in flight need them during the stop.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.crashLoop, n.recordLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.duty.loop, n.rollouts.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.crashLoop, n.recordLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickEvery) })
--- a/node/ports.go
+++ b/node/ports.go
@@ -112,6 +112,8 @@
 	// Declared is nil if the configuration did not change.
 	Declared *Declared
 	Named    []Naming
+	// Rollouts are the orders to move pools to other releases.
+	Rollouts []route.RolloutOrder
 	// Rejected says why a configuration could not be read, if one could not.
 	Rejected error
 }
@@ -149,6 +151,7 @@
 // Store is the installation's store.
 type Store interface {
 	fleet.Table
+	RolloutRecord
 	// Watch returns what changed in the declaration after a cursor, or after
 	// wait with nothing; a zero cursor reads it whole.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
--- a/node/settings.go
+++ b/node/settings.go
@@ -55,6 +55,9 @@
 	// Contact is how long a process must have run before the bounds hold for what it
 	// does; zero where they hold from its start.
 	Contact time.Duration
+	// Exposure is the share of a pool's requests that a release on trial may get; zero
+	// where the installation states none.
+	Exposure float64
 	// Again is how long after its last use a cached part counts as still wanted.
 	Again time.Duration
 }
@@ -100,6 +103,9 @@
 	if s.Bounds.LimitOverage < 0 || s.Bounds.LimitOverage > 1 || s.Bounds.LimitSlack < 0 {
 		bad("the bound of limits must be a share from 0 to 1 and a number from 0")
 	}
+	if s.Bounds.Exposure < 0 || s.Bounds.Exposure > 1 {
+		bad("the exposure of a release on trial must be a share from 0 to 1")
+	}
 	return errors.Join(faults...)
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -123,6 +123,9 @@
 		n.adopt(*c.Declared, "the store")
 	}
 	n.Lock()
+	for _, o := range c.Rollouts {
+		n.Board().StartRollout(n.now(), o)
+	}
 	// What could not be read is none: the last valid configuration stays in force.
 	n.adoption.Confirm(begun, n.adoption.Revision())
 	n.Unlock()
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -173,6 +173,7 @@
 	if p.queue.n > 0 {
 		p.drained.add(now, r.cost)
 	}
+	b.countRelease(p, c.target)
 	if r.tries == 0 {
 		b.earnRetry(now, &p.retries)
 	}
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -92,12 +92,16 @@
 		} else {
 			b.bore(now, r, a)
 		}
+		b.judgeRelease(now, r, a, o.TargetError)
 		b.observe(now, r, a, o.Usage)
 		b.refund(now, r, o.Usage)
 		b.forget(r)
 		b.note(event.Event{Code: event.RequestAnswered, Request: r.ID, Attempt: a.ID, Org: r.Org, Target: a.target.name(), Detail: usageText(o.Usage)})
 		return append([]Action{Finish{Request: r.ID}}, b.dispatch(now)...)
 	}
+	if o.Kind == OutcomeBroken {
+		b.judgeRelease(now, r, a, true)
+	}
 	b.brokeOff(now, r, a, o)
 	b.blame(now, a, o)
 	r.verdict = max(r.verdict, b.verdictOf(r, o.Kind))
--- a/route/board.go
+++ b/route/board.go
@@ -75,6 +75,9 @@
 	unlisted map[netip.AddrPort]unlistedWords
 	// crashes are the targets that ended under requests.
 	crashes crashes
+	// rollouts are the pools' newest roll-outs, exposure the share of requests that a release on trial gets.
+	rollouts map[string]*rollout
+	exposure float64
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
@@ -103,6 +106,11 @@
 	// firsts measures how long answers take to begin.
 	firsts  firstTimes
 	retries retryBudget
+	// releases are those of its targets that were seen, newest the last one seen, which gets
+	// no requests until newestFrom.
+	releases   map[string]bool
+	newest     string
+	newestFrom time.Time
 }
 
 // Option changes a [Board] at its construction.
@@ -192,6 +200,8 @@
 		minRetryAfter: defaultMinRetryAfter,
 		placed:        func(Placed) {},
 		crashes:       newCrashes(),
+		rollouts:      make(map[string]*rollout),
+		exposure:      defaultExposure * exposurePart,
 		filling:       make(map[fillKey]fill),
 		unlisted:      make(map[netip.AddrPort]unlistedWords),
 	}
@@ -230,7 +240,7 @@
 	for _, cp := range b.snap.Pools() {
 		p, ok := b.pools[cp.Name]
 		if !ok {
-			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget(now)}
+			p = &pool{queue: newFairQueue(), drained: newMeter(drainWindow), offered: newMeter(demandWindow), retries: newRetryBudget(now), releases: make(map[string]bool)}
 			p.drained.at, p.offered.at = now, now
 			b.pools[cp.Name] = p
 		}
--- a/route/peers.go
+++ b/route/peers.go
@@ -32,6 +32,8 @@
 	Holds []Mark
 	// Loaded are the targets that the lease holder saw with new weights.
 	Loaded []WeightsWord
+	// Rollouts are the roll-outs of pools.
+	Rollouts []RolloutUpdate
 }
 
 // Load is what a router has in flight at a target.
@@ -125,10 +127,14 @@
 	hot := make(map[uint64]float64)
 	silent := make(map[Mark]int)
 	limits := make(map[Mark]LimitWord)
+	rollouts := make(map[string]RolloutUpdate)
 	for _, s := range states {
 		for _, w := range s.Limits {
 			limits[w.Target] = limits[w.Target].joined(w)
 		}
+		for _, u := range s.Rollouts {
+			rollouts[u.Order.Pool] = rollouts[u.Order.Pool].joined(u)
+		}
 		out.Shared = append(out.Shared, s.Shared...)
 		for _, w := range s.Silent {
 			silent[w.Target] += w.Routers
@@ -157,6 +163,7 @@
 	out.Leaving = slices.Collect(maps.Keys(leaving))
 	out.Loaded = slices.Collect(maps.Keys(loaded))
 	out.Limits = slices.Collect(maps.Values(limits))
+	out.Rollouts = slices.Collect(maps.Values(rollouts))
 	for m, n := range silent {
 		out.Silent = append(out.Silent, SilentWord{m, n})
 	}
@@ -177,6 +184,7 @@
 		}
 	}
 	s.Silent = b.silentTold(now)
+	s.Rollouts = b.Rollouts(now)
 	s.Hot = b.hot.told(now)
 	s.Shared = b.shared.told(now)
 	b.trimFills(now)
@@ -235,6 +243,7 @@
 	b.hot.merge(states)
 	b.mergeShared(states)
 	b.mergeSilent(now, states)
+	b.mergeRollouts(now, states)
 	b.dropFills(now)
 	b.shareLimits(now, states)
 	b.mergeLimits(now, states)
--- a/route/place.go
+++ b/route/place.go
@@ -70,6 +70,16 @@
 // much more that one costs than the best of all, which may be full. It returns
 // nil if none has room.
 func (b *Board) choose(now time.Time, p *pool, r *request) (best *candidate, extra time.Duration) {
+	for _, r.side = range b.releaseSides(now, p, r) {
+		if best, extra = b.chooseOnSide(now, p, r); best != nil {
+			break
+		}
+	}
+	return best, extra
+}
+
+// chooseOnSide is choose among the targets on the request's side of a roll-out.
+func (b *Board) chooseOnSide(now time.Time, p *pool, r *request) (best *candidate, extra time.Duration) {
 	cs := b.candidates(now, p, r)
 	for {
 		best, extra = b.bestOf(cs, p, r)
@@ -220,7 +230,7 @@
 
 func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
 	for _, t := range p.members {
-		if t.usable() && !t.rests(now) {
+		if t.usable() && !t.rests(now) && b.onSide(now, p, r.side, t) {
 			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: b.missCost(now, t) + b.farService(t, r)})
 		}
 	}
@@ -230,7 +240,7 @@
 // engineCandidates lists the engines that serve the request's model; of a large
 // pool only those worth predicting for.
 func (b *Board) engineCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
-	list := b.awake(now, b.servers(p, r))
+	list := b.ofSide(now, p, r, b.awake(now, b.servers(p, r)))
 	if len(list) > fullScan {
 		cs = b.narrow(cs, list, r)
 	} else {
--- a/route/request.go
+++ b/route/request.go
@@ -266,6 +266,8 @@
 	anew bool
 	// draw is a number from 0 to 1 by which requests take different ways.
 	draw float64
+	// side is the side of a roll-out on which the request is being placed.
+	side releaseSide
 }
 
 // chain is a request's prefix chain under one salt.
--- /dev/null
+++ b/route/rollout_test.go
@@ -0,0 +1,441 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The bounds of a roll-out that installations state: the share of a service's requests that a
+// bad release may get and some more, and how soon after its 50th bad answer it gets none.
+const (
+	exposureShare = 0.1
+	exposureSlack = 50
+	rollbackAfter = 50
+	rollbackTime  = 5 * time.Second
+	rolloutTime   = 12 * time.Second
+	oldRel        = "v1"
+	newRel        = "v2"
+)
+
+// releaseFault is what is wrong with a release, by the time since the order.
+type releaseFault struct {
+	// failing is the share of its answers that fail, slow the factor of its times, from a time on.
+	failing float64
+	slow    float64
+	from    time.Duration
+	// route is the only one of four routes with the fault, -1 for all.
+	route int
+	// load is the number of requests at once from which it shows.
+	load int
+}
+
+// rolloutFleet is the routers of a fleet that move a service to another release. They report to
+// each other four times a second, and learn of each other what was so two reports ago.
+type rolloutFleet struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Time
+	boards  []*Board
+	targets int
+	fault   releaseFault
+	// usual is the share of the old release's answers that fail.
+	usual float64
+	// side is the part of the fleet that a router reaches.
+	side    []int
+	told    [][]PeerState
+	flying  []rolloutAnswer
+	running map[int]int
+	ordered time.Time
+	asked   int
+	// sent are the times at which requests went to each release since the order.
+	sent [2][]time.Time
+	// bad are the times of the new release's bad answers, ended the times at which roll-outs ended.
+	bad   []time.Time
+	phase RolloutPhase
+	ended time.Time
+}
+
+type rolloutAnswer struct {
+	at, sent time.Time
+	router   int
+	target   int
+	attempt  Attempt
+	failed   bool
+	bad      bool
+}
+
+// baseTime is how long an answer takes at a sound target.
+const baseTime = 30 * time.Millisecond
+
+func newRolloutFleet(t *testing.T, n int, seed uint64, fault releaseFault) *rolloutFleet {
+	f := &rolloutFleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, seed)), now: epoch, targets: 16, fault: fault, usual: 0.02,
+		side: make([]int, n), boards: make([]*Board, n), running: make(map[int]int),
+	}
+	for i := range n {
+		f.start(i)
+	}
+	return f
+}
+
+// isNew reports whether a target has the new release: the second half of them.
+func (f *rolloutFleet) isNew(target int) bool { return target >= f.targets/2 }
+
+// start starts a router anew; it knows the list, and orders only from others.
+func (f *rolloutFleet) start(i int) {
+	b := NewBoard(WithSeed(f.rng.Uint64()), WithRouters(len(f.boards)), WithExposure(exposureShare))
+	b.Adopt(f.now, testSetup{window: 400}.snapshot(f.t))
+	f.boards[i] = b
+	f.list(i)
+}
+
+// list gives a router the list, on which the new targets stand once they are ordered.
+func (f *rolloutFleet) list(i int) {
+	b := f.boards[i]
+	var seen []Seen
+	for k := range f.targets {
+		release := oldRel
+		if f.isNew(k) {
+			release = newRel
+		}
+		if !f.isNew(k) || !f.ordered.IsZero() {
+			seen = append(seen, Seen{Addr: testAddr(k), Labels: map[string]string{"s": "s"}, Release: release})
+		}
+	}
+	f.take(i, b.Targets(f.now, seen))
+	for _, s := range seen {
+		f.take(i, b.Report(f.now, s.Addr, Report{Incarnation: "i", Slots: 400}))
+	}
+}
+
+func (f *rolloutFleet) order() RolloutOrder {
+	return RolloutOrder{Pool: "s", Release: newRel, Revision: 7, Duration: rolloutTime}
+}
+
+// begin starts the new targets, orders the roll-out at the routers that read the store, and records its beginning.
+func (f *rolloutFleet) begin(readers ...int) {
+	f.ordered = f.now
+	for i := range f.boards {
+		f.list(i)
+	}
+	for _, i := range readers {
+		f.boards[i].StartRollout(f.now, f.order())
+		f.boards[i].SetRollout(f.now, f.order(), RolloutTrial, "")
+	}
+}
+
+// play lets time pass at a number of requests a second, with one router advancing the roll-out.
+func (f *rolloutFleet) play(d time.Duration, perSecond float64, holder int) {
+	const step = 10 * time.Millisecond
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		f.answer()
+		for i, b := range f.boards {
+			f.take(i, b.Tick(f.now))
+		}
+		for range int(perSecond * step.Seconds()) {
+			f.ask()
+		}
+		if f.now.UnixMilli()%250 == 0 {
+			f.report()
+			f.advance(holder)
+		}
+	}
+}
+
+func (f *rolloutFleet) ask() {
+	f.asked++
+	i := f.rng.IntN(len(f.boards))
+	req := Request{
+		ID: fmt.Sprint("r", f.asked), Revision: 1, Pool: "s", Deadline: f.now.Add(4 * time.Second), QueueTime: time.Second,
+		Repeatable: true, MaxTries: 2,
+	}
+	f.take(i, f.boards[i].Arrive(f.now, req))
+}
+
+// take carries out what a router's board asks for.
+func (f *rolloutFleet) take(router int, actions []Action) {
+	for _, a := range actions {
+		if send, ok := a.(Send); ok {
+			f.send(router, send.Attempt)
+		}
+	}
+}
+
+func (f *rolloutFleet) send(router int, a Attempt) {
+	target := int(a.Target.Addr().As4()[3])
+	f.running[target]++
+	answer := rolloutAnswer{sent: f.now, router: router, target: target, attempt: a}
+	took := time.Duration(float64(baseTime) * (0.7 + 0.6*f.rng.Float64()))
+	answer.failed = f.rng.Float64() < f.usual
+	side := 0
+	if f.isNew(target) {
+		side = 1
+		if f.faulty(target) {
+			switch {
+			case f.fault.slow > 0:
+				took, answer.bad = time.Duration(float64(took)*f.fault.slow), true
+			case f.rng.Float64() < f.fault.failing:
+				answer.failed, answer.bad = true, true
+			}
+		}
+	}
+	if !f.ordered.IsZero() {
+		f.sent[side] = append(f.sent[side], f.now)
+	}
+	answer.at = f.now.Add(took)
+	f.flying = append(f.flying, answer)
+}
+
+// faulty reports whether the new release's fault shows in a request at a target now.
+func (f *rolloutFleet) faulty(target int) bool {
+	switch {
+	case f.now.Sub(f.ordered) < f.fault.from, f.running[target] < f.fault.load:
+		return false
+	}
+	return f.fault.route < 0 || f.rng.IntN(4) == f.fault.route
+}
+
+func (f *rolloutFleet) answer() {
+	due := f.flying
+	f.flying = nil
+	for _, a := range due {
+		if a.at.After(f.now) {
+			f.flying = append(f.flying, a)
+			continue
+		}
+		f.running[a.target]--
+		if a.bad {
+			f.bad = append(f.bad, f.now)
+		}
+		f.take(a.router, f.boards[a.router].Ended(f.now, Outcome{
+			Request: a.attempt.Request, Attempt: a.attempt.ID, Kind: OutcomeDone, TargetError: a.failed,
+		}))
+	}
+}
+
+func (f *rolloutFleet) report() {
+	states := make([]PeerState, len(f.boards))
+	for i, b := range f.boards {
+		states[i] = b.State(f.now)
+	}
+	f.told = append(f.told, states)
+	if len(f.told) < 3 {
+		return
+	}
+	f.told = f.told[len(f.told)-3:]
+	for i, b := range f.boards {
+		var others []PeerState
+		for k, s := range f.told[0] {
+			if k != i && f.side[k] == f.side[i] {
+				others = append(others, s)
+			}
+		}
+		heard := make(map[string]PeerState)
+		if len(others) > 0 {
+			heard["others"] = Join(others)
+		}
+		b.Peers(f.now, heard, len(f.boards))
+	}
+}
+
+// advance does what the process does that advances a roll-out.
+func (f *rolloutFleet) advance(holder int) {
+	b := f.boards[holder]
+	o, next, why := b.NextPhase(f.now, "s")
+	b.SetRollout(f.now, o, next, why)
+	if next > f.phase {
+		f.phase = next
+		if next.Ended() {
+			f.ended = f.now
+		}
+	}
+}
+
+// check holds the fleet to the bounds of a bad release.
+func (f *rolloutFleet) checkBad() {
+	b := f.boards[0]
+	require.Equal(f.t, RolloutRolledBack, f.phase, b.rollouts["s"].judge.String())
+	most := exposureShare*float64(len(f.sent[0])+len(f.sent[1])) + exposureSlack
+	require.LessOrEqual(f.t, float64(len(f.sent[1])), most, "requests that the bad release got")
+	if len(f.bad) >= rollbackAfter && len(f.sent[1]) > 0 {
+		last := f.sent[1][len(f.sent[1])-1]
+		require.LessOrEqual(f.t, last.Sub(f.bad[rollbackAfter-1]), rollbackTime, "from the 50th bad answer to the last request")
+	}
+}
+
+// A bad release is found by all routers together, whatever is wrong with it, and gets no more
+// than its share of the requests.
+func TestRolloutBad(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]releaseFault{
+		"fails at once":        {failing: 0.4, route: -1},
+		"fails seldom":         {failing: 0.2, route: -1},
+		"slow":                 {slow: 5, route: -1},
+		"fails later":          {failing: 0.4, from: 4 * time.Second, route: -1},
+		"slow later":           {slow: 5, from: 4 * time.Second, route: -1},
+		"fails on one route":   {failing: 0.8, route: 2},
+		"slow on one route":    {slow: 6, route: 1},
+		"fails under its load": {failing: 0.5, route: -1, load: 3},
+	} {
+		for _, nodes := range []int{1, 8, 40} {
+			t.Run(fmt.Sprint(name, " at ", nodes), func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(4) {
+					f := newRolloutFleet(t, nodes, seed+1, fault)
+					f.play(3*time.Second, 400, 0)
+					f.begin(0)
+					f.play(rolloutTime, 400, 0)
+					f.checkBad()
+				}
+			})
+		}
+	}
+}
+
+// A good release is completed in time, after every router has stopped sending to the old one.
+func TestRolloutGood(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{1, 8, 40} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(8) {
+				f := newRolloutFleet(t, nodes, seed+1, releaseFault{})
+				f.play(3*time.Second, 400, 0)
+				f.begin(0)
+				f.play(rolloutTime, 400, 0)
+				require.Equal(t, RolloutCompleted, f.phase, "seed %d: %s", seed+1, f.boards[0].rollouts["s"].judge.String())
+				require.Less(t, f.ended.Sub(f.ordered), rolloutTime)
+				last := f.sent[0][len(f.sent[0])-1]
+				require.Less(t, last, f.ended, "the last request to the old release")
+				for _, a := range f.flying {
+					require.True(t, a.sent.After(f.ended) || f.isNew(a.target))
+				}
+			}
+		})
+	}
+}
+
+// Routers that reach nobody keep to the share too, and act on what they see themselves.
+func TestRolloutPartition(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 12, 5, releaseFault{failing: 0.5, route: -1})
+	f.play(3*time.Second, 400, 0)
+	f.begin(0, 5, 10)
+	f.play(time.Second, 400, 0)
+	for i := range f.side {
+		f.side[i] = i % 4
+	}
+	f.play(rolloutTime, 400, 0)
+	f.checkBad()
+}
+
+// A router that starts knows no phase: it sends nothing to a release that was rolled back, and
+// serves through the new one where the old targets are gone.
+func TestRolloutPending(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 1, 1, releaseFault{failing: 1, route: -1})
+	f.ordered = f.now
+	f.list(0)
+	f.boards[0].StartRollout(f.now, f.order())
+	f.play(2*time.Second, 100, 0)
+	require.Empty(t, f.sent[1], "requests to a release whose recorded state is not known")
+	f.boards[0].SetRollout(f.now, f.order(), RolloutRolledBack, "")
+	f.play(2*time.Second, 100, 0)
+	require.Empty(t, f.sent[1])
+	again := f.order()
+	again.Revision += 1 << 40
+	f.boards[0].StartRollout(f.now, again)
+	f.play(2*time.Second, 100, 0)
+	require.Empty(t, f.sent[1], "the same order, from a store that came back from an older copy")
+
+	f = newRolloutFleet(t, 1, 1, releaseFault{})
+	var seen []Seen
+	for k := f.targets / 2; k < f.targets; k++ {
+		seen = append(seen, Seen{Addr: testAddr(k), Labels: map[string]string{"s": "s"}, Release: newRel})
+	}
+	f.boards[0].Targets(f.now, seen)
+	for _, s := range seen {
+		f.boards[0].Report(f.now, s.Addr, Report{Incarnation: "i", Slots: 400})
+	}
+	f.boards[0].StartRollout(f.now, f.order())
+	f.ordered = f.now
+	f.play(time.Second, 100, 0)
+	require.NotEmpty(t, f.sent[1], "requests where the old targets are gone")
+}
+
+// The second try of a request that failed at the new release goes to the old one.
+func TestRolloutRetry(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 1, 3, releaseFault{})
+	f.play(time.Second, 100, 0)
+	f.begin(0)
+	f.play(2*time.Second, 100, 0)
+	tries := make(map[string][]bool)
+	b := f.boards[0]
+	for n := range 400 {
+		f.now = f.now.Add(time.Millisecond)
+		id := fmt.Sprint("again-", n)
+		actions := b.Arrive(f.now, Request{
+			ID: id, Revision: 1, Pool: "s", Deadline: f.now.Add(4 * time.Second), QueueTime: time.Second, Repeatable: true, MaxTries: 2,
+		})
+		for len(actions) > 0 {
+			send, ok := actions[0].(Send)
+			actions = actions[1:]
+			if !ok {
+				continue
+			}
+			fresh := f.isNew(int(send.Attempt.Target.Addr().As4()[3]))
+			tries[id] = append(tries[id], fresh)
+			kind := OutcomeDone
+			if fresh {
+				kind = OutcomeRefused
+			}
+			actions = append(actions, b.Ended(f.now, Outcome{Request: send.Attempt.Request, Attempt: send.Attempt.ID, Kind: kind, Incarnation: "i"})...)
+		}
+	}
+	again := 0
+	for id, sides := range tries {
+		if sides[0] && len(sides) > 1 {
+			again++
+			require.False(t, sides[1], id)
+		}
+	}
+	require.NotZero(t, again)
+}
+
+// Of a thousand good releases none is rolled back, at any usual rate of bad answers.
+func TestRolloutJudgeFalseAlarms(t *testing.T) {
+	t.Parallel()
+	rng := rand.New(rand.NewPCG(3, 3))
+	answers := func(n int, rate float64) (out Tally) {
+		out.Answers = n
+		for range n {
+			if rng.Float64() < rate {
+				out.Bad++
+			}
+		}
+		return out
+	}
+	alarms, unsound := 0, 0
+	for run := range 1000 {
+		rate := []float64{0, 0.01, 0.05, 0.14, 0.3}[run%5]
+		j := newRolloutJudge()
+		var sum RolloutCounts
+		for range 48 {
+			sum = sum.plus(RolloutCounts{New: answers(10, rate), Old: answers(90, rate)})
+			j.observe(sum)
+		}
+		if j.bad() {
+			alarms++
+		}
+		if !j.sound() {
+			unsound++
+		}
+	}
+	require.Zero(t, alarms, "good releases that were rolled back")
+	require.LessOrEqual(t, unsound, 20, "good releases that were not found sound in time")
+}
--- a/route/target.go
+++ b/route/target.go
@@ -34,6 +34,8 @@
 	Leaving bool
 	// Incarnation is whom the line means, empty where the list does not tell.
 	Incarnation Incarnation
+	// Release is the release of the target's software, empty where the list does not tell.
+	Release string
 }
 
 // Entry is one entry of a list that also has what the targets report.
@@ -62,9 +64,11 @@
 type target struct {
 	addr   netip.AddrPort
 	labels map[string]string
-	pools  []*pool
-	listed bool
-	slot   uint32
+	// release is the release of its software.
+	release string
+	pools   []*pool
+	listed  bool
+	slot    uint32
 	// emptied is when the target was first seen with its present, empty cache.
 	emptied     time.Time
 	hash        uint64
@@ -228,6 +232,7 @@
 
 // Targets takes the VM list; targets that are not on it any more get no new work.
 func (b *Board) Targets(now time.Time, list []Seen) []Action {
+	changed := false
 	for _, t := range b.targets {
 		t.listed = false
 	}
@@ -236,7 +241,8 @@
 		if !ok {
 			t = b.addTarget(now, s.Addr)
 		}
-		t.labels = s.Labels
+		changed = changed || t.release != s.Release
+		t.labels, t.release = s.Labels, s.Release
 		t.listed = true
 		t.listNames = s.Incarnation != ""
 		b.identify(now, t, s.Incarnation)
@@ -249,6 +255,9 @@
 		}
 	}
 	b.assignPools()
+	if changed {
+		b.noteReleases(now)
+	}
 	return b.dispatch(now)
 }
 
