--- a/node/caches.go
+++ b/node/caches.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -33,8 +34,9 @@
 
 // follow starts readers of the engines on the list and stops those of others. A
 // target holds a bounded number of readings at once, so in a large installation
-// a node reads only as many targets as are its part.
-func (c *cacheReaders) follow(ctx context.Context, n *Node, list []route.Entry) {
+// a node reads only as many targets as are its part. Those of large pools nobody follows:
+// who was sent what is known to the homes of prompts' parts.
+func (c *cacheReaders) follow(ctx context.Context, n *Node) {
 	if c.stop == nil {
 		c.stop = make(map[netip.AddrPort]context.CancelFunc)
 	}
@@ -44,12 +46,16 @@
 	}
 	wanted := make(map[netip.AddrPort]bool)
 	reads := n.readsCaches()
+	var list []*route.Entry
+	if reads(math.MaxInt) {
+		list = n.list.get()
+	}
 	for _, t := range list {
 		p, ok := snap.Pool(t.Seen.Labels[LabelPool])
 		if !ok || p.Kind == policy.KindService || p.CacheReaders == 0 {
 			continue
 		}
-		if reads(p.CacheReaders) {
+		if reads(p.CacheReaders) && n.list.Size(p.Name) == 0 {
 			wanted[t.Seen.Addr] = true
 		}
 	}
--- a/node/duty.go
+++ b/node/duty.go
@@ -119,13 +119,12 @@
 	}
 	for ctx.Err() == nil {
 		wait := idleEvery
-		named, targets := d.work()
-		switch {
-		case d.left():
-		case len(targets) > 0 && d.due(named, targets):
-			wait = d.round(ctx, named, targets)
-		default:
-			d.rest(ctx)
+		if !d.left() {
+			if named, targets := d.work(); len(targets) > 0 && d.due(named, targets) {
+				wait = d.round(ctx, named, targets)
+			} else {
+				d.rest(ctx)
+			}
 		}
 		t := time.NewTimer(wait)
 		select {
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -261,11 +261,11 @@
 func (s *simStore) Targets(context.Context) (Listing, error) {
 	s.call("list")
 	beat := int64(time.Since(s.began)/simBeat) + 1
-	var out []route.Entry
+	var out []*route.Entry
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.engines {
-		out = append(out, route.Entry{
+		out = append(out, &route.Entry{
 			Seen:     route.Seen{Addr: simEngineAddr(i), Labels: map[string]string{LabelPool: simPool, route.LabelZone: simZone(i)}},
 			Report:   route.Report{Incarnation: route.Incarnation(fmt.Sprintf("i-%08x", i)), Weights: map[string]string{simModel: s.engine(simEngineAddr(i)).weights}, Slots: 24},
 			Revision: beat,
--- a/node/list.go
+++ b/node/list.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -15,7 +16,11 @@
 // targetList is the list of targets as it was last read.
 type targetList struct {
 	mu      sync.Mutex
-	targets map[netip.AddrPort]route.Entry
+	targets map[netip.AddrPort]listedTarget
+	// reserves are the targets of large pools, by their service.
+	reserves map[string][]listedTarget
+	// maps are the labels and weights that entries have, each kept once.
+	maps    map[string]map[string]string
 	failing bool
 	// backAt is when the store answered again after it had failed.
 	backAt time.Time
@@ -23,18 +28,33 @@
 	readAt time.Time
 	// missing says since when targets are kept that the readings lack.
 	missing map[netip.AddrPort]time.Time
-	conns   map[netip.AddrPort]int
+	// conns is how many connections this node may open to one target of a service.
+	conns map[string]int
 	// fixed are targets that stand in the configuration.
-	fixed []route.Entry
+	fixed []*route.Entry
 	// beats are the revisions of the targets' entries that the board was told of.
 	beats map[netip.AddrPort]int64
 }
 
+// listedTarget is a target of the list with the number by which it is ranked. Entries are
+// shared with what a relay told, and not changed.
+type listedTarget struct {
+	*route.Entry
+	hash uint64
+}
+
+// reserveFrom is the number of targets from which a pool is large, so that the board has only
+// those that it uses.
+const reserveFrom = 512
+
 // setFixed takes the targets that stand in the configuration.
 func (l *targetList) setFixed(ts []route.Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fixed = ts
+	l.fixed = nil
+	for _, t := range ts {
+		l.fixed = append(l.fixed, &t)
+	}
 }
 
 // relistTime is how long after the store's return targets' entries may still be
@@ -50,11 +70,11 @@
 // id the newer counts, by the list's own counter. Targets that are gone stay for a while after an
 // outage of the store, but not those whose entry is there and names no target any more. A
 // reading that began before the newest one changes nothing.
-func (l *targetList) merge(now, at time.Time, read Listing, relayed bool) []route.Entry {
+func (l *targetList) merge(now, at time.Time, read Listing, relayed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at.Before(l.readAt) {
-		return inOrder(l.targets)
+		return
 	}
 	long := !l.readAt.IsZero() && at.Sub(l.readAt) > outageGap
 	away := l.failing
@@ -66,12 +86,12 @@
 	}
 	l.failing = false
 	l.readAt = at
-	fresh := make(map[netip.AddrPort]route.Entry, len(read.Targets))
+	fresh := make(map[netip.AddrPort]listedTarget, len(read.Targets))
 	there := make(map[string]bool, len(read.Targets))
 	for _, t := range append(l.newest(read.Targets), l.fixed...) {
 		there[t.Report.Incarnation.ID()] = true
 		if other, ok := fresh[t.Seen.Addr]; !ok || other.Revision < t.Revision {
-			fresh[t.Seen.Addr] = t
+			fresh[t.Seen.Addr] = l.listed(t)
 		}
 	}
 	for _, f := range read.Faulty {
@@ -79,7 +99,144 @@
 	}
 	l.keepMissing(now, long, fresh, there)
 	l.targets = fresh
-	return inOrder(fresh)
+	l.reserve()
+}
+
+// touch takes a later reading that a relay told as unchanged, and reports whether it is to be
+// merged all the same, since what is kept beside it may be over.
+func (l *targetList) touch(now, at time.Time) (merge bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.readAt.IsZero() || len(l.missing) > 0 || l.failing || at.Sub(l.readAt) > outageGap {
+		return true
+	}
+	if at.After(l.readAt) {
+		l.readAt = at
+	}
+	return false
+}
+
+// listed returns an entry with its number; the caller holds the lock.
+func (l *targetList) listed(e *route.Entry) listedTarget {
+	if old, ok := l.targets[e.Seen.Addr]; ok {
+		return listedTarget{e, old.hash}
+	}
+	return listedTarget{e, route.HashAddr(e.Seen.Addr)}
+}
+
+// intern takes new entries that nobody else has yet: labels and weights that many entries have
+// alike are kept once.
+func (l *targetList) intern(entries []*route.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range entries {
+		e.Seen.Labels, e.Report.Weights = l.kept(e.Seen.Labels), l.kept(e.Report.Weights)
+	}
+}
+
+// asRead returns the targets of the last reading without those kept beside it.
+func (l *targetList) asRead() []*route.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*route.Entry, 0, len(l.targets))
+	for addr, t := range l.targets {
+		if _, missing := l.missing[addr]; !missing && !slices.Contains(l.fixed, t.Entry) {
+			out = append(out, t.Entry)
+		}
+	}
+	return out
+}
+
+// mostMaps bounds the different labels and weights that are kept once: some for each failure
+// domain and service, and for each of the weights that targets have at a time.
+const mostMaps = 1024
+
+// kept returns the one copy of a map of an entry; the caller holds the lock.
+func (l *targetList) kept(m map[string]string) map[string]string {
+	if len(m) == 0 {
+		return nil
+	}
+	key := make([]byte, 0, 64)
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		key = append(append(append(append(key, k...), 0), m[k]...), 0)
+	}
+	if same, ok := l.maps[string(key)]; ok {
+		return same
+	}
+	if l.maps == nil || len(l.maps) >= mostMaps {
+		l.maps = make(map[string]map[string]string)
+	}
+	l.maps[string(key)] = m
+	return m
+}
+
+// reserve sorts the targets of large pools out; the caller holds the lock.
+func (l *targetList) reserve() {
+	count := make(map[string]int)
+	for _, t := range l.targets {
+		count[t.Seen.Labels[LabelPool]]++
+	}
+	l.reserves = make(map[string][]listedTarget)
+	for _, t := range l.targets {
+		if pool := t.Seen.Labels[LabelPool]; count[pool] > reserveFrom {
+			if l.reserves[pool] == nil {
+				l.reserves[pool] = make([]listedTarget, 0, count[pool])
+			}
+			l.reserves[pool] = append(l.reserves[pool], t)
+		}
+	}
+}
+
+// Size implements [route.Reserve].
+func (l *targetList) Size(pool string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.reserves[pool])
+}
+
+// Best implements [route.Reserve].
+func (l *targetList) Best(pool string, k int, rank func(hash uint64) uint64) []*route.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := make([]*route.Entry, 0, k)
+	ranks := make([]uint64, 0, k)
+	for _, t := range l.reserves[pool] {
+		if t.Seen.Leaving {
+			continue
+		}
+		r := rank(t.hash)
+		if len(best) == k && r <= ranks[k-1] {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(ranks, r, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if len(best) == k {
+			best, ranks = best[:k-1], ranks[:k-1]
+		}
+		best, ranks = slices.Insert(best, i, t.Entry), slices.Insert(ranks, i, r)
+	}
+	return best
+}
+
+// Get implements [route.Reserve].
+func (l *targetList) Get(addr netip.AddrPort) *route.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.targets[addr].Entry
+}
+
+// forBoard returns the targets that the board has or is to have: all but those of large pools
+// that it does not use.
+func (l *targetList) forBoard(uses func(addr netip.AddrPort) bool) []*route.Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*route.Entry
+	for addr, t := range l.targets {
+		if len(l.reserves[t.Seen.Labels[LabelPool]]) == 0 || uses(addr) {
+			out = append(out, t.Entry)
+		}
+	}
+	slices.SortFunc(out, func(a, b *route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
+	return out
 }
 
 // keepMissing adds to a reading the targets that it lacks and that may still come back
@@ -87,7 +244,7 @@
 // fail again and again do not keep it for ever. In an outage that is longer than
 // entries last none can come back, and that time begins after it. Nor can those come back whose
 // id is there, at another address or in an entry that names no target. The caller holds the lock.
-func (l *targetList) keepMissing(now time.Time, long bool, fresh map[netip.AddrPort]route.Entry, there map[string]bool) {
+func (l *targetList) keepMissing(now time.Time, long bool, fresh map[netip.AddrPort]listedTarget, there map[string]bool) {
 	missing := make(map[netip.AddrPort]time.Time)
 	for addr, t := range l.targets {
 		_, ok := fresh[addr]
@@ -108,10 +265,10 @@
 // newest replaces the entries of a reading that are older than what is known under the same
 // id: of two readings under way at once the one that began later may tell the earlier state. The
 // caller holds the lock.
-func (l *targetList) newest(read []route.Entry) []route.Entry {
-	known := make(map[string]route.Entry, len(l.targets))
+func (l *targetList) newest(read []*route.Entry) []*route.Entry {
+	known := make(map[string]*route.Entry, len(l.targets))
 	for _, t := range l.targets {
-		known[t.Report.Incarnation.ID()] = t
+		known[t.Report.Incarnation.ID()] = t.Entry
 	}
 	out := slices.Clone(read)
 	for i, t := range out {
@@ -122,11 +279,6 @@
 	return out
 }
 
-// inOrder returns entries in the order of their addresses.
-func inOrder(entries map[netip.AddrPort]route.Entry) []route.Entry {
-	return slices.SortedFunc(maps.Values(entries), func(a, b route.Entry) int { return a.Seen.Addr.Compare(b.Seen.Addr) })
-}
-
 // returned notes that the store came back from an older copy, which may lack entries.
 func (l *targetList) returned(now time.Time) {
 	l.mu.Lock()
@@ -142,10 +294,21 @@
 }
 
 // get returns the targets of the last reading.
-func (l *targetList) get() []route.Entry {
+func (l *targetList) get() []*route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return slices.Collect(maps.Values(l.targets))
+	out := make([]*route.Entry, 0, len(l.targets))
+	for _, t := range l.targets {
+		out = append(out, t.Entry)
+	}
+	return out
+}
+
+// count returns how many targets the last reading had.
+func (l *targetList) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.targets)
 }
 
 // LabelPool is the label with the name of a target's service.
@@ -154,11 +317,14 @@
 func (l *targetList) maxConns(target netip.AddrPort) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.conns[target]
+	if t, ok := l.targets[target]; ok {
+		return l.conns[t.Seen.Labels[LabelPool]]
+	}
+	return 0
 }
 
-// setConns takes each target's bound of connections from this node.
-func (l *targetList) setConns(conns map[netip.AddrPort]int) {
+// setConns takes the bound of connections from this node to one target of each service.
+func (l *targetList) setConns(conns map[string]int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = conns
@@ -186,7 +352,7 @@
 		readers cacheReaders
 	)
 	for ctx.Err() == nil {
-		readers.follow(ctx, n, n.list.get())
+		readers.follow(ctx, n)
 		if n.relays.follows() {
 			pause(ctx, followPause)
 			continue
@@ -206,6 +372,7 @@
 		}
 		retry.ok()
 		n.noteFaulty(read.Faulty)
+		n.list.intern(read.Targets)
 		n.takeEntries(begun, read, false)
 		if !pause(ctx, n.jitter(n.listTime())) {
 			return
@@ -226,13 +393,15 @@
 // life since. Others are told what was read, not what this node keeps beside it.
 func (n *Node) takeEntries(at time.Time, read Listing, relayed bool) {
 	read.Targets = n.withoutStores(read.Targets)
-	list := n.list.merge(n.now(), at, read, relayed)
+	n.list.merge(n.now(), at, read, relayed)
 	n.relays.told(at, read.Targets)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
+		list := n.list.forBoard(b.Uses)
 		all := make([]route.Seen, 0, len(list))
 		for _, t := range list {
-			t.Seen.Incarnation = t.Report.Incarnation
-			all = append(all, t.Seen)
+			seen := t.Seen
+			seen.Incarnation = t.Report.Incarnation
+			all = append(all, seen)
 		}
 		out := b.Targets(now, all)
 		for _, t := range n.list.alive(list) {
@@ -240,28 +409,28 @@
 		}
 		return out
 	})
-	n.shareConns(list)
+	n.shareConns()
 	n.duty.poke()
 }
 
 // withoutStores drops the entries that name a store of KV cache as their service: such
 // stores are on no list, so that another writer made them, and parts would be saved there.
-func (n *Node) withoutStores(read []route.Entry) []route.Entry {
+func (n *Node) withoutStores(read []*route.Entry) []*route.Entry {
 	snap := n.snapshot()
 	if snap == nil {
 		return read
 	}
-	return slices.DeleteFunc(slices.Clone(read), func(t route.Entry) bool {
+	return slices.DeleteFunc(slices.Clone(read), func(t *route.Entry) bool {
 		p, ok := snap.Pool(t.Seen.Labels[LabelPool])
 		return ok && p.Kind == policy.KindKept
 	})
 }
 
 // alive returns the targets that showed a sign of life since the last call.
-func (l *targetList) alive(list []route.Entry) []route.Entry {
+func (l *targetList) alive(list []*route.Entry) []*route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []route.Entry
+	var out []*route.Entry
 	beats := make(map[netip.AddrPort]int64, len(list))
 	for _, t := range list {
 		if l.beats[t.Seen.Addr] != t.Revision {
@@ -274,16 +443,16 @@
 }
 
 // shareConns divides the connections that each target takes by the nodes.
-func (n *Node) shareConns(list []route.Entry) {
+func (n *Node) shareConns() {
 	snap := n.snapshot()
 	if snap == nil {
 		return
 	}
 	nodes := n.fleetSize()
-	conns := make(map[netip.AddrPort]int, len(list))
-	for _, t := range list {
-		if p, ok := snap.Pool(t.Seen.Labels[LabelPool]); ok && p.MaxConns > 0 {
-			conns[t.Seen.Addr] = max(1, p.MaxConns/nodes)
+	conns := make(map[string]int)
+	for _, p := range snap.Pools() {
+		if p.MaxConns > 0 {
+			conns[p.Name] = max(1, p.MaxConns/nodes)
 		}
 	}
 	n.list.setConns(conns)
--- a/node/list_gap_test.go
+++ b/node/list_gap_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/pathhead/pathhead/route"
 )
 
 // An entry that is gone counts for a while after an outage, from the first reading
@@ -27,12 +25,12 @@
 			now := time.Unix(100, 0)
 			var l targetList
 			a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-			l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
+			merge(&l, now, now, Listing{Targets: entries(a, b)}, false)
 			first := now.Add(c.every)
 			for now.Sub(first) <= 2*relistTime {
 				l.failed()
 				now = now.Add(c.every)
-				got := incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, c.relayed))
+				got := incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, c.relayed))
 				if now.Sub(first) >= relistTime {
 					require.Equal(t, []string{"a"}, got, "%s after the first reading without it", now.Sub(first))
 				}
@@ -47,18 +45,18 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
+	merge(&l, now, now, Listing{Targets: entries(a, b)}, false)
 	for range 2 {
 		l.failed()
 		now = now.Add(outageGap + time.Second)
-		require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)))
+		require.Equal(t, []string{"a", "b"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, false)))
 	}
 	now = now.Add(relistTime)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)))
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
+	require.Equal(t, []string{"a"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, false)))
+	merge(&l, now, now, Listing{Targets: entries(a, b)}, false)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)), "b was back in between")
+	require.Equal(t, []string{"a", "b"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, false)), "b was back in between")
 }
 
 // A reading that was on its way for long, or through a freeze, does not undo one that
@@ -67,12 +65,12 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
+	merge(&l, now, now, Listing{Targets: entries(a, b)}, false)
 	begun := now.Add(time.Second)
 	now = now.Add(2 * time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, true)), "a relay's reading")
+	require.Equal(t, []string{"a"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, true)), "a relay's reading")
 	now = now.Add(100 * time.Millisecond)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, begun, Listing{Targets: []route.Entry{a, b}}, false)), "its own began before")
+	require.Equal(t, []string{"a"}, incarnations(merge(&l, now, begun, Listing{Targets: entries(a, b)}, false)), "its own began before")
 	require.False(t, l.has(b.Seen.Addr))
 }
 
@@ -85,7 +83,7 @@
 		t.Run(name, func(t *testing.T) {
 			var l targetList
 			l.failed()
-			require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, relayed)))
+			require.Equal(t, []string{"a"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, relayed)))
 		})
 	}
 }
--- a/node/list_start_test.go
+++ b/node/list_start_test.go
@@ -42,13 +42,13 @@
 			t.Run(name+away, func(t *testing.T) {
 				now := time.Unix(100, 0)
 				var l targetList
-				var got []route.Entry
+				var got []*route.Entry
 				for _, e := range c.readings {
 					set(&l)
-					got = l.merge(now, now, Listing{Targets: []route.Entry{e}}, false)
+					got = merge(&l, now, now, Listing{Targets: entries(e)}, false)
 					now = now.Add(100 * time.Millisecond)
 				}
-				require.Equal(t, []route.Entry{c.want}, got)
+				require.Equal(t, entries(c.want), got)
 			})
 		}
 	}
@@ -60,10 +60,10 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b, c := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2), listed("10.0.0.3:80", "c", 3)
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b, c}}, false)
+	merge(&l, now, now, Listing{Targets: entries(a, b, c)}, false)
 	l.failed()
 	now = now.Add(time.Second)
-	got := l.merge(now, now, Listing{Targets: []route.Entry{a}, Faulty: []FaultyEntry{{ID: "b", Fault: EntryLacks}}}, false)
+	got := merge(&l, now, now, Listing{Targets: entries(a), Faulty: []FaultyEntry{{ID: "b", Fault: EntryLacks}}}, false)
 	require.Equal(t, []string{"a", "c"}, incarnations(got), "c is missing and may come back")
 }
 
@@ -83,7 +83,7 @@
 	good, foreign := listed("10.0.0.1:80", "a", 2), listed("10.0.0.2:80", "b", 3)
 	good.Seen.Labels = map[string]string{LabelPool: simPool}
 	foreign.Seen.Labels = map[string]string{LabelPool: "kept"}
-	n.takeEntries(time.Now(), Listing{Targets: []route.Entry{good, foreign}}, false)
+	n.takeEntries(time.Now(), Listing{Targets: entries(good, foreign)}, false)
 	require.ElementsMatch(t, []string{"a", "kept"}, incarnations(n.list.get()))
 }
 
@@ -161,7 +161,7 @@
 				n.adopt(*declared, "the store")
 				e := listedStart(simEngineAddr(0).String(), "i", 500, 1)
 				e.Seen.Labels = map[string]string{LabelPool: simPool}
-				n.takeEntries(time.Now(), Listing{Targets: []route.Entry{e}}, false)
+				n.takeEntries(time.Now(), Listing{Targets: entries(e)}, false)
 				ctx, stop := context.WithCancel(t.Context())
 				go n.readCache(ctx, simEngineAddr(0))
 				time.Sleep(30 * time.Second)
--- a/node/list_test.go
+++ b/node/list_test.go
@@ -19,7 +19,22 @@
 	}
 }
 
-func incarnations(ts []route.Entry) []string {
+// entries returns a reading's entries.
+func entries(es ...route.Entry) []*route.Entry {
+	var out []*route.Entry
+	for _, e := range es {
+		out = append(out, &e)
+	}
+	return out
+}
+
+// merge merges a reading and returns the whole list.
+func merge(l *targetList, now, at time.Time, read Listing, relayed bool) []*route.Entry {
+	l.merge(now, at, read, relayed)
+	return l.forBoard(func(netip.AddrPort) bool { return true })
+}
+
+func incarnations(ts []*route.Entry) []string {
 	var out []string
 	for _, t := range ts {
 		out = append(out, string(t.Report.Incarnation))
@@ -33,19 +48,19 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)))
+	require.Equal(t, []string{"a", "b"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a, b)}, false)))
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)), "a missing entry is gone")
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, false)
+	require.Equal(t, []string{"a"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, false)), "a missing entry is gone")
+	merge(&l, now, now, Listing{Targets: entries(a, b)}, false)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)), "the store was away")
+	require.Equal(t, []string{"a", "b"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, false)), "the store was away")
 	now = now.Add(relistTime)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, false)))
+	require.Equal(t, []string{"a"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, false)))
 	newer := listed("10.0.0.1:80", "a2", 9)
-	require.Equal(t, []string{"a2"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{newer, a}}, false)))
+	require.Equal(t, []string{"a2"}, incarnations(merge(&l, now, now, Listing{Targets: entries(newer, a)}, false)))
 	l.setFixed([]route.Entry{listed("10.0.0.9:80", "store", 1)})
-	require.Equal(t, []string{"a2", "store"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{newer}}, false)))
+	require.Equal(t, []string{"a2", "store"}, incarnations(merge(&l, now, now, Listing{Targets: entries(newer)}, false)))
 	require.True(t, l.has(netip.MustParseAddrPort("10.0.0.9:80")))
 }
 
@@ -93,11 +108,11 @@
 	now := time.Unix(100, 0)
 	var l targetList
 	a, b := listed("10.0.0.1:80", "a", 1), listed("10.0.0.2:80", "b", 2)
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, true)
+	merge(&l, now, now, Listing{Targets: entries(a, b)}, true)
 	l.failed()
 	now = now.Add(time.Second)
-	require.Equal(t, []string{"a"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, true)), "only this node's path failed")
-	l.merge(now, now, Listing{Targets: []route.Entry{a, b}}, true)
+	require.Equal(t, []string{"a"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, true)), "only this node's path failed")
+	merge(&l, now, now, Listing{Targets: entries(a, b)}, true)
 	now = now.Add(outageGap + time.Second)
-	require.Equal(t, []string{"a", "b"}, incarnations(l.merge(now, now, Listing{Targets: []route.Entry{a}}, true)), "nobody read the list meanwhile")
+	require.Equal(t, []string{"a", "b"}, incarnations(merge(&l, now, now, Listing{Targets: entries(a)}, true)), "nobody read the list meanwhile")
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -126,7 +126,7 @@
 		return 0
 	})
 	n.metrics.NewGauge("pathhead_held_requests", func() float64 { return float64(n.Held()) })
-	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(len(n.list.get())) })
+	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(n.list.count()) })
 	for word, said := range map[string]func(v route.TargetView) bool{
 		"limit":   func(v route.TargetView) bool { return v.Limit != nil },
 		"leaving": func(v route.TargetView) bool { return v.Leaving },
--- a/node/ports.go
+++ b/node/ports.go
@@ -120,7 +120,7 @@
 
 // Listing is a reading of the list of targets.
 type Listing struct {
-	Targets []route.Entry
+	Targets []*route.Entry
 	// Faulty are the entries that name no target, since they are not as targets write them.
 	Faulty []FaultyEntry
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"reflect"
 	"sync"
 	"time"
 
@@ -52,8 +51,8 @@
 	acting bool
 	// largeAt is when the fleet became large.
 	largeAt time.Time
-	// entries and beats are the list as it is told to others, read at listAt.
-	entries *route.Feed[netip.AddrPort, route.Entry]
+	// entries and beats are the list as it is told to others, read at listAt; only a relay has them.
+	entries *route.Feed[netip.AddrPort, *route.Entry]
 	beats   *route.Feed[netip.AddrPort, int64]
 	listAt  time.Time
 	// from is what this node was told, by the relay that it names.
@@ -72,13 +71,11 @@
 	now := n.now()
 	self := fleet.Member{ID: s.Name, Addr: s.Peers, Zone: s.Zone, Epoch: now.UnixNano(), Power: s.Power}
 	return &relays{
-		n:      n,
-		roster: fleet.NewRoster(now, self, rosterTimeout, fleet.WithAged(route.PeerState.Aged)),
-		entries: route.NewFeed[netip.AddrPort](func(a, b route.Entry) bool {
-			return reflect.DeepEqual(a, b)
-		}),
-		outbox: newOutbox(),
-		echoes: make(map[route.Recent]int),
+		n:       n,
+		roster:  fleet.NewRoster(now, self, rosterTimeout, fleet.WithAged(route.PeerState.Aged)),
+		entries: route.NewFeed[netip.AddrPort](sameEntry),
+		outbox:  newOutbox(),
+		echoes:  make(map[route.Recent]int),
 
 		sharedTold: make(map[string]sharedCursor),
 		beats:      route.NewFeed[netip.AddrPort](func(a, b int64) bool { return a == b }),
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"reflect"
 	"time"
 
 	"github.com/pathhead/pathhead/fleet"
@@ -10,13 +11,26 @@
 )
 
 // told notes the list as it is told to others, unless a newer reading was.
-func (r *relays) told(at time.Time, list []route.Entry) {
+func (r *relays) told(at time.Time, list []*route.Entry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.large || at.Before(r.listAt) {
 		return
 	}
 	r.listAt = at
+	if !r.acting {
+		r.entries.Clear()
+		r.beats.Clear()
+		return
+	}
+	r.feed(list)
+}
+
+// feed brings the list into what is told to others; the caller holds the lock. Of a long list signs
+// of life are left out: nodes that use a few of many targets need none of the others, and a
+// target that fails there gives way to another.
+func (r *relays) feed(list []*route.Entry) {
+	beats := len(list) <= reserveFrom
 	gone := make(map[netip.AddrPort]bool)
 	for _, addr := range r.entries.Keys() {
 		gone[addr] = true
@@ -24,8 +38,12 @@
 	for _, e := range list {
 		addr := e.Seen.Addr
 		delete(gone, addr)
-		r.beats.Set(addr, e.Revision)
-		e.Revision = 0
+		if beats {
+			r.beats.Set(addr, e.Revision)
+			unbeaten := *e
+			unbeaten.Revision = 0
+			e = &unbeaten
+		}
 		r.entries.Set(addr, e)
 	}
 	for addr := range gone {
@@ -34,6 +52,13 @@
 	}
 }
 
+// sameEntry reports whether two entries say the same but for signs of life.
+func sameEntry(a, b *route.Entry) bool {
+	x, y := *a, *b
+	x.Revision, y.Revision = 0, 0
+	return a == b || reflect.DeepEqual(x, y)
+}
+
 // Relay implements [peer.RelayHandler].
 func (n *Node) Relay(in peer.RelayReport) peer.RelayAnswer {
 	n.events.Clock().Observe(in.Stamp)
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -19,7 +19,7 @@
 	// members and digest are those that the relay told last.
 	members []fleet.Member
 	digest  uint64
-	entries map[netip.AddrPort]route.Entry
+	entries map[netip.AddrPort]*route.Entry
 	beats   map[netip.AddrPort]int64
 	// at is when the last answer was asked for, listAt and confirmedAt as of when it
 	// told of the list and of the declaration.
@@ -68,7 +68,12 @@
 	out.Word, states = r.roster.Report(now)
 	out.Word.State = route.Join(append(states, own))
 	out.Word.State.Hot = route.MostAsked(out.Word.State.Hot)
-	r.acting = out.Word.Relay
+	if was := r.acting; out.Word.Relay != was {
+		r.acting = out.Word.Relay
+		if r.acting && !r.listAt.IsZero() {
+			r.feed(r.n.list.asRead())
+		}
+	}
 	out.Asks = !r.acting || now.Sub(r.listAt) > part(r.n.settings().Bounds.Drain, relayAskPart)
 	return out, r.roster.Next(now)
 }
@@ -170,6 +175,9 @@
 
 // take takes a relay's answer to a report that was sent at begun.
 func (r *relays) take(begun time.Time, from fleet.Member, a peer.RelayAnswer) {
+	if a.News != nil {
+		r.n.internChanges(a.News.Entries)
+	}
 	r.mu.Lock()
 	now := r.n.now()
 	if a.Same {
@@ -186,11 +194,18 @@
 		r.mu.Unlock()
 		return
 	}
-	list, acting, listAt := r.from.list(), r.acting, r.from.listAt
+	acting, listAt := r.acting, r.from.listAt
 	// After a change of relay its reading may be older than what is known here.
 	newer := listAt.After(r.listAt)
+	changed := a.News.EntriesFull || len(a.News.Entries)+len(a.News.Beats) > 0
+	var list []*route.Entry
+	if newer && (changed || r.n.list.touch(now, listAt)) {
+		list = r.from.list()
+	} else if newer {
+		r.listAt = listAt
+	}
 	r.mu.Unlock()
-	if newer {
+	if list != nil {
 		r.n.takeEntries(listAt, Listing{Targets: list}, true)
 	}
 	if !acting {
@@ -212,7 +227,7 @@
 			// It was asked for changes of a list that another's has replaced since.
 			return false
 		}
-		*f = followed{id: id, entries: make(map[netip.AddrPort]route.Entry), beats: make(map[netip.AddrPort]int64)}
+		*f = followed{id: id, entries: make(map[netip.AddrPort]*route.Entry), beats: make(map[netip.AddrPort]int64)}
 	}
 	apply(f.entries, a.News.Entries, a.News.EntriesFull)
 	apply(f.beats, a.News.Beats, a.News.BeatsFull)
@@ -227,6 +242,17 @@
 	return true
 }
 
+// internChanges keeps once what the entries of some changes have alike.
+func (n *Node) internChanges(changes []route.Change[netip.AddrPort, *route.Entry]) {
+	entries := make([]*route.Entry, 0, len(changes))
+	for _, c := range changes {
+		if c.Value != nil {
+			entries = append(entries, c.Value)
+		}
+	}
+	n.list.intern(entries)
+}
+
 // apply puts changes into a map.
 func apply[K comparable, V any](m map[K]V, changes []route.Change[K, V], full bool) {
 	if full {
@@ -242,10 +268,15 @@
 }
 
 // list returns the list of targets as the relay told it.
-func (f *followed) list() []route.Entry {
-	out := make([]route.Entry, 0, len(f.entries))
+func (f *followed) list() []*route.Entry {
+	out := make([]*route.Entry, 0, len(f.entries))
 	for addr, e := range f.entries {
-		e.Revision = f.beats[addr]
+		if beat, ok := f.beats[addr]; ok && beat != e.Revision {
+			beaten := *e
+			beaten.Revision = beat
+			e = &beaten
+			f.entries[addr] = e
+		}
 		out = append(out, e)
 	}
 	return out
--- /dev/null
+++ b/node/size_test.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// sizeTargets is for looking at a size by hand: go test ./node -run NodeSize -size.targets 9756 -v
+var sizeTargets = flag.Int("size.targets", 4000, "targets of the pool whose state is weighed")
+
+// sizedNode is a node before a pool of many targets, without its loops.
+type sizedNode struct {
+	*Node
+	now     time.Time
+	targets int
+	beats   int64
+	asked   int
+}
+
+func newSizedNode(t *testing.T, targets int) *sizedNode {
+	s := &sizedNode{now: time.Now(), targets: targets}
+	n, err := New(validSettings(), newSimStore(0), nil, nil, WithClock(func() time.Time { return s.now }))
+	require.NoError(t, err)
+	s.Node = n
+	n.adopt(Declared{Revision: 1, Config: &policy.Config{
+		Version: policy.Version,
+		Pools: []policy.Pool{{
+			Name: simPool, Kind: policy.KindEngine, Selector: LabelPool + "=" + simPool, Window: 24, Fetches: true,
+			LinkRate: 3.7e6, CacheTokens: 93066, CacheReaders: 8, MaxConns: 1300, TrustRefusals: true,
+		}},
+		Models: []policy.Model{{Name: simModel, Pool: simPool, Weights: "1", MaxPromptTokens: 1 << 20, Floor: 1}},
+	}}, "the test")
+	return s
+}
+
+// read gives the node a reading of the list, in which every target shows a sign of life.
+func (s *sizedNode) read() {
+	s.beats++
+	list := make([]*route.Entry, 0, s.targets)
+	for i := range s.targets {
+		list = append(list, &route.Entry{
+			Seen:     route.Seen{Addr: simEngineAddr(i), Labels: map[string]string{LabelPool: simPool, route.LabelZone: simZone(i)}},
+			Report:   route.Report{Incarnation: route.Incarnation(fmt.Sprintf("i-%08x@1786000000000", i)), Weights: map[string]string{simModel: "1"}, Slots: 24},
+			Revision: s.beats,
+		})
+	}
+	s.list.intern(list)
+	s.takeEntries(s.now, Listing{Targets: list}, false)
+}
+
+// ask places prompts for a second and tells of as many that others sent.
+func (s *sizedNode) ask(own, others int) {
+	for k := range own {
+		s.asked++
+		id := fmt.Sprint("r", s.asked)
+		m, _, _ := s.snapshot().Model(simModel)
+		req := route.Request{
+			ID: id, Revision: 1, Pool: simPool, Model: m, Deadline: s.now.Add(4 * time.Second), Aim: 600 * time.Millisecond,
+			Repeatable: true, MaxTries: 1, MaxTokens: 9, Bytes: 1000, SharesCache: true, QueueTime: time.Second,
+			Parts: []route.Part{{ID: fmt.Sprint("part-", (s.asked+k)%simParts), Tokens: 6300}, {ID: "own-" + id, Tokens: 2890}},
+		}
+		s.Lock()
+		b := s.Board()
+		for _, a := range b.Arrive(s.now, req) {
+			if send, ok := a.(route.Send); ok {
+				b.Ended(s.now, route.Outcome{Request: id, Attempt: send.Attempt.ID, Kind: route.OutcomeDone})
+			}
+		}
+		for k := range others {
+			addr := simEngineAddr((s.asked*others + k) % s.targets)
+			mark := route.Mark{Target: addr, Incarnation: route.Incarnation(fmt.Sprintf("i-%08x@1786000000000", (s.asked*others+k)%s.targets))}
+			b.Recently(s.now, []route.Recent{{Target: mark.Number(), Prefill: 3000}})
+		}
+		b.Tick(s.now)
+		s.Unlock()
+	}
+	s.now = s.now.Add(time.Second)
+}
+
+// heap returns what is in use on the heap, in bytes.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// A node before thousands of targets, of which its requests use a few dozen, keeps little of each of
+// the others, and the same after ten minutes as after one. With the board's whole state of each and
+// every request of others noted at its target, a fleet of 986 nodes before 9,756 targets grew by the
+// second beyond the memory of its machines.
+func TestNodeSize(t *testing.T) {
+	const perTarget, grown = 900, 2 << 20
+	before := heap()
+	n := newSizedNode(t, *sizeTargets)
+	for range 60 {
+		n.read()
+		n.ask(2, 50)
+	}
+	first := heap() - before
+	for range 540 {
+		n.ask(2, 50)
+	}
+	n.read()
+	last := heap() - before
+	t.Logf("%d bytes after a minute, %d after ten, %d for each target", first, last, int(last)/n.targets)
+	used := 0
+	for i := range n.targets {
+		if n.Board().Uses(simEngineAddr(i)) {
+			used++
+		}
+	}
+	t.Logf("%d targets on the board", used)
+	require.LessOrEqual(t, last, uint64(perTarget*n.targets)+8<<20)
+	require.LessOrEqual(t, last, first+grown)
+	require.Less(t, used, n.targets/4)
+	runtime.KeepAlive(n)
+}
+
+// A target of a large pool that leaves the list or drains goes off the board with the next reading,
+// and one that others name as a holder comes on it.
+func TestLargePool(t *testing.T) {
+	n := newSizedNode(t, 2000)
+	n.read()
+	n.ask(20, 0)
+	var used []netip.AddrPort
+	for i := range n.targets {
+		if addr := simEngineAddr(i); n.Board().Uses(addr) {
+			used = append(used, addr)
+		}
+	}
+	require.NotEmpty(t, used)
+	require.Less(t, len(used), n.targets/4)
+	gone := used[0]
+	list := n.list.get()
+	var left []*route.Entry
+	for _, e := range list {
+		if e.Seen.Addr != gone {
+			left = append(left, e)
+		}
+	}
+	n.takeEntries(n.now.Add(time.Millisecond), Listing{Targets: left}, false)
+	require.False(t, n.Board().Uses(gone))
+
+	holder := left[len(left)-1]
+	for _, e := range left {
+		if !n.Board().Uses(e.Seen.Addr) {
+			holder = e
+		}
+	}
+	n.Board().Filled(n.now, []route.Fill{{Target: route.Mark{Target: holder.Seen.Addr, Incarnation: holder.Report.Incarnation}, Block: 7}})
+	require.True(t, n.Board().Uses(holder.Seen.Addr))
+}
--- a/node/start_test.go
+++ b/node/start_test.go
@@ -9,7 +9,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pathhead/pathhead/policy"
-	"github.com/pathhead/pathhead/route"
 )
 
 // A node that starts and has heard of nobody yet shares by the nodes that its settings
@@ -27,7 +26,8 @@
 	}}, "the test")
 	e := listed("10.0.1.1:80", "a", 1)
 	e.Seen.Labels = map[string]string{LabelPool: "p"}
-	n.shareConns([]route.Entry{e})
+	n.list.merge(n.now(), n.now(), Listing{Targets: entries(e)}, false)
+	n.shareConns()
 	require.Equal(t, 30, n.list.maxConns(e.Seen.Addr))
 }
 
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -59,7 +59,7 @@
 	ListAge time.Duration
 	// Entries are changes of what the list says, Beats the signs of life of targets
 	// whose entry says nothing new; Full ones replace what was told before.
-	Entries     []route.Change[netip.AddrPort, route.Entry]
+	Entries     []route.Change[netip.AddrPort, *route.Entry]
 	EntriesFull bool
 	Beats       []route.Change[netip.AddrPort, int64]
 	BeatsFull   bool
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -196,7 +196,11 @@
 		b.beginFill(now, c, r, a)
 	}
 	r.attempt = a
+	if c.target.attempts == nil {
+		c.target.attempts = make(map[string]*attempt)
+	}
 	c.target.attempts[a.ID] = a
+	c.target.usedAt = now
 	c.target.prefill += a.uncached
 	c.target.tokens += r.size()
 	a.chargeLimit(now)
--- a/route/board.go
+++ b/route/board.go
@@ -77,7 +77,12 @@
 	crashes crashes
 	// rollouts are the pools' newest roll-outs, exposure the share of requests that a release on trial gets.
 	rollouts map[string]*rollout
-	exposure float64
+	// reserve has the targets of large pools, holding the targets that are held back as told last.
+	reserve Reserve
+	holding map[Mark]bool
+	// retiredAt is when targets were last looked through that nobody uses.
+	retiredAt time.Time
+	exposure  float64
 	// zone is where this router runs, empty if it is of no account.
 	zone string
 	// ownRoom is the prefill that this router may have waiting at one engine; zero
@@ -200,6 +205,7 @@
 		minRetryAfter: defaultMinRetryAfter,
 		placed:        func(Placed) {},
 		crashes:       newCrashes(),
+		reserve:       noReserve{},
 		rollouts:      make(map[string]*rollout),
 		exposure:      defaultExposure * exposurePart,
 		filling:       make(map[fillKey]fill),
@@ -315,6 +321,7 @@
 // Tick lets time pass: requests whose wait is over are refused, held-back retries go on.
 func (b *Board) Tick(now time.Time) []Action {
 	b.sweepCrashes(now)
+	b.retire(now)
 	var out []Action
 	for _, r := range b.requests {
 		switch {
@@ -325,8 +332,10 @@
 		}
 	}
 	for _, t := range b.targets {
-		out = append(out, b.cancelStalled(now, t)...)
-		out = append(out, b.withdrawOutdated(now, t)...)
+		if len(t.attempts) > 0 {
+			out = append(out, b.cancelStalled(now, t)...)
+			out = append(out, b.withdrawOutdated(now, t)...)
+		}
 	}
 	return append(out, b.dispatch(now)...)
 }
--- a/route/feed.go
+++ b/route/feed.go
@@ -62,6 +62,16 @@
 	return v, ok
 }
 
+// Clear takes all keys out. Who knows what was there is told everything that comes after.
+func (f *Feed[K, V]) Clear() {
+	if len(f.values) == 0 {
+		return
+	}
+	f.version++
+	f.forgotten = f.version
+	f.values, f.changed, f.log = make(map[K]V), make(map[K]int64), nil
+}
+
 // Keys returns the keys that have a value.
 func (f *Feed[K, V]) Keys() []K {
 	out := make([]K, 0, len(f.values))
--- a/route/fetch.go
+++ b/route/fetch.go
@@ -97,7 +97,7 @@
 		return 1
 	}
 	horizon := time.Duration(b.snap.Config.Placement.Horizon).Seconds()
-	return max(1, r.homes.rate*horizon/float64(min(r.homes.engines, len(p.members))))
+	return max(1, r.homes.rate*horizon/float64(min(r.homes.engines, b.size(p))))
 }
 
 // assumeHolders stands in for events where there are more routers than an engine
--- a/route/homes.go
+++ b/route/homes.go
@@ -80,9 +80,9 @@
 }
 
 // rank orders an engine of a pool of n for the prompt.
-func (h homes) rank(n int, t *target) uint64 {
-	rank := mix(h.last ^ t.hash)
-	if mix(h.first^t.hash) < h.limit(n) {
+func (h homes) rank(n int, hash uint64) uint64 {
+	rank := mix(h.last ^ hash)
+	if mix(h.first^hash) < h.limit(n) {
 		rank >>= rankOutside
 	}
 	return rank
--- a/route/identity.go
+++ b/route/identity.go
@@ -115,6 +115,7 @@
 // Hold takes the whole set of targets that get no new work for now, because the
 // holder of their pool's lease is emptying them before an order.
 func (b *Board) Hold(held map[Mark]bool) {
+	b.holding = held
 	for _, t := range b.targets {
 		if now := held[t.mark()]; now != t.held {
 			b.version++
--- a/route/place.go
+++ b/route/place.go
@@ -194,7 +194,7 @@
 	for _, c := range cs {
 		wait += c.wait
 	}
-	fleet := float64(b.routers) / float64(len(p.members))
+	fleet := float64(b.routers) / float64(b.size(p))
 	arriving := p.offered.rate(now) * (wait / time.Duration(len(cs))).Seconds()
 	return fleet * (arriving + float64(p.queue.n))
 }
@@ -229,6 +229,7 @@
 }
 
 func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
+	b.recruit(now, p, r)
 	for _, t := range p.members {
 		if t.usable() && !t.rests(now) && b.onSide(now, p, r.side, t) {
 			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), extra: b.missCost(now, t) + b.farService(t, r)})
@@ -240,16 +241,18 @@
 // engineCandidates lists the engines that serve the request's model; of a large
 // pool only those worth predicting for.
 func (b *Board) engineCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
+	b.recruit(now, p, r)
 	list := b.ofSide(now, p, r, b.awake(now, b.servers(p, r)))
+	n := max(len(list), b.reserve.Size(p.compiled.Name))
 	if len(list) > fullScan {
-		cs = b.narrow(cs, list, r)
+		cs = b.narrow(cs, list, n, r)
 	} else {
 		for _, s := range list {
 			cs = append(cs, candidate{target: s.target, weights: s.weights, chain: r.chain(s.weights)})
 		}
 	}
 	cs = b.weigh(cs, now, r, list)
-	b.believe(cs, now, r, len(list))
+	b.believe(cs, now, r, n)
 	keepHome(cs, r)
 	b.considerImports(now, cs, r)
 	b.considerFetches(now, cs, p, r)
@@ -285,7 +288,7 @@
 		}
 		c.rank = mix(uint64(b.beliefs.anchor(c.chain)) ^ c.target.hash)
 		if r.homes.size > 0 {
-			c.rank = r.homes.rank(n, c.target)
+			c.rank = r.homes.rank(n, c.target.hash)
 		}
 		if c.target.parts.known(now) {
 			held := c.target.parts.leading(c.chain)
--- a/route/placed.go
+++ b/route/placed.go
@@ -76,7 +76,7 @@
 // Filled takes a peer's word on shared parts that targets hold or are reading.
 func (b *Board) Filled(now time.Time, fills []Fill) {
 	for _, f := range fills {
-		t, ok := b.marked(f.Target)
+		t, ok := b.recruitMark(now, f.Target)
 		if !ok {
 			continue
 		}
@@ -102,7 +102,7 @@
 		for _, h := range e.holders {
 			age := time.Duration(now.UnixMilli()-h.at) * time.Millisecond
 			t, ok := b.slots[h.slot]
-			if !ok || age > relayedLag {
+			if !ok || age > b.holderAge(t) {
 				continue
 			}
 			f, _ := b.reading(now, h.slot, block)
@@ -112,6 +112,15 @@
 	return out
 }
 
+// holderAge is how old a send may be by which a target is named as the holder of a block: for as long as its
+// events, or what was last used there, do not tell better.
+func (b *Board) holderAge(t *target) time.Duration {
+	if b.followed(t) {
+		return relayedLag
+	}
+	return t.horizon.age
+}
+
 // mostAskedWeights bounds the weights of a model under which holders are asked for:
 // while engines are changed there are two, or three if namings follow each other.
 const mostAskedWeights = 3
--- a/route/recent.go
+++ b/route/recent.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zeebo/xxh3"
@@ -38,23 +39,24 @@
 	}
 	for _, s := range sends {
 		if t, ok := byNumber[s.Target]; ok {
+			t.dropRecent(now)
 			t.recent = append(t.recent, recentSend{now, s.Prefill})
 		}
 	}
 }
 
+// dropRecent forgets what no longer counts: of most targets nobody asks for it in between.
+func (t *target) dropRecent(now time.Time) {
+	t.recent = slices.DeleteFunc(t.recent, func(s recentSend) bool { return now.Sub(s.at) > recentTime })
+}
+
 // recentPrefill is what is left of what peers sent just now, in tokens.
 func (t *target) recentPrefill(now time.Time) float64 {
 	left, at := 0.0, time.Time{}
-	kept := t.recent[:0]
+	t.dropRecent(now)
 	for _, s := range t.recent {
-		if now.Sub(s.at) > recentTime {
-			continue
-		}
-		kept = append(kept, s)
 		left = max(0, left-s.at.Sub(at).Seconds()*t.rate()) + float64(s.prefill)
 		at = s.at
 	}
-	t.recent = kept
 	return max(0, left-now.Sub(at).Seconds()*t.rate())
 }
--- a/route/request.go
+++ b/route/request.go
@@ -266,6 +266,8 @@
 	anew bool
 	// draw is a number from 0 to 1 by which requests take different ways.
 	draw float64
+	// recruited says that targets were taken from the reserve for it.
+	recruited bool
 	// side is the side of a roll-out on which the request is being placed.
 	side releaseSide
 }
--- a/route/servers.go
+++ b/route/servers.go
@@ -61,9 +61,9 @@
 	return list
 }
 
-// narrow picks the servers of a large pool that are worth predicting for: the
+// narrow picks the servers of a pool of n that are worth predicting for: the
 // first in rendezvous order, known holders and a random few.
-func (b *Board) narrow(cs []candidate, list []server, r *request) []candidate {
+func (b *Board) narrow(cs []candidate, list []server, n int, r *request) []candidate {
 	b.round++
 	c := r.chain(list[0].weights)
 	b.holdersOf(c)
@@ -78,7 +78,7 @@
 		}
 		rank := mix(anchor ^ s.target.hash)
 		if r.homes.size > 0 {
-			rank = r.homes.rank(len(list), s.target)
+			rank = r.homes.rank(n, s.target.hash)
 		}
 		for i := range top {
 			if rank > ranks[i] {
--- a/route/shared.go
+++ b/route/shared.go
@@ -224,7 +224,7 @@
 		out.Targets = append(out.Targets, *told)
 	}
 	for _, t := range b.targets {
-		if !t.parts.known(now) {
+		if !t.parts.known(now) && b.followed(t) {
 			out.Unread = append(out.Unread, t.addr)
 		}
 	}
@@ -241,6 +241,9 @@
 		unread[addr] = true
 	}
 	for addr, t := range b.targets {
+		if !b.followed(t) {
+			continue
+		}
 		if unread[addr] || news.Full {
 			b.dropParts(t)
 		}
--- a/route/target.go
+++ b/route/target.go
@@ -116,6 +116,8 @@
 	restsTo time.Time
 	// limit is its newest word on the requests that it takes.
 	limit targetLimit
+	// usedAt is when a request last used the target, or might have.
+	usedAt time.Time
 	// round and candidate are scratch of one placement.
 	round       uint64
 	candidate   int
@@ -263,12 +265,11 @@
 
 func (b *Board) addTarget(now time.Time, addr netip.AddrPort) *target {
 	t := &target{
-		addr:     addr,
-		hash:     hashAddr(addr),
-		attempts: make(map[string]*attempt),
-		service:  defaultService,
-		sends:    newMeter(missWindow),
-		misses:   newMeter(missWindow),
+		addr:    addr,
+		hash:    hashAddr(addr),
+		service: defaultService,
+		sends:   newMeter(missWindow),
+		misses:  newMeter(missWindow),
 	}
 	b.targets[addr] = t
 	b.renewSlot(now, t)
@@ -298,6 +299,12 @@
 	if !ok {
 		return nil
 	}
+	b.takeReport(now, t, r)
+	return b.dispatch(now)
+}
+
+// takeReport takes what a target reports of itself.
+func (b *Board) takeReport(now time.Time, t *target, r Report) {
 	if b.staleness != nil && t.goesBack(r) {
 		r.Weights = t.report.Weights
 	}
@@ -315,7 +322,6 @@
 	if r.Leaving {
 		b.markLeaving(t, "its own word")
 	}
-	return b.dispatch(now)
 }
 
 func sameWeights(a, b map[string]string) bool { return maps.Equal(a, b) }
