node, peer, fleet: one relay reads a large list from the store, all others take it over relays

What would be seen: each of 31 relays read the list of 9,756 targets, 20 calls and some 4 MB, every 1.25 s, and each of 986 nodes once at its start; each follower got it whole in one answer of some MB, which a link of 20 Mbit/s does not carry within the 0.6 s of a call, so that it was asked for again without end (as configurations once were).

Words on single requests at targets of large pools are not told to every node. The members that reporters are told of are digested once for all reporters (fleet.Roster.Answer), not once for each; a relay goes through all targets for the duty of weights only while some have older ones.

Why it holds: readings go by the bound of draining, not by the number of relays or nodes.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -78,12 +78,12 @@
 	return home, ok
 }
 
-// Digest names a list of members, which is in the order of their ids.
-func Digest(members []Member) uint64 {
-	h := xxh3.New()
+// Digest names a set of members. That of a set with one more is the exclusive or of both, so
+// that each of a thousand reporters, who are told of all but themselves, costs no more than one of ten.
+func Digest(members ...Member) uint64 {
+	sum := uint64(0)
 	for _, m := range members {
-		// Writing to a hash never fails.
-		_, _ = fmt.Fprintln(h, m.ID, m.Addr, m.Zone, m.Epoch, m.Power)
+		sum ^= xxh3.HashString(fmt.Sprintln(m.ID, m.Addr, m.Zone, m.Epoch, m.Power))
 	}
-	return h.Sum64()
+	return sum
 }
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -102,7 +102,8 @@
 		return
 	}
 	other.Reported(w.now, word)
-	answer, states, whole := other.Answer(w.now, word)
+	a := other.Answer(w.now, word, 0)
+	answer, states, whole := a.Word, a.States, a.Whole
 	answer.State = join([]string{to.ID}, states)
 	if !answer.Relay {
 		r.Hint(w.now, append(answer.Members, answer.From)...)
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -43,6 +43,7 @@
 	// took an eighth of what 82 nodes spend on each other.
 	members     []Member
 	told        []Member
+	toldDigest  uint64
 	relays      []Member
 	stale       bool
 	forgottenAt time.Time
@@ -207,6 +208,7 @@
 	}
 	r.stale = false
 	r.told = r.known(false)
+	r.toldDigest = Digest(r.told...)
 	r.members = r.known(true)
 	r.relays = slices.DeleteFunc(slices.Clone(r.members), func(m Member) bool {
 		_, avoided := r.avoided[m.ID]
@@ -335,21 +337,38 @@
 	return Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
 }
 
-// Answer returns the word that answers a report, and the states that its State
-// joins with this process's own. Relays hear from each other of themselves and their
-// reporters, any other process hears of everyone but itself.
-func (r *Roster[S]) Answer(now time.Time, to Word[S]) (w Word[S], states []S, whole bool) {
+// Answer is what a process answers to a report.
+type Answer[S any] struct {
+	Word Word[S]
+	// States are joined, with the process's own, into the word's.
+	States []S
+	// Whole says that the word speaks for everyone but the reporter, Digest names its members
+	// and Same says that they are left out, since the reporter knows them.
+	Whole  bool
+	Digest uint64
+	Same   bool
+}
+
+// Answer returns the answer to a report by a process that knows the members that a digest names.
+// Relays hear from each other of themselves and their reporters, any other process hears of
+// everyone but itself.
+func (r *Roster[S]) Answer(now time.Time, to Word[S], known uint64) (out Answer[S]) {
 	if r.Acting(now) && r.isRelay(now, to) {
-		w, states = r.Report(now)
-		return w, states, false
+		out.Word, out.States = r.Report(now)
+		return out
 	}
-	w = r.Brief(now)
+	out.Word, out.States, out.Whole = r.Brief(now), r.Others(now, to.From.ID), true
+	out.Digest = r.toldDigest
 	for _, m := range r.told {
-		if m.ID != r.self.ID && m.ID != to.From.ID {
-			w.Members = append(w.Members, m)
+		if m.ID == r.self.ID || m.ID == to.From.ID {
+			out.Digest ^= Digest(m)
 		}
 	}
-	return w, r.Others(now, to.From.ID), true
+	if out.Same = out.Digest == known; out.Same {
+		return out
+	}
+	out.Word.Members = slices.DeleteFunc(slices.Clone(r.told), func(m Member) bool { return m.ID == r.self.ID || m.ID == to.From.ID })
+	return out
 }
 
 // Others returns the states of all others but one, so far as they are known.
--- a/node/duty.go
+++ b/node/duty.go
@@ -147,9 +147,37 @@
 	return !d.held
 }
 
-// work returns the newest weights of each model and the targets that serve one.
+// quiet reports whether nothing is under way and the list has the newest weights everywhere, so that the
+// targets need not be gone through one by one.
+func (d *duty) quiet() bool {
+	newest := d.n.newestWeights()
+	d.mu.Lock()
+	under := d.roll.Active() || !d.workSince.IsZero()
+	d.mu.Unlock()
+	return !under && !d.n.list.anyWeights(func(model, weights string) bool { return route.OlderWeights(weights, newest[model]) })
+}
+
+// anyWeights reports whether some target has weights of a kind.
+func (l *targetList) anyWeights(match func(model, weights string) bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, t := range l.targets {
+		for model, weights := range t.Report.Weights {
+			if match(model, weights) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// work returns the newest weights of each model and the targets that serve one; there are none
+// while all is quiet.
 func (d *duty) work() (map[string]string, []fleet.RollTarget) {
 	named := make(map[string]string)
+	if d.quiet() {
+		return named, nil
+	}
 	var out []fleet.RollTarget
 	list := d.n.list.get()
 	d.n.Lock()
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -115,11 +115,11 @@
 }
 
 // Targets implements [Store].
-func (d *simDoor) Targets(ctx context.Context) (Listing, error) {
+func (d *simDoor) Targets(ctx context.Context, large bool) (Listing, error) {
 	if err := d.pass(ctx); err != nil {
 		return Listing{}, err
 	}
-	return d.simStore.Targets(ctx)
+	return d.simStore.Targets(ctx, large)
 }
 
 // Get implements [fleet.Table].
@@ -257,8 +257,15 @@
 	}}, nil
 }
 
+// simPage is how many targets the store gives at once.
+const simPage = 500
+
 // Targets implements [Store].
-func (s *simStore) Targets(context.Context) (Listing, error) {
+func (s *simStore) Targets(_ context.Context, large bool) (Listing, error) {
+	if s.engines > simPage && !large {
+		s.call("list's beginning")
+		return Listing{Partial: true}, nil
+	}
 	s.call("list")
 	beat := int64(time.Since(s.began)/simBeat) + 1
 	var out []*route.Entry
--- a/node/holders.go
+++ b/node/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pathhead/pathhead/fleet"
@@ -47,7 +48,7 @@
 		}
 		return
 	}
-	if !n.off.Has(route.RecentWords) {
+	if !n.off.Has(route.RecentWords) && !n.ofLargePool(p.Load.Target.Target) {
 		n.relays.tellRecent(ctx, route.Recent{Target: p.Load.Target.Number(), Prefill: p.Prefill})
 	}
 	home, ok := n.relays.home(p.Home)
@@ -58,6 +59,13 @@
 	}
 }
 
+// ofLargePool reports whether a target is of a large pool: whoever places a request there chose it
+// among so many that two rarely meet, and a word on each to every node would cost more than that does.
+func (n *Node) ofLargePool(addr netip.AddrPort) bool {
+	e := n.list.Get(addr)
+	return e != nil && n.list.Size(e.Seen.Labels[LabelPool]) > 0
+}
+
 // Placed implements [peer.PlacedHandler].
 func (n *Node) Placed(w peer.PlacedWord) {
 	n.Lock()
--- a/node/list.go
+++ b/node/list.go
@@ -20,7 +20,9 @@
 	// reserves are the targets of large pools, by their service.
 	reserves map[string][]listedTarget
 	// maps are the labels and weights that entries have, each kept once.
-	maps    map[string]map[string]string
+	maps map[string]map[string]string
+	// partial says that the list has more targets than the store gives at once.
+	partial bool
 	failing bool
 	// backAt is when the store answered again after it had failed.
 	backAt time.Time
@@ -353,12 +355,12 @@
 	)
 	for ctx.Err() == nil {
 		readers.follow(ctx, n)
-		if n.relays.follows() {
+		if n.leavesList() {
 			pause(ctx, followPause)
 			continue
 		}
 		begun := n.now()
-		read, err := n.store.Targets(ctx)
+		read, err := n.store.Targets(ctx, n.list.isLarge())
 		if ctx.Err() != nil {
 			return
 		}
@@ -371,6 +373,10 @@
 			continue
 		}
 		retry.ok()
+		if read.Partial {
+			n.list.sawPart()
+			continue
+		}
 		n.noteFaulty(read.Faulty)
 		n.list.intern(read.Targets)
 		n.takeEntries(begun, read, false)
--- a/node/ports.go
+++ b/node/ports.go
@@ -121,6 +121,8 @@
 // Listing is a reading of the list of targets.
 type Listing struct {
 	Targets []*route.Entry
+	// Partial says that the list is large and was not read.
+	Partial bool
 	// Faulty are the entries that name no target, since they are not as targets write them.
 	Faulty []FaultyEntry
 }
@@ -157,8 +159,9 @@
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
 	// Parse reads a configuration's text, as a peer passed it on.
 	Parse(revision int64, text string) (*Declared, error)
-	// Targets reads the list of targets.
-	Targets(ctx context.Context) (Listing, error)
+	// Targets reads the list of targets. Unless the whole of a large one is asked for, a list that
+	// the store does not give at once is not read any further.
+	Targets(ctx context.Context, large bool) (Listing, error)
 	// Era is the store's newest life that an answer was of, zero before the first and for a
 	// store that tells none. It rises when the store comes back from an older copy.
 	Era() int64
--- a/node/relay.go
+++ b/node/relay.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -55,6 +56,11 @@
 	entries *route.Feed[netip.AddrPort, *route.Entry]
 	beats   *route.Feed[netip.AddrPort, int64]
 	listAt  time.Time
+	// pages are the addresses of the list in order, as of a version of entries.
+	pages   []netip.AddrPort
+	pagesOf int64
+	// paging says that the whole list is being taken from a relay.
+	paging atomic.Bool
 	// from is what this node was told, by the relay that it names.
 	from   followed
 	outbox outbox
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -111,17 +111,13 @@
 	now := r.n.now()
 	out := peer.RelayAnswer{Stamp: r.n.events.Clock().Now()}
 	r.roster.Reported(now, in.Word)
-	var states []route.PeerState
-	out.Word, states, out.Whole = r.roster.Answer(now, in.Word)
-	out.Word.State = route.Join(append(states, own))
-	if !out.Whole {
-		out.Word.State.Hot = route.MostAsked(out.Word.State.Hot)
-	} else {
+	answer := r.roster.Answer(now, in.Word, in.Digest)
+	out.Word, out.Whole, out.Digest, out.Same = answer.Word, answer.Whole, answer.Digest, answer.Same
+	out.Word.State = route.Join(append(answer.States, own))
+	if out.Whole {
 		out.Word.State.Hot = route.Hottest(out.Word.State.Hot)
-		out.Digest = fleet.Digest(out.Word.Members)
-		if out.Same = out.Digest == in.Digest; out.Same {
-			out.Word.Members = nil
-		}
+	} else {
+		out.Word.State.Hot = route.MostAsked(out.Word.State.Hot)
 	}
 	if in.Asks && out.Word.Relay && !r.listAt.IsZero() {
 		out.News = r.news(now, in.Known)
@@ -136,8 +132,11 @@
 		known = peer.RelayCursor{}
 	}
 	out := &peer.RelayNews{ListAge: now.Sub(r.listAt)}
+	if out.Paged = r.entries.Len() > listPageEntries && !r.entries.Remembers(known.Entries); out.Paged {
+		return out
+	}
 	out.Entries, out.EntriesFull = r.entries.Since(known.Entries)
 	out.Beats, out.BeatsFull = r.beats.Since(known.Beats)
-	out.Cursor = peer.RelayCursor{Epoch: epoch, Entries: r.entries.Version(), Beats: r.beats.Version()}
+	out.Cursor = r.cursor()
 	return out
 }
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -74,17 +74,18 @@
 			r.feed(r.n.list.asRead())
 		}
 	}
-	out.Asks = !r.acting || now.Sub(r.listAt) > part(r.n.settings().Bounds.Drain, relayAskPart)
+	out.Asks = !r.acting || r.n.list.isLarge() || now.Sub(r.listAt) > part(r.n.settings().Bounds.Drain, relayAskPart)
 	return out, r.roster.Next(now)
 }
 
 // stranger returns a seed that no known node has the address of.
 func (r *relays) stranger() (netip.AddrPort, bool) {
-	known := map[netip.AddrPort]bool{r.n.settings().Peers: true}
-	for _, addr := range r.everyone() {
-		known[addr] = true
-	}
-	seeds := slices.DeleteFunc(slices.Clone(r.n.settings().Seeds), func(a netip.AddrPort) bool { return known[a] })
+	r.mu.Lock()
+	members := r.roster.Members(r.n.now())
+	seeds := slices.DeleteFunc(slices.Clone(r.n.settings().Seeds), func(a netip.AddrPort) bool {
+		return a == r.n.settings().Peers || slices.ContainsFunc(members, func(m fleet.Member) bool { return m.Addr == a })
+	})
+	r.mu.Unlock()
 	if len(seeds) == 0 {
 		return netip.AddrPort{}, false
 	}
@@ -113,7 +114,7 @@
 	r.mu.Lock()
 	r.sharedTold[to.ID] = told
 	r.mu.Unlock()
-	r.take(begun, to, answer)
+	r.take(ctx, begun, to, answer)
 	r.n.takeWord(ctx, begun, to.Addr, answer.Config)
 	r.n.heardNewest(begun, "relay "+to.ID, answer.Newest)
 }
@@ -122,6 +123,9 @@
 // returns how far that relay will have been told of shared parts by it.
 func (r *relays) reportTo(to fleet.Member, report peer.RelayReport) (peer.RelayReport, sharedCursor) {
 	r.mu.Lock()
+	if r.acting && r.n.list.isLarge() {
+		report.Asks = to.ID == r.source()
+	}
 	if r.from.id == to.ID {
 		report.Known, report.Digest = r.from.cursor, r.from.digest
 	}
@@ -174,7 +178,7 @@
 }
 
 // take takes a relay's answer to a report that was sent at begun.
-func (r *relays) take(begun time.Time, from fleet.Member, a peer.RelayAnswer) {
+func (r *relays) take(ctx context.Context, begun time.Time, from fleet.Member, a peer.RelayAnswer) {
 	if a.News != nil {
 		r.n.internChanges(a.News.Entries)
 	}
@@ -190,6 +194,11 @@
 		return
 	}
 	r.roster.Answered(now, a.Word, a.Whole)
+	if a.News != nil && a.News.Paged {
+		r.mu.Unlock()
+		r.fetchList(ctx, from)
+		return
+	}
 	if a.News == nil || !r.takeNews(begun, from.ID, a) {
 		r.mu.Unlock()
 		return
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -161,3 +162,31 @@
 	n.Board().Filled(n.now, []route.Fill{{Target: route.Mark{Target: holder.Seen.Addr, Incarnation: holder.Report.Incarnation}, Block: 7}})
 	require.True(t, n.Board().Uses(holder.Seen.Addr))
 }
+
+// The list of a pool of thousands is read from the store by one relay, and taken by all others over
+// relays, also at a common start: each reading has twenty calls and some MB.
+func TestLargeList(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 24, engines: 1500, perSecond: 24, mbps: 20})
+		f.start()
+		defer f.end()
+		time.Sleep(8 * time.Second)
+		_, listed, _ := f.views()
+		require.Equal(t, len(f.nodes), listed, "nodes that know the list")
+		f.store.mu.Lock()
+		atStart := f.store.calls["list"]
+		f.store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		f.store.mu.Lock()
+		steady := f.store.calls["list"] - atStart
+		f.store.mu.Unlock()
+		t.Logf("%d readings in the first 8 s, %d in the next 10", atStart, steady)
+		const every = time.Second
+		require.LessOrEqual(t, atStart, int(8*time.Second/every)+3)
+		require.LessOrEqual(t, steady, int(10*time.Second/every)+2)
+		for _, n := range f.nodes {
+			require.Less(t, n.viewAges(n.now()).list, 3*time.Second, n.settings().Name)
+		}
+	})
+}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -61,6 +61,8 @@
 	// whose entry says nothing new; Full ones replace what was told before.
 	Entries     []route.Change[netip.AddrPort, *route.Entry]
 	EntriesFull bool
+	// Paged says that the whole list is to be asked for in pages.
+	Paged bool
 	Beats       []route.Change[netip.AddrPort, int64]
 	BeatsFull   bool
 	Parts       route.PartsNews
--- a/route/feed.go
+++ b/route/feed.go
@@ -102,10 +102,18 @@
 	f.log = slices.Clone(f.log[cut:])
 }
 
+// Len returns the number of keys that have a value.
+func (f *Feed[K, V]) Len() int { return len(f.values) }
+
+// Remembers reports whether all changes after a version are known.
+func (f *Feed[K, V]) Remembers(after int64) bool {
+	return after > 0 && after >= f.forgotten && after <= f.version
+}
+
 // Since returns what changed after a version. If full is true, the changes are all
 // values there are, and what is not among them is gone.
 func (f *Feed[K, V]) Since(after int64) (changes []Change[K, V], full bool) {
-	if after <= 0 || after < f.forgotten || after > f.version {
+	if !f.Remembers(after) {
 		for k, v := range f.values {
 			changes = append(changes, Change[K, V]{Key: k, Value: v})
 		}
