node, peer, dispatch: followers learn of members by changes, and a board without requests ticks slowly

Causes, by reading: each node wakes some 80 times a second while it serves one request (50 ticks of the board, 20 looks whether it still follows a relay, ...); and each change of members, as nodes are stopped and started in turn, has every follower told of all 986 members again, 60 KB four times a second, nodes times nodes.

Change: members are told by what changed since the follower's cursor; whole only where that is not known. A board without requests ticks each 240 ms until one arrives (Board.Tick has nothing finer to do then); whether a relay is followed is looked at as often as it is reported to.

TestMembersChanged holds the steps against the whole list.

Why it holds: what a change costs goes with the nodes once, not with their square; what a node costs while it does nothing is a constant of its own.

--- a/dispatch/driver.go
+++ b/dispatch/driver.go
@@ -19,6 +19,9 @@
 	arriving func()
 	ended    func(route.OutcomeKind)
 	now      clock.Clock
+	// idle says that the next tick is a slow one, busy wakes the ticking when a request comes then.
+	idle bool
+	busy chan struct{}
 }
 
 // Option changes a [Driver] at its construction.
@@ -53,6 +56,7 @@
 		arriving: func() {},
 		ended:    func(route.OutcomeKind) {},
 		now:      clock.Steady,
+		busy:     make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -76,6 +80,13 @@
 	for _, a := range change(d.board, d.now()) {
 		d.deliver(a)
 	}
+	if d.idle && d.board.Requests() > 0 {
+		d.idle = false
+		select {
+		case d.busy <- struct{}{}:
+		default:
+		}
+	}
 }
 
 func (d *Driver) deliver(a route.Action) {
@@ -98,17 +109,37 @@
 
 // Tick lets time pass on the board until ctx ends; every is its resolution for
 // expired waits and held-back retries.
+//
+// Without requests it ticks at a slower pace: in a fleet of a thousand most processes have none at
+// most times, and waking them fifty times a second costs more than all that they serve.
 func (d *Driver) Tick(ctx context.Context, every time.Duration) {
-	t := time.NewTicker(every)
+	t := time.NewTimer(every)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.busy:
+			t.Reset(every)
+			continue
 		case <-t.C:
-			d.Do(func(b *route.Board, now time.Time) []route.Action { return b.Tick(now) })
 		}
+		d.Do(func(b *route.Board, now time.Time) []route.Action { return b.Tick(now) })
+		t.Reset(d.nextTick(every))
+	}
+}
+
+// idleTicks is how many times longer a board without requests waits for its next tick.
+const idleTicks = 12
+
+// nextTick returns the time until the next tick.
+func (d *Driver) nextTick(every time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.idle = d.board.Requests() == 0; d.idle {
+		return idleTicks * every
 	}
+	return every
 }
 
 // Calls returns the number of calls that have not ended.
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -337,6 +337,13 @@
 	return Word[S]{From: r.self, Relay: r.Acting(now), Relays: r.relays}
 }
 
+// Announced returns the members that are announced to others, this process among them, and their digest. The
+// caller does not change them.
+func (r *Roster[S]) Announced(now time.Time) ([]Member, uint64) {
+	r.work(now)
+	return r.told, r.toldDigest
+}
+
 // Answer is what a process answers to a report.
 type Answer[S any] struct {
 	Word Word[S]
--- a/node/fleet_sizes_test.go
+++ b/node/fleet_sizes_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/peer"
@@ -19,6 +20,8 @@
 	bytes map[string]int64
 	count map[string]int64
 	most  map[string]int64
+	// members is how many members answers to followers named, all or as changes.
+	members atomic.Int64
 }
 
 func (s *simSizes) add(what string, v any) {
@@ -74,6 +77,9 @@
 	h.addCrashes(in.Crashes, out.Crashes)
 	h.sizes.add("report state", in.Word.State)
 	h.sizes.add("answer", out)
+	if out.Whole {
+		h.sizes.members.Add(int64(len(out.Word.Members) + len(out.Members)))
+	}
 	h.sizes.add("answer members", out.Word.Members)
 	h.sizes.add("answer relays", out.Word.Relays)
 	h.sizes.add("answer state", out.Word.State)
--- a/node/relay.go
+++ b/node/relay.go
@@ -56,6 +56,9 @@
 	entries *route.Feed[netip.AddrPort, *route.Entry]
 	beats   *route.Feed[netip.AddrPort, int64]
 	listAt  time.Time
+	// members are the members as they are told to others, as of a digest.
+	members   *route.Feed[string, fleet.Member]
+	membersOf uint64
 	// pages are the addresses of the list in order, as of a version of entries.
 	pages   []netip.AddrPort
 	pagesOf int64
@@ -80,6 +83,7 @@
 		n:       n,
 		roster:  fleet.NewRoster(now, self, rosterTimeout, fleet.WithAged(route.PeerState.Aged)),
 		entries: route.NewFeed[netip.AddrPort](sameEntry),
+		members: route.NewFeed[string](func(a, b fleet.Member) bool { return a == b }),
 		outbox:  newOutbox(),
 		echoes:  make(map[route.Recent]int),
 
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -113,6 +113,9 @@
 	r.roster.Reported(now, in.Word)
 	answer := r.roster.Answer(now, in.Word, in.Digest)
 	out.Word, out.Whole, out.Digest, out.Same = answer.Word, answer.Whole, answer.Digest, answer.Same
+	if out.Whole {
+		r.changeMembers(now, in, &out)
+	}
 	out.Word.State = route.Join(append(answer.States, own))
 	if out.Whole {
 		out.Word.State.Hot = route.Hottest(out.Word.State.Hot)
@@ -125,6 +128,32 @@
 	return out
 }
 
+// changeMembers answers with what changed of the members since the reporter's cursor, where that is
+// known: told whole with each node that came or went, a thousand nodes would be told of a thousand
+// others again and again. The caller holds the lock.
+func (r *relays) changeMembers(now time.Time, in peer.RelayReport, out *peer.RelayAnswer) {
+	if told, digest := r.roster.Announced(now); digest != r.membersOf {
+		r.membersOf = digest
+		gone := make(map[string]bool, len(told))
+		for _, id := range r.members.Keys() {
+			gone[id] = true
+		}
+		for _, m := range told {
+			delete(gone, m.ID)
+			r.members.Set(m.ID, m)
+		}
+		for id := range gone {
+			r.members.Drop(id)
+		}
+	}
+	out.MembersNext = r.members.Version()
+	if out.Same || in.Known.Epoch != r.roster.Self().Epoch || !r.members.Remembers(in.Known.Members) {
+		return
+	}
+	out.Members, _ = r.members.Since(in.Known.Members)
+	out.Changed, out.Word.Members = true, nil
+}
+
 // news returns what changed of the list since a cursor; the caller holds the lock.
 func (r *relays) news(now time.Time, known peer.RelayCursor) *peer.RelayNews {
 	epoch := r.roster.Self().Epoch
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -184,8 +185,11 @@
 	}
 	r.mu.Lock()
 	now := r.n.now()
-	if a.Same {
+	switch {
+	case a.Same:
 		a.Word.Members = r.from.members
+	case a.Changed:
+		a.Word.Members = changedMembers(r.from.members, a.Members, r.roster.Self().ID, a.Word.From.ID)
 	}
 	if !a.Word.Relay {
 		// It was taken for a relay by mistake; whom it knows may mend that.
@@ -224,6 +228,24 @@
 	}
 }
 
+// changedMembers returns members after some changes, in the order of their ids and without some.
+func changedMembers(members []fleet.Member, changes []route.Change[string, fleet.Member], but ...string) []fleet.Member {
+	out := slices.Clone(members)
+	for _, c := range changes {
+		i, known := slices.BinarySearchFunc(out, c.Key, func(m fleet.Member, id string) int { return cmp.Compare(m.ID, id) })
+		switch {
+		case c.Gone && known:
+			out = slices.Delete(out, i, i+1)
+		case c.Gone || slices.Contains(but, c.Key):
+		case known:
+			out[i] = c.Value
+		default:
+			out = slices.Insert(out, i, c.Value)
+		}
+	}
+	return out
+}
+
 // takeNews notes what a relay told and reports whether it is news; the caller holds the lock.
 func (r *relays) takeNews(begun time.Time, id string, a peer.RelayAnswer) bool {
 	f := &r.from
@@ -241,7 +263,7 @@
 	apply(f.entries, a.News.Entries, a.News.EntriesFull)
 	apply(f.beats, a.News.Beats, a.News.BeatsFull)
 	f.cursor, f.digest = a.News.Cursor, a.Digest
-	if a.Whole {
+	if f.cursor.Members = a.MembersNext; a.Whole {
 		f.members = a.Word.Members
 	}
 	f.at, f.listAt, f.confirmedAt = begun, listAt, time.Time{}
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -25,7 +25,7 @@
 	RecordRollout(ctx context.Context, pool string, s RolloutStatus) (revision int64, err error)
 }
 
-// rolloutEvery is the time between two looks at the roll-outs that this node advances.
+// rolloutEvery is the time between two looks at the roll-outs that this node advances, while there are some.
 const rolloutEvery = 250 * time.Millisecond
 
 // rollouts advances the pools' roll-outs for the fleet. One node does so for each roll-out,
@@ -40,8 +40,13 @@
 
 // loop advances roll-outs until ctx ends.
 func (r *rollouts) loop(ctx context.Context) {
-	for pause(ctx, rolloutEvery) {
-		for _, o := range r.mine() {
+	every := rolloutEvery
+	for pause(ctx, every) {
+		mine, some := r.mine()
+		if every = rolloutEvery; !some {
+			every = idleEvery
+		}
+		for _, o := range mine {
 			if err := r.advance(ctx, o); err != nil && ctx.Err() == nil {
 				delete(r.recorded, o.Pool)
 				r.n.events.Record(event.Event{Code: event.RolloutUnsaved, Detail: o.Pool + ": " + err.Error()})
@@ -50,27 +55,26 @@
 	}
 }
 
-// mine returns the orders of the roll-outs that this node advances.
-func (r *rollouts) mine() []route.RolloutOrder {
+// mine returns the orders of the roll-outs that this node advances, and whether there are any at all.
+func (r *rollouts) mine() (out []route.RolloutOrder, some bool) {
 	n := r.n
 	n.Lock()
 	known := n.Board().Rollouts(n.now())
 	n.Unlock()
 	if len(known) == 0 || n.relays.follows() || n.stopping.Load() {
-		return nil
+		return nil, len(known) > 0
 	}
 	members := n.relays.known()
 	if members == nil {
 		members = n.gossipMembers()
 	}
-	var out []route.RolloutOrder
 	for _, u := range known {
 		// A process alone, or one that is no member yet, has nobody to leave it to.
 		if home, ok := fleet.Home(members, uint64(u.Order.Revision)); !ok || home.ID == n.settings().Name {
 			out = append(out, u.Order)
 		}
 	}
-	return out
+	return out, true
 }
 
 // gossipMembers returns the nodes of a small fleet that are heard, this one included.
--- a/node/watch.go
+++ b/node/watch.go
@@ -103,8 +103,8 @@
 const unknownEra = -1
 
 // followPause is how often a node to which a relay tells what the store says looks
-// whether it still does.
-const followPause = 100 * time.Millisecond
+// whether it still does: that changes with reports to relays alone.
+const followPause = relayEvery
 
 // watchTime is how long a watch is held.
 func (n *Node) watchTime() time.Duration {
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -34,6 +34,8 @@
 	Entries int64
 	Beats   int64
 	Parts   int64
+	// Members is how much of the changes of members it has.
+	Members int64
 }
 
 // RelayAnswer is a relay's answer to a report.
@@ -45,7 +47,12 @@
 	// Digest names the word's members; they are left out where the reporter knows them.
 	Digest uint64
 	Same   bool
-	Config fleet.PeerWord
+	// Members are the changes of the members since the reporter's cursor, in place of the whole
+	// list, where Changed says so; MembersNext is where to go on.
+	Members     []route.Change[string, fleet.Member]
+	Changed     bool
+	MembersNext int64
+	Config      fleet.PeerWord
 	// Newest is what the relay knows of the newest weights of models.
 	Newest  []route.NewestWord
 	News    *RelayNews
@@ -62,10 +69,10 @@
 	Entries     []route.Change[netip.AddrPort, *route.Entry]
 	EntriesFull bool
 	// Paged says that the whole list is to be asked for in pages.
-	Paged bool
-	Beats       []route.Change[netip.AddrPort, int64]
-	BeatsFull   bool
-	Parts       route.PartsNews
+	Paged     bool
+	Beats     []route.Change[netip.AddrPort, int64]
+	BeatsFull bool
+	Parts     route.PartsNews
 }
 
 // RecentWord tells of requests that were placed just now. One that a relay passes on
