dispatch: a test that a process without requests rests, and that a request then waits no longer

Of the pattern: most of a thousand nodes serve nothing at any moment. 10 s without requests had 500 looks at the clock and have at most 50; five requests that find no target are refused within their queue time and two ticks.

--- /dev/null
+++ b/dispatch/tick_test.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// A process that serves nothing wakes a few times a second, as most of a fleet of a thousand do at any
+// moment, and a request that comes then waits no longer than its time for all that.
+func TestIdleTicks(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const every, queueTime = 20 * time.Millisecond, 100 * time.Millisecond
+		var looks atomic.Int64
+		b := route.NewBoard()
+		d := New(b, WithClock(func() time.Time {
+			looks.Add(1)
+			return time.Now()
+		}))
+		cfg := &policy.Config{
+			Version: policy.Version,
+			Pools:   []policy.Pool{{Name: "s", Kind: policy.KindService, Selector: "s=s"}},
+		}
+		snap, err := policy.Compile(cfg, 1)
+		require.NoError(t, err)
+		b.Adopt(time.Now(), snap)
+		ctx := t.Context()
+		go d.Tick(ctx, every)
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, looks.Load(), int64(50), "looks at the clock in 10 s without requests")
+		for range 5 {
+			time.Sleep(37 * time.Millisecond)
+			begun := time.Now()
+			refusal := d.Serve(ctx, route.Request{
+				ID: "r", Revision: 1, Pool: "s", Deadline: begun.Add(time.Second), QueueTime: queueTime,
+			}, NewCall(), nil)
+			require.NotNil(t, refusal)
+			require.Equal(t, route.CauseOverload, refusal.Cause)
+			require.LessOrEqual(t, time.Since(begun), queueTime+2*every)
+		}
+	})
+}
