--- a/route/limit_fleet_test.go
+++ b/route/limit_fleet_test.go
@@ -39,7 +39,7 @@
 	side  []int
 	cutAt time.Time
 	// told are the states of the last reports, the newest last.
-	told [][]PeerState
+	told lateReports
 	// frozen are routers that neither serve nor report.
 	frozen map[int]bool
 	// opts are those of the routers, charge is how one is asked for a cost.
@@ -115,15 +115,9 @@
 
 // report lets all routers hear of each other.
 func (f *limitFleet) report() {
-	states := make([]PeerState, len(f.boards))
-	for i, b := range f.boards {
-		states[i] = b.State(f.now)
-	}
-	f.told = append(f.told, states)
-	if len(f.told) < 3 {
+	if !f.told.add(f.now, f.boards) {
 		return
 	}
-	f.told = f.told[len(f.told)-3:]
 	sums := f.sums()
 	for i, b := range f.boards {
 		if !f.frozen[i] {
--- a/route/rollout_test.go
+++ b/route/rollout_test.go
@@ -46,7 +46,7 @@
 	usual float64
 	// side is the part of the fleet that a router reaches.
 	side    []int
-	told    [][]PeerState
+	told    lateReports
 	flying  []rolloutAnswer
 	running map[int]int
 	ordered time.Time
@@ -218,15 +218,9 @@
 }
 
 func (f *rolloutFleet) report() {
-	states := make([]PeerState, len(f.boards))
-	for i, b := range f.boards {
-		states[i] = b.State(f.now)
-	}
-	f.told = append(f.told, states)
-	if len(f.told) < 3 {
+	if !f.told.add(f.now, f.boards) {
 		return
 	}
-	f.told = f.told[len(f.told)-3:]
 	for i, b := range f.boards {
 		var others []PeerState
 		for k, s := range f.told[0] {
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -39,7 +39,7 @@
 	// opts are those of the routers, single says that the first router alone uses the first target.
 	opts   []Option
 	single bool
-	told   [][]PeerState
+	told   lateReports
 	asks   int
 	// sent are the times at which requests came to the first target, knowing those from routers that knew its limit.
 	sent, knowing []time.Time
@@ -96,15 +96,9 @@
 
 // report lets all routers hear of each other.
 func (f *namedFleet) report() {
-	states := make([]PeerState, len(f.boards))
-	for i, b := range f.boards {
-		states[i] = b.State(f.now)
-	}
-	f.told = append(f.told, states)
-	if len(f.told) < 3 {
+	if !f.told.add(f.now, f.boards) {
 		return
 	}
-	f.told = f.told[len(f.told)-3:]
 	bySide := make(map[int][]PeerState)
 	for i, s := range f.told[0] {
 		if !f.frozen[i] {
