node: a small fleet reads a large list at once, and a node that hears no relay after four seconds

What callers would see: a node of a fleet that has no relays, before a list that the store gives in more than one answer, would have served nothing of it for eight seconds after each start, and so would one that is cut off from all others while it reaches the store.

Change: a node without a list leaves it to relays for 1 s while it knows of no large fleet, for 4 s while no relay answered (they settle after 2 s at a common start), and for 8 s once one did.

--- a/node/list_pages.go
+++ b/node/list_pages.go
@@ -25,8 +25,12 @@
 	// second and for each further one.
 	listTurnPart = 0.4
 	listRankPart = 0.06
-	// listPatience is how long a node without a list leaves it to relays after its start.
-	listPatience = 8 * time.Second
+	// A node without a list leaves it to relays after its start: for fleetPatience while it knows
+	// of no large fleet, for relayPatience while none answered, in which relays settle at a common
+	// start, and for heardPatience once one did.
+	fleetPatience = time.Second
+	relayPatience = 4 * time.Second
+	heardPatience = 8 * time.Second
 	// listPageEntries is the number of entries of a page, some 60 KB.
 	listPageEntries = 400
 )
@@ -53,12 +57,15 @@
 	if !n.list.isLarge() {
 		return false
 	}
+	_, large := n.relays.size()
 	rank, leads := n.relays.rank()
-	if leads && rank == 0 {
+	switch {
+	case leads && rank == 0:
+		return false
+	case !n.list.known():
+		return n.now.Since(n.began) < n.relays.listPatience(large)
+	case !large:
 		return false
-	}
-	if !n.list.known() {
-		return n.now.Since(n.began) < listPatience
 	}
 	age, drain := n.list.age(n.now()), n.settings().Bounds.Drain
 	if leads {
@@ -67,6 +74,20 @@
 	return age < part(drain, listLatePart)
 }
 
+// listPatience is how long after its start a node without a list leaves it to relays, in a fleet that
+// it knows to be large or not.
+func (r *relays) listPatience(large bool) time.Duration {
+	if !large {
+		return fleetPatience
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if heard := r.roster.Heard(); heard.IsZero() || r.n.now.Since(heard) > rosterTimeout {
+		return relayPatience
+	}
+	return heardPatience
+}
+
 // rank returns this node's place among the relays; leads is false if it is none.
 func (r *relays) rank() (rank int, leads bool) {
 	r.mu.Lock()
--- a/node/size_test.go
+++ b/node/size_test.go
@@ -190,3 +190,30 @@
 		}
 	})
 }
+
+// Where no relay can be heard a node reads a large list itself: at once in a small fleet, which has none,
+// and after a while where it reaches no other node.
+func TestLargeListAlone(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		nodes  int
+		cut    bool
+		within time.Duration
+	}{
+		"a small fleet":            {nodes: 3, within: 2 * time.Second},
+		"a node that reaches none": {nodes: 24, cut: true, within: 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, simSite{nodes: c.nodes, engines: 700, perSecond: 10, mbps: 20})
+				if c.cut {
+					f.net.silence(simNodeAddr(c.nodes - 1).Addr())
+				}
+				f.start()
+				defer f.end()
+				time.Sleep(c.within)
+				require.Equal(t, 700, f.nodes[c.nodes-1].list.count())
+			})
+		})
+	}
+}
