--- a/route/rollout.go
+++ b/route/rollout.go
@@ -112,9 +112,9 @@
 	return func(b *Board) { b.exposure = cmp.Or(share, defaultExposure) * exposurePart }
 }
 
-// StartRollout takes an order. An order that names the release of an ended roll-out changes
-// nothing: what was rolled back stays so, also if a store that lost its newest writes gets
-// the same order again.
+// StartRollout takes an order. One that names the release of the pool's last roll-out goes on with
+// that: what was rolled back stays so, also if a store that lost its newest writes gets the same
+// order again.
 func (b *Board) StartRollout(now time.Time, o RolloutOrder) {
 	old, ok := b.rollouts[o.Pool]
 	switch {
