node: a node that has just been made a relay tells no list before it has one to tell

What callers would see: where relays are lost and others take over, a follower that asks such a node before it has made its next report (up to 250 ms) got a whole list that is empty, took all targets off, and refused everything until the next answer.

Change: news of the list are told once the node acts (relays.acting), for which it brings its list into the feed. TestRelayNotYetActing is red on the code before.

--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -122,7 +122,8 @@
 	} else {
 		out.Word.State.Hot = route.MostAsked(out.Word.State.Hot)
 	}
-	if in.Asks && out.Word.Relay && !r.listAt.IsZero() {
+	// One that others have just come to take for a relay has the list to tell with its next report.
+	if in.Asks && out.Word.Relay && r.acting && !r.listAt.IsZero() {
 		out.News = r.news(now, in.Known)
 	}
 	return out
--- a/node/relay_report_test.go
+++ b/node/relay_report_test.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/peer"
 	"github.com/pathhead/pathhead/route"
 )
@@ -48,3 +50,31 @@
 		})
 	}
 }
+
+// A node that the others' going has made a relay tells nothing of the list before it has taken its part
+// up: an empty list would take all targets from whoever asks it.
+func TestRelayNotYetActing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 20, engines: 10, perSecond: 10})
+		f.settle()
+		defer f.end()
+		asked := peer.RelayReport{Word: fleet.Word[route.PeerState]{From: fleet.Member{ID: "node-999"}}, Asks: true}
+		for _, n := range f.nodes {
+			r := n.relays
+			if !r.leads() {
+				continue
+			}
+			require.Len(t, n.Relay(asked).News.Entries, 10)
+			r.mu.Lock()
+			r.acting = false
+			r.entries.Clear()
+			r.mu.Unlock()
+			answer := n.Relay(asked)
+			require.True(t, answer.Word.Relay)
+			require.Nil(t, answer.News)
+			time.Sleep(2 * relayEvery)
+			require.Len(t, n.Relay(asked).News.Entries, 10, "once it has taken its part up")
+		}
+	})
+}
