--- a/dispatch/driver.go
+++ b/dispatch/driver.go
@@ -110,8 +110,8 @@
 // Tick lets time pass on the board until ctx ends; every is its resolution for
 // expired waits and held-back retries.
 //
-// Without requests it ticks at a slower pace: in a fleet of a thousand most processes have none at
-// most times, and waking them fifty times a second costs more than all that they serve.
+// Without requests it ticks at a slower pace, since there is nothing that a finer one would find: in a
+// fleet of a thousand most processes have none at most times.
 func (d *Driver) Tick(ctx context.Context, every time.Duration) {
 	t := time.NewTimer(every)
 	defer t.Stop()
--- a/node/list_pages.go
+++ b/node/list_pages.go
@@ -12,9 +12,8 @@
 )
 
 // A list of more than reserveFrom targets is read from the store by one relay, from which the other
-// relays take it; all others take it from theirs, first in pages and then by its changes. Read by
-// each of 31 relays every second and by each of 986 nodes at their start, it was most of what the
-// store was asked for.
+// relays take it; all others take it from theirs, first in pages and then by its changes, so that the
+// calls to the store do not grow with the nodes.
 
 // The times of a large list.
 const (
@@ -35,7 +34,7 @@
 	listPageEntries = 400
 )
 
-// isLarge reports whether the list has more targets than a page.
+// isLarge reports whether the list has more targets than the store gives at once, or than reserveFrom.
 func (l *targetList) isLarge() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
