node, event: why a caller's connection closes without a complete answer

Callers saw requests that ended without an answer or a refusal (LOST), and the logs could not tell the hypotheses apart: an end by a silent target, by a change of configuration, or by the caller.

Each such end now records answer-cut (229) with the reason, how long the target had sent nothing and how long ago the configuration was adopted, and counts pathhead_answers_cut_total{reason}. A panic of a handler, which net/http also turns into a closed connection, records handler-panicked (230) with its stack; it was logged at debug level only. Behaviour is unchanged.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -44,6 +44,8 @@
 	PoolDrained      Code = 226
 	CallerStalled    Code = 227
 	MemoryExhausted  Code = 228
+	AnswerCut        Code = 229
+	HandlerPanicked  Code = 230
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -148,6 +150,8 @@
 	{PoolDrained, "pool-drained", slog.LevelInfo, "The backlog of a saturated pool is gone; requests are no longer refused for it."},
 	{CallerStalled, "caller-stalled", slog.LevelInfo, "A caller took nothing of its answer for some seconds; the connection was closed and the attempt cancelled."},
 	{MemoryExhausted, "memory-exhausted", slog.LevelWarn, "Requests are refused because the memory for callers is in use; the detail has the bytes. The organisation is the one that holds most. Logged once while refusals last."},
+	{AnswerCut, "answer-cut", slog.LevelWarn, "The connection of a caller was closed without a complete answer; the detail has the reason, for how long at most a target had sent nothing, and how long ago the configuration was adopted."},
+	{HandlerPanicked, "handler-panicked", slog.LevelError, "A programming error ended the handling of a request, whose connection was closed; the detail has the error and the stack."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was discovered."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target has a new incarnation; the state known of the previous one was discarded."},
--- a/node/callers.go
+++ b/node/callers.go
@@ -86,6 +86,7 @@
 	if !strings.HasPrefix(v.uri, "/") {
 		v.uri = r.URL.RequestURI()
 	}
+	defer n.logPanic(v)
 	if n.stopping.Load() || n.callers.crowded(n.memory.idleConns()) {
 		w.Header().Set("Connection", "close")
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -41,6 +41,10 @@
 	// was sent to the caller, both since the arrival of the request.
 	sentAfter  time.Duration
 	firstAfter time.Duration
+	// heardAt is when the newest attempt was sent or the last part of its answer arrived. silence is
+	// the longest time for which a target sent nothing before that.
+	heardAt time.Time
+	silence time.Duration
 }
 
 // bufferedAnswer is a response that was read completely.
@@ -56,7 +60,10 @@
 	n.recordAges(n.now())
 	n.queryHolders(v.r.Context(), f.req)
 	c := dispatch.NewCallWithID(v.info.ID)
-	refusal := n.Serve(v.r.Context(), f.req, c, f.send)
+	refusal := n.Serve(v.r.Context(), f.req, c, func(ctx context.Context, a route.Attempt) route.Outcome {
+		defer f.heard()
+		return f.send(ctx, a)
+	})
 	if refusal == nil && f.answer != nil {
 		f.writeBuffered(f.answer)
 	}
@@ -70,12 +77,12 @@
 	case refusal == nil:
 		if !f.done {
 			// The caller disconnected, or its connection broke while the answer was sent.
-			panic(http.ErrAbortHandler)
+			f.cut(cutByCaller, "")
 		}
 	case f.started:
 		// Part of the answer was sent. Only closing the connection tells the caller that it is
 		// incomplete.
-		panic(http.ErrAbortHandler)
+		f.cut(cutUnfinished, refusal.Cause.String()+": "+refusal.Detail)
 	case f.fallback != nil:
 		f.writeBuffered(f.fallback)
 	default:
@@ -233,6 +240,7 @@
 	}
 	now := f.n.now()
 	f.sentAfter = now.Sub(f.v.receivedAt)
+	f.heardAt = now
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := newSilenceTimer(now.Add(f.patience(a, now)), f.n.now, func() bool { return f.n.suspected(a) },
@@ -246,6 +254,7 @@
 		return f.attemptFailed(a.Target, out, err)
 	}
 	defer resp.Body.Close()
+	f.heard()
 	class, incarnation := f.n.protocol.ClassifyResponse(resp.Status, resp.Header)
 	hints := f.n.protocol.TargetHints(resp.Status, resp.Header)
 	if f.req.Model != nil {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -78,6 +78,11 @@
 	count("read", read)
 }
 
+// cut counts a caller's connection that was closed without a complete answer.
+func (c counters) cut(reason cutReason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_answers_cut_total{reason=%q}", string(reason))).Inc()
+}
+
 // fetched counts a fetch of the configuration from another node by result.
 func (c counters) fetched(end string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_config_fetches_total{end=%q}", end)).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,8 @@
 	rng      *rand.Rand
 	adoption *fleet.Adoption
 	document fleet.Document
+	// adoptedAt is when the configuration in use was adopted.
+	adoptedAt time.Time
 	// loggedBehind is the newest revision logged as known but not in force.
 	loggedBehind int64
 	limits       Limits
--- a/node/stream.go
+++ b/node/stream.go
@@ -46,6 +46,9 @@
 			timer.Reset(gap)
 		}
 		n, err := resp.Body.Read(buf)
+		if n > 0 {
+			f.heard()
+		}
 		buffered = append(buffered, buf[:n]...)
 		complete := completeEvents(buffered)
 		if errors.Is(err, io.EOF) {
--- a/node/watch.go
+++ b/node/watch.go
@@ -151,6 +151,7 @@
 		}
 		adopted = true
 		n.adoption.Adopted(d.Revision)
+		n.adoptedAt = now
 		n.document = fleet.Document{Revision: d.Revision, Text: d.Text, Author: source}
 		n.limits = d.Limits.orDefault()
 		n.list.setFixed(d.Fixed)
