transport, node, route: a silent target ends no answer

Callers saw requests that had been read whole end without an answer (LOST): a target was silent for a second, which a sound one may be, and the node gave the attempt up although the request could go nowhere else. A stream that had begun was ended by closing the caller's connection; a call got 502.

Three timers did that: the user timeout of 0.9 s with bytes unacknowledged, keep-alive probes (a connection without traffic ends after 2 s, since the user timeout decides), and the node's own limit of 1.1 s on a pause.

The kernel's timers are off while a caller's request uses a connection (Request.Patient), and on again while it is idle. An attempt is given up only if the board says so: the request may be repeated or continued, another target has room now, and the retry is taken from the budget at that moment. A stream's pause is bounded by four times the route's longest one and 1.5 s at least, since callers wait twice as long. An attempt at an incarnation that was replaced still ends after 2 s.

Those timers also told that a machine was dead. A target that sends nothing for 0.6 s beyond its prediction is probed with a new connection, and marked as unresponsive if that fails within 0.3 s, so after 0.9 s as before.

--- a/node/crash.go
+++ b/node/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/netip"
 	"time"
 
@@ -40,6 +41,8 @@
 		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
 	case transport.ConnectionRefused(err):
 		n.reportCrashed(target)
+	case errors.Is(err, transport.ErrUnresponsive), ctx.Err() != nil:
+		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Unresponsive(now, target) })
 	default:
 		n.log.Debug("target accepts no new connection", "target", target, "error", err)
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -44,6 +44,8 @@
 	// heardAt is when the newest attempt was sent or the last part of its answer arrived. silence is
 	// the longest time for which a target sent nothing before that.
 	heardAt time.Time
+	// probe checks the target of the newest attempt once it has sent nothing for a while.
+	probe   *time.Timer
 	silence time.Duration
 }
 
@@ -243,9 +245,16 @@
 	f.heardAt = now
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := newSilenceTimer(now.Add(f.patience(a, now)), f.n.now, func() bool { return f.n.suspected(a) },
-		func() { cancel(errUnresponsive.Errorf("target %s", a.Target)) })
+	timer := newSilenceTimer(now.Add(f.patience(a, now)), f.n.now, func() bool { return f.n.suspected(a) }, func() bool {
+		if !f.n.givesUp(a) {
+			return false
+		}
+		cancel(errUnresponsive.Errorf("target %s", a.Target))
+		return true
+	})
 	defer timer.Stop()
+	f.probe = time.AfterFunc(max(probeSilence, f.patience(a, now)), func() { f.n.probeSilent(a.Target, now) })
+	defer f.probe.Stop()
 	if d := f.idleTimeout(a, now); d > 0 {
 		timer.Reset(d)
 	}
@@ -329,7 +338,7 @@
 	f.n.protocol.Header(h, s)
 	id := f.v.info.ID
 	return transport.Request{
-		Target: a.Target, Method: f.v.r.Method, URI: f.v.uri, Host: f.v.r.Host, Header: h, Body: f.v.body,
+		Target: a.Target, Method: f.v.r.Method, URI: f.v.uri, Host: f.v.r.Host, Header: h, Body: f.v.body, Patient: true,
 		Matches: func(h http.Header) bool { return f.n.protocol.BelongsTo(h, id) },
 	}
 }
--- a/node/probe.go
+++ b/node/probe.go
@@ -37,6 +37,17 @@
 	delete(r.targets, target)
 }
 
+// probeSilence is how long a target may send nothing on an attempt, after the predicted start of its
+// answer, until it is probed.
+const probeSilence = 600 * time.Millisecond
+
+// probeSilent probes a target that has sent nothing on an attempt. The connections that were idle when
+// the attempt began may have stopped responding like its own.
+func (n *Node) probeSilent(target netip.AddrPort, begun time.Time) {
+	n.conns.CloseIdleSince(target, begun)
+	n.probeUnresponsive(target)
+}
+
 // probeUnresponsive probes a target on which a connection stopped responding, in the background.
 // Connections may hang for good while new ones work; a target that accepts a new one is alive.
 func (n *Node) probeUnresponsive(target netip.AddrPort) {
--- a/node/silence.go
+++ b/node/silence.go
@@ -17,7 +17,8 @@
 	until     time.Time
 	now       func() time.Time
 	suspected func() bool
-	giveUp    func()
+	// giveUp gives the attempt up, unless its request can go nowhere else, and reports whether it did.
+	giveUp func() bool
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -29,7 +30,7 @@
 
 // newSilenceTimer returns a stopped timer. If it expires before the given time, it is extended,
 // unless the answer has begun or the target is suspected.
-func newSilenceTimer(until time.Time, now func() time.Time, suspected func() bool, giveUp func()) *silenceTimer {
+func newSilenceTimer(until time.Time, now func() time.Time, suspected, giveUp func() bool) *silenceTimer {
 	s := &silenceTimer{until: until, now: now, suspected: suspected, giveUp: giveUp}
 	s.timer = time.AfterFunc(time.Hour, s.expired)
 	s.timer.Stop()
@@ -71,10 +72,10 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.generation != generation:
-	case lost:
-		s.giveUp()
-	default:
+	case !lost:
 		s.arm(min(left, suspicionInterval))
+	case !s.giveUp():
+		s.arm(suspicionInterval)
 	}
 }
 
@@ -100,6 +101,13 @@
 	return min(fraction(a.FirstToken, patienceFactor), f.req.Deadline.Sub(now))
 }
 
+// givesUp reports whether an attempt whose target is silent is to be given up.
+func (n *Node) givesUp(a route.Attempt) bool {
+	n.Lock()
+	defer n.Unlock()
+	return n.Board().GiveUp(n.now(), a.Request, a.ID)
+}
+
 // suspected reports whether a target is known not to respond.
 func (n *Node) suspected(a route.Attempt) bool {
 	n.Lock()
--- a/node/stream.go
+++ b/node/stream.go
@@ -48,6 +48,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			f.heard()
+			f.probe.Reset(probeSilence)
 		}
 		buffered = append(buffered, buf[:n]...)
 		complete := completeEvents(buffered)
@@ -98,12 +99,22 @@
 	return end + len(eventEnd)
 }
 
+// Bounds of a pause after which a stream is resumed elsewhere.
+const (
+	// gapFactor is the multiple of the route's longest pause. Callers abandon a stream after twice that
+	// time.
+	gapFactor = 4
+	// minGap leaves time for a target that falls silent for a second, and for another one to
+	// continue: callers wait for two seconds at least.
+	minGap = 1500 * time.Millisecond
+)
+
 // maxGap returns the maximum pause of a stream that can resume elsewhere; zero means no limit.
 func (f *forwarding) maxGap(a route.Attempt) time.Duration {
 	if !f.req.Resumable || a.Number >= f.req.MaxTries {
 		return 0
 	}
-	return max(2*time.Duration(f.v.route.MaxGap), maxIdleTimeout)
+	return max(gapFactor*time.Duration(f.v.route.MaxGap), minGap)
 }
 
 // writeHeader writes the header of a response to the caller.
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -226,7 +226,7 @@
 		return b.resend(now, r, a)
 	case r.countedTries(o) >= r.maxAllowedTries() || b.disabled.Has(Retrying):
 		return b.refuse(now, r, CauseRetries, "tried too often; "+o.Detail)
-	case !b.freeRetry(o) && !b.spendRetry(now, &b.pools[r.Pool].retries):
+	case !r.retryPaid && !b.freeRetry(o) && !b.spendRetry(now, &b.pools[r.Pool].retries):
 		return b.refuse(now, r, CauseRetries, "the pool's retry budget is used up; "+o.Detail)
 	}
 	code := event.RequestRetried
@@ -234,6 +234,7 @@
 		code = event.RequestResumed
 	}
 	b.emit(event.Event{Code: code, Request: r.ID, Attempt: a.ID, Org: r.Org})
+	r.retryPaid = false
 	r.notBefore = now.Add(b.backoff(r))
 	r.queueDeadline = b.retryQueueDeadline(now, r)
 	b.enqueue(now, r)
--- a/route/health.go
+++ b/route/health.go
@@ -25,6 +25,15 @@
 	return time.Duration(t.failedSends.value / (t.sends.value + 1) * float64(maxFailurePenalty))
 }
 
+// Unresponsive records that a target's machine accepts no new connection although no failure is
+// known.
+func (b *Board) Unresponsive(now time.Time, addr netip.AddrPort) []Action {
+	if t, ok := b.targets[addr]; ok {
+		b.markUnresponsive(now, t)
+	}
+	return nil
+}
+
 // markUnresponsive marks a target as failing because it did not respond to this router.
 func (b *Board) markUnresponsive(now time.Time, t *target) {
 	t.unresponsiveAt = now
@@ -91,17 +100,47 @@
 // stallTime is how long an attempt at a failing target may go without progress.
 const stallTime = 2 * time.Second
 
-// cancelStalled cancels stalled attempts at a failing target, so that they are retried elsewhere.
+// cancelStalled cancels stalled attempts at a failing target that are to be retried elsewhere, and
+// those at an incarnation that has ended.
 func (b *Board) cancelStalled(now time.Time, t *target) []Action {
-	if !t.failing {
-		return nil
-	}
 	var out []Action
 	for _, a := range t.attempts {
-		if !a.cancelled && now.Sub(a.progress) > stallTime {
+		if a.cancelled || now.Sub(a.progress) <= stallTime {
+			continue
+		}
+		if ended := !t.incarnation.Same(a.Incarnation); ended || t.failing && b.GiveUp(now, a.Request, a.ID) {
 			a.cancelled = true
 			out = append(out, Cancel{Request: a.Request, Attempt: a.ID})
 		}
 	}
 	return out
 }
+
+// GiveUp reports whether an attempt whose target is silent is to be given up, and takes the retry
+// that follows from the budget. A sound target may be silent for a while and then complete its
+// answer. If the request cannot go to another target now, giving the attempt up would only end its
+// answer sooner.
+func (b *Board) GiveUp(now time.Time, requestID, attemptID string) bool {
+	r, a := b.current(requestID, attemptID)
+	switch {
+	case a == nil, r.retryPaid:
+		return true
+	case !b.retryable(now, r), !b.hasOther(r, a.target), !b.spendRetry(now, &b.pools[r.Pool].retries):
+		return false
+	}
+	r.retryPaid = true
+	return true
+}
+
+// retryable reports whether a request may be sent again after an attempt that may have run.
+func (b *Board) retryable(now time.Time, r *request) bool {
+	return r.Repeatable && (!r.delivered || r.Resumable) && now.Before(r.Deadline) &&
+		r.countedTries(Outcome{Kind: OutcomeBroken}) < r.maxAllowedTries() &&
+		!b.disabled.Has(Retrying) && !b.crashes.holds(now, r.Print)
+}
+
+// hasOther reports whether another target than t, which the request was not sent to yet, has capacity.
+func (b *Board) hasOther(r *request, t *target) bool {
+	p := b.pools[r.Pool]
+	return p.hasUsable(func(o *target) bool { return o != t && !r.tried[o.addr] && b.hasCapacity(o, p) })
+}
--- a/route/request.go
+++ b/route/request.go
@@ -280,10 +280,12 @@
 	unsent    int
 	// resent counts the attempts at a target that had refused the request before. parked is the
 	// incarnation at parkedAt that the request waits for meanwhile.
-	resent   int
-	parked   Incarnation
-	parkedAt netip.AddrPort
-	tried    map[netip.AddrPort]bool
+	resent int
+	// retryPaid is set if the retry that follows the attempt was taken from the budget already.
+	retryPaid bool
+	parked    Incarnation
+	parkedAt  netip.AddrPort
+	tried     map[netip.AddrPort]bool
 	// wants are the targets with a limit that the request could have been sent to.
 	wants     map[netip.AddrPort]bool
 	verdict   Verdict
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -25,7 +25,8 @@
 	// userTimeout is how long sent bytes may stay unacknowledged, which detects machines
 	// that stopped responding. A lost packet is resent after about 200 ms.
 	userTimeout = 900 * time.Millisecond
-	// keepAliveInterval is the time between keep-alive probes of a connection without traffic.
+	// keepAliveInterval is the time between keep-alive probes of a connection without traffic. With a
+	// user timeout, a connection that has received nothing for twice this time ends.
 	keepAliveInterval = time.Second
 	// defaultIdleTime is how long an idle connection is kept if the target states no timeout.
 	defaultIdleTime = 15 * time.Second
@@ -201,9 +202,13 @@
 	return errors.Join(ctlErr, err)
 }
 
-// setUserTimeout sets how long sent bytes of a connection may stay unacknowledged; zero leaves it to
-// the kernel.
-func (c *conn) setUserTimeout(d time.Duration) error {
+// setSilenceTimeouts turns on or off that the kernel ends the connection when the target's machine
+// acknowledges nothing.
+func (c *conn) setSilenceTimeouts(on bool) error {
+	timeout, keepAlive := 0, 0
+	if on {
+		timeout, keepAlive = int(userTimeout.Milliseconds()), 1
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -213,7 +218,10 @@
 		return err
 	}
 	ctlErr := rc.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
+		err = errors.Join(
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, timeout),
+			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, keepAlive),
+		)
 	})
 	return errors.Join(ctlErr, err)
 }
@@ -281,9 +289,9 @@
 	return nil
 }
 
-// closeIdleSince closes the connections to a target that have been idle since the given time
-// or longer. A connection used since then has timed out, so these may not respond either.
-func (p *Pool) closeIdleSince(target netip.AddrPort, since time.Time) {
+// CloseIdleSince closes the connections to a target that have been idle since the given time
+// or longer. A connection used since then does not respond, so these may not respond either.
+func (p *Pool) CloseIdleSince(target netip.AddrPort, since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	remaining := p.idle[target][:0]
--- a/transport/send.go
+++ b/transport/send.go
@@ -30,6 +30,9 @@
 	// Fresh requests a new connection that no other request uses. If the target has just
 	// closed a reused one, a failed write does not show whether any byte was sent.
 	Fresh bool
+	// Patient leaves the end of the exchange to its context: the kernel does not end it, however long
+	// the target's machine responds to nothing.
+	Patient bool
 }
 
 // Response is a target's answer; Body must be closed.
@@ -65,12 +68,12 @@
 		return nil, ErrUnsent.Errorf("target %s: this process was suspended for about %s", req.Target, elapsed.Round(time.Millisecond))
 	}
 	x := &exchange{conn: c, ctx: ctx, fresh: req.Fresh, startedAt: p.now()}
-	if len(req.Body) > maxWindowBody {
-		if err := c.setUserTimeout(0); err != nil {
+	if req.Patient || len(req.Body) > maxWindowBody {
+		if err := c.setSilenceTimeouts(false); err != nil {
 			c.discard()
 			return nil, ErrUnsent.Errorf("target %s: %w", req.Target, err)
 		}
-		x.longBody = true
+		x.patient = true
 	}
 	x.stop = context.AfterFunc(ctx, func() {
 		// If the deadline cannot be set, the connection is closed already.
@@ -99,8 +102,8 @@
 	written atomic.Bool
 	wrote   chan struct{}
 	done    bool
-	// longBody says that the connection's user timeout is off during the exchange.
-	longBody bool
+	// patient is set if the connection's silence timeouts are off during the exchange.
+	patient bool
 	// fresh says that the connection is closed after the exchange.
 	fresh bool
 }
@@ -195,11 +198,11 @@
 	switch cause := context.Cause(x.ctx); {
 	case cause != nil:
 		if !errors.Is(cause, context.Canceled) {
-			x.conn.pool.closeIdleSince(target, x.startedAt)
+			x.conn.pool.CloseIdleSince(target, x.startedAt)
 		}
 		return errs.Errorf("target %s: %w", target, cause)
 	case isTimeout(err):
-		x.conn.pool.closeIdleSince(target, x.startedAt)
+		x.conn.pool.CloseIdleSince(target, x.startedAt)
 		return ErrUnresponsive.Errorf("target %s: %w", target, err)
 	}
 	return errs.Errorf("target %s: %w", target, err)
@@ -229,7 +232,7 @@
 		x.abort()
 		return
 	}
-	if x.longBody && x.conn.setUserTimeout(userTimeout) != nil {
+	if x.patient && x.conn.setSilenceTimeouts(true) != nil {
 		x.abort()
 		return
 	}
