route: an answer that has begun waits for a target that takes its continuation

Callers of streams saw them end without their last part: the target fell silent for long, the stream was to continue elsewhere, and the targets there were full for a moment. Two refusals used up the route's attempts, or one the retry budget, and only closing the caller's connection was left.

A refused attempt has not run, so it does not count towards the targets that ran the request. The request waits in the queue until a target takes it or its own time is over, tries again after 50 ms to 1 s, twice as long after each refusal, and takes a retry from the budget with each attempt that reaches a target; without one it waits.

Tried first: a fixed 100 ms.

--- a/route/arrive.go
+++ b/route/arrive.go
@@ -154,6 +154,9 @@
 		leastRemaining = time.Duration(math.MaxInt64)
 	)
 	for _, r := range p.queue.heads(now) {
+		if r.retryOwed && !b.retryAvailable(now, &p.retries) {
+			continue
+		}
 		r.awaitingFill = false
 		c, extra, admission := b.chooseAdmitted(now, p, r)
 		if c == nil {
@@ -217,6 +220,10 @@
 	if r.tries == 0 {
 		b.earnRetry(now, &p.retries)
 	}
+	if r.retryOwed {
+		r.retryOwed = false
+		b.spendRetry(now, &p.retries)
+	}
 	a := &attempt{
 		target: c.target, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age,
 		predicted: c.timeToFirstToken(r),
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -224,6 +224,9 @@
 		return b.refuse(now, r, CauseDeadline, "the request's time is over")
 	case b.mayResend(now, r, a, o):
 		return b.resend(now, r, a)
+	case r.delivered && (o.Kind == OutcomeRefused || o.Kind == OutcomeUnsent) && !b.disabled.Has(Retrying):
+		b.continueLater(now, r, a, o)
+		return nil
 	case r.countedTries(o) >= r.maxAllowedTries() || b.disabled.Has(Retrying):
 		return b.refuse(now, r, CauseRetries, "tried too often; "+o.Detail)
 	case !r.retryPaid && !b.freeRetry(o) && !b.spendRetry(now, &b.pools[r.Pool].retries):
@@ -241,6 +244,26 @@
 	return nil
 }
 
+// minContinueDelay and maxContinueDelay bound the time after which an answer whose continuation a
+// target refused is tried again. It doubles with each refusal.
+const (
+	minContinueDelay = 50 * time.Millisecond
+	maxContinueDelay = time.Second
+)
+
+// continueLater queues a request whose answer has begun and is to continue at another target, until
+// one takes it or the request's time is over: only closing the caller's connection is left else. Each
+// further attempt that reaches a target needs a retry from the budget.
+func (b *Board) continueLater(now time.Time, r *request, a *attempt, o Outcome) {
+	b.emit(event.Event{Code: event.RequestResumed, Request: r.ID, Attempt: a.ID, Org: r.Org})
+	r.retryPaid, r.retryOwed = false, !b.freeRetry(o)
+	delay := min(minContinueDelay<<min(r.continuations, 8), maxContinueDelay)
+	r.continuations++
+	r.notBefore = now.Add(delay/2 + time.Duration(b.rng.Int64N(int64(delay))))
+	r.queueDeadline = r.Deadline
+	b.enqueue(now, r)
+}
+
 // countedTries returns the number of attempts that count towards the request's limit. If the
 // request states a limit, attempts of which no byte was sent and further ones at the same target do
 // not count, until maxTries is reached.
--- a/route/request.go
+++ b/route/request.go
@@ -283,9 +283,13 @@
 	resent int
 	// retryPaid is set if the retry that follows the attempt was taken from the budget already.
 	retryPaid bool
-	parked    Incarnation
-	parkedAt  netip.AddrPort
-	tried     map[netip.AddrPort]bool
+	// retryOwed is set if the next attempt takes a retry from the budget when it is sent.
+	retryOwed bool
+	// continuations counts the refused attempts to continue the answer.
+	continuations int
+	parked        Incarnation
+	parkedAt      netip.AddrPort
+	tried         map[netip.AddrPort]bool
 	// wants are the targets with a limit that the request could have been sent to.
 	wants     map[netip.AddrPort]bool
 	verdict   Verdict
--- a/route/retry.go
+++ b/route/retry.go
@@ -55,13 +55,22 @@
 
 // spendRetry takes one retry from the budget and reports whether there was one.
 func (b *Board) spendRetry(now time.Time, budget *retryBudget) bool {
+	if !b.retryAvailable(now, budget) {
+		return false
+	}
+	if q := b.snap.Config.Requests; q.RetryReserve > 0 {
+		budget.spent.add(now, time.Duration(q.RetryWindow))
+	} else {
+		budget.tokens--
+	}
+	return true
+}
+
+// retryAvailable reports whether the budget has a retry.
+func (b *Board) retryAvailable(now time.Time, budget *retryBudget) bool {
 	q := b.snap.Config.Requests
 	if q.RetryReserve == 0 {
-		if budget.tokens < 1 {
-			return false
-		}
-		budget.tokens--
-		return true
+		return budget.tokens >= 1
 	}
 	windowLength := time.Duration(q.RetryWindow)
 	fraction := 0.0
@@ -72,11 +81,7 @@
 		fraction = startupFraction
 	}
 	limit := ratioFraction*q.RetryBudget*float64(budget.sent.count(now, windowLength)) + fraction*q.RetryReserve/float64(b.recentRouters.value)
-	if float64(budget.spent.count(now, windowLength)+1) > limit+b.reserveRounding {
-		return false
-	}
-	budget.spent.add(now, windowLength)
-	return true
+	return float64(budget.spent.count(now, windowLength)+1) <= limit+b.reserveRounding
 }
 
 // freeRetry reports whether a retry after this outcome is not charged. A configured reserve
