wire: a silent target ends no call or completion of the router

The same cause as in the node, elsewhere: the product's own router sent its callers' requests on connections that the kernel ends after 0.9 s without an acknowledgement, or 2 s without traffic. A completion that had begun was cut, a call that may run once got an error. Its requests are patient now too; the board cancels an attempt at an engine whose polls fail if the request can go elsewhere, and every attempt ends with the request's time.

--- a/wire/protocol.go
+++ b/wire/protocol.go
@@ -102,8 +102,10 @@
 	})
 }
 
-// send sends a request and parses the headers of its answer.
+// send sends a request and parses the headers of its answer. The board decides how long a silent
+// target is waited for.
 func send(ctx context.Context, targets *transport.Pool, req transport.Request) (*dispatch.Reply, error) {
+	req.Patient = true
 	resp, err := targets.Send(ctx, req)
 	if err != nil {
 		return nil, err
