--- a/node/node.go
+++ b/node/node.go
@@ -85,6 +85,8 @@
 	crashSettings route.CrashSettings
 	// disabled are the mechanisms that an experiment switches off.
 	disabled route.Mechanisms
+	// connOptions are further options of conns.
+	connOptions []transport.Option
 	// placed queues placements to announce to peers.
 	placed chan route.PlacementReport
 	// notices queues notices about targets for other nodes.
@@ -120,6 +122,11 @@
 	return func(n *Node) { n.peers = p }
 }
 
+// WithTargetDial sets how connections to targets are opened, in place of TCP.
+func WithTargetDial(dial transport.DialFunc) Option {
+	return func(n *Node) { n.connOptions = append(n.connOptions, transport.WithDial(dial)) }
+}
+
 // WithPlacement sets the placement policy.
 func WithPlacement(p route.Placer) Option {
 	return func(n *Node) { n.placement = p }
@@ -199,7 +206,7 @@
 	if n.peers == nil {
 		n.peers = peer.NewClient(peerCallTimeout, nil, peer.WithObserver(n.countPeerBytes))
 	}
-	n.conns = transport.NewPool(transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns), transport.WithClock(n.now))
+	n.conns = transport.NewPool(append(n.connOptions, transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns), transport.WithClock(n.now))...)
 	board := route.NewBoard(
 		route.WithSeed(seed),
 		route.WithRouters(len(s.Seeds)),
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -62,6 +62,7 @@
 	maxConns    func(netip.AddrPort) int
 	opened      func()
 	now         clock.Clock
+	dialTarget  DialFunc
 
 	mu     sync.Mutex
 	idle   map[netip.AddrPort][]*conn
@@ -102,6 +103,7 @@
 		idle:        make(map[netip.AddrPort][]*conn),
 		open:        make(map[netip.AddrPort]int),
 	}
+	p.dialTarget = p.dialTCP
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -168,12 +170,7 @@
 	}
 	p.open[target]++
 	p.mu.Unlock()
-	d := net.Dialer{
-		Timeout:         p.dialTimeout,
-		Control:         setSocketOptions,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 1},
-	}
-	nc, err := d.DialContext(ctx, "tcp", target.String())
+	nc, err := p.dialTarget(ctx, target)
 	if err != nil {
 		p.mu.Lock()
 		p.open[target]--
