node: a harness that cuts nodes off from their targets

It runs real nodes in one process on loopback addresses, with the store and the replicas of platformtest, and a link of its own between each node and all targets, which is open, silent, reset, refused or refused and reset, towards all targets or some.

--- /dev/null
+++ b/node/cutoff_test.go
@@ -0,0 +1,121 @@
+package node_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/platform/platformtest"
+)
+
+const (
+	// warmUp is how long callers send before a link is cut.
+	warmUp = time.Second
+	// lateDelivery is the time in which bytes that a cut held back arrive after it.
+	lateDelivery = 500 * time.Millisecond
+)
+
+// Guards against nodes that give targets up for good: after a cut between a node and all its
+// targets has healed, that node's callers are served again.
+func TestCutOffNodeRecovers(t *testing.T) {
+	const (
+		cutTime = 3 * time.Second
+		// recovery is the time in which a caller tries once or twice more.
+		recovery = 2 * time.Second
+		observed = 3 * time.Second
+	)
+	f := startCutoffFleet(t, 3)
+	stop := f.startCallers()
+	defer stop()
+	time.Sleep(warmUp)
+	begin := time.Now()
+	f.nodes[0].link.set(linkSilent, addrs(f.engines, f.plain)...)
+	time.Sleep(cutTime)
+	healed := time.Now()
+	f.nodes[0].link.set(linkOpen, addrs(f.engines, f.plain)...)
+	time.Sleep(recovery + observed)
+	stop()
+	f.checkSafe()
+
+	from := healed.Add(recovery)
+	until := from.Add(observed)
+	cutOff := f.tallyOf(from, until, func(n int) bool { return n == 0 })
+	others := f.tallyOf(from, until, func(n int) bool { return n != 0 })
+	before := f.tallyOf(begin.Add(-warmUp), begin, func(int) bool { return true })
+	t.Logf("before the cut %v, since the recovery at the cut-off node %v, at the others %v", before, cutOff, others)
+	require.GreaterOrEqual(t, before.share(), 0.95, "before the cut")
+	require.GreaterOrEqual(t, others.share(), 0.95, "at the other nodes")
+	require.GreaterOrEqual(t, cutOff.share(), 0.95, "at the node that was cut off")
+}
+
+// Guards against nodes whose callers are refused for as long as the node does not reach its targets,
+// while other nodes do.
+func TestCutOffNodeServes(t *testing.T) {
+	type pools func(*cutoffFleet) [][]*platformtest.Replica
+	both := func(f *cutoffFleet) [][]*platformtest.Replica { return [][]*platformtest.Replica{f.engines, f.plain} }
+	engines := func(f *cutoffFleet) [][]*platformtest.Replica { return [][]*platformtest.Replica{f.engines} }
+	plain := func(f *cutoffFleet) [][]*platformtest.Replica { return [][]*platformtest.Replica{f.plain} }
+	cases := map[string]struct {
+		mode   linkMode
+		cutOff int
+		pools  pools
+	}{
+		"silent":                      {linkSilent, 1, both},
+		"silent, two nodes":           {linkSilent, 2, both},
+		"silent, engines alone":       {linkSilent, 1, engines},
+		"silent, plain service alone": {linkSilent, 1, plain},
+		"reset":                       {linkReset, 1, both},
+		"reset, two nodes":            {linkReset, 2, both},
+		"refused":                     {linkRefused, 1, both},
+		"refused, two nodes":          {linkRefused, 2, both},
+		"refused and reset":           {linkRefusedReset, 1, both},
+		"refused and reset, two nodes, engines alone": {linkRefusedReset, 2, engines},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := startCutoffFleet(t, 4)
+			f.playCut(c.mode, c.cutOff, addrs(c.pools(f)...))
+		})
+	}
+}
+
+// playCut cuts the first nodes of a fleet off from targets, and checks that their callers are served
+// as those of the other nodes are from the contact time after the begin of the cut.
+func (f *cutoffFleet) playCut(mode linkMode, cutOff int, targets []netip.AddrPort) {
+	const (
+		observed = 2500 * time.Millisecond
+		// At most allowedFailures and one in failuresPer of all requests fail at cut-off nodes.
+		allowedFailures = 10
+		failuresPer     = 50
+		// leastShare is the least share served at the cut-off nodes as a part of that at the others.
+		leastShare = 2.0 / 3
+	)
+	stop := f.startCallers()
+	defer stop()
+	time.Sleep(warmUp)
+	begin := time.Now()
+	for _, n := range f.nodes[:cutOff] {
+		n.link.set(mode, targets...)
+	}
+	time.Sleep(cutoffContact + observed)
+	stop()
+	for _, n := range f.nodes[:cutOff] {
+		n.link.set(linkOpen, targets...)
+	}
+	time.Sleep(lateDelivery)
+	f.checkSafe()
+
+	from := begin.Add(cutoffContact)
+	until := from.Add(observed)
+	at := f.tallyOf(from, until, func(n int) bool { return n < cutOff })
+	others := f.tallyOf(from, until, func(n int) bool { return n >= cutOff })
+	before := f.tallyOf(begin.Add(-warmUp), begin, func(int) bool { return true })
+	f.t.Logf("before the cut %v, in it at the cut-off nodes %v, at the others %v", before, at, others)
+	require.GreaterOrEqual(f.t, before.share(), 0.95, "before the cut")
+	require.GreaterOrEqual(f.t, others.share(), 0.95, "at the other nodes")
+	assert.GreaterOrEqual(f.t, at.share(), leastShare*others.share(), "at the cut-off nodes")
+	assert.LessOrEqual(f.t, at.failed(), allowedFailures+(at.sent+others.sent)/failuresPer, "failed at the cut-off nodes")
+}
