--- a/node/cutoff_harness_test.go
+++ b/node/cutoff_harness_test.go
@@ -52,15 +52,23 @@
 	cutoffTick = 10 * time.Millisecond
 )
 
+// Intervals of the replicas' heartbeats. A heartbeat on the list shows a node that a replica lives, but
+// not that the node reaches it. With rare ones, none comes during a test.
+const (
+	frequentHeartbeat = 200 * time.Millisecond
+	rareHeartbeat     = time.Minute
+)
+
 // cutoffFleet is a fleet of nodes in this process with stand-ins for the platform. Each node has a
 // link of its own to the targets.
 type cutoffFleet struct {
-	t       *testing.T
-	store   *platformtest.Store
-	log     *platformtest.RunLog
-	engines []*platformtest.Replica
-	plain   []*platformtest.Replica
-	nodes   []*cutoffNode
+	t         *testing.T
+	heartbeat time.Duration
+	store     *platformtest.Store
+	log       *platformtest.RunLog
+	engines   []*platformtest.Replica
+	plain     []*platformtest.Replica
+	nodes     []*cutoffNode
 
 	mu    sync.Mutex
 	calls []cutoffCall
@@ -79,9 +87,19 @@
 	out    bytes.Buffer
 }
 
-// startCutoffFleet starts a platform and nodes, and waits until the nodes are ready.
-func startCutoffFleet(t *testing.T, nodes int) *cutoffFleet {
-	f := &cutoffFleet{t: t, store: platformtest.NewStore(), log: new(platformtest.RunLog)}
+// fleetsAtOnce bounds the fleets that run at once, which share the cores of one machine.
+const fleetsAtOnce = 4
+
+// fleetSlots has an element for each fleet that runs.
+var fleetSlots = make(chan struct{}, fleetsAtOnce)
+
+// startCutoffFleet starts a platform and nodes, and waits until the nodes are ready. Its test runs in
+// parallel to others of this harness.
+func startCutoffFleet(t *testing.T, nodes int, heartbeat time.Duration) *cutoffFleet {
+	t.Parallel()
+	fleetSlots <- struct{}{}
+	t.Cleanup(func() { <-fleetSlots })
+	f := &cutoffFleet{t: t, heartbeat: heartbeat, store: platformtest.NewStore(), log: new(platformtest.RunLog)}
 	t.Cleanup(f.store.Close)
 	for i := range engineCount {
 		f.engines = append(f.engines, f.startReplica(fmt.Sprintf("e%d", i), engineName,
@@ -107,7 +125,7 @@
 }
 
 func (f *cutoffFleet) startReplica(id, service string, opts ...platformtest.Option) *platformtest.Replica {
-	r, err := platformtest.Start(f.store, f.log, id, service, netip.AddrPort{}, opts...)
+	r, err := platformtest.Start(f.store, f.log, id, service, netip.AddrPort{}, append(opts, platformtest.WithHeartbeat(f.heartbeat))...)
 	require.NoError(f.t, err)
 	f.t.Cleanup(r.Crash)
 	return r
@@ -158,7 +176,7 @@
 	countCall := func(string) {}
 	store := platform.NewStore(n.store, countCall)
 	engines := platform.NewEngines(countCall, platform.WithDial(n.link.dial))
-	running, err := node.New(n.settings(seeds), store, platform.Protocol{}, engines, node.WithTargetDial(n.link.dial),
+	running, err := node.New(n.settings(seeds, f.heartbeat), store, platform.Protocol{}, engines, node.WithTargetDial(n.link.dial),
 		node.WithLogger(slog.New(slog.NewTextHandler(&n.out, nil))))
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -177,10 +195,10 @@
 	})
 }
 
-func (n *cutoffNode) settings(seeds []netip.AddrPort) node.Settings {
+func (n *cutoffNode) settings(seeds []netip.AddrPort, heartbeat time.Duration) node.Settings {
 	return node.Settings{
 		Name: n.name, Zone: "z", Callers: n.callers, Readiness: n.readiness, Peers: n.peers, Operators: n.operators,
-		Seeds: seeds, Store: n.store, Heartbeat: 200 * time.Millisecond, Memory: 512 << 20, Power: 1,
+		Seeds: seeds, Store: n.store, Heartbeat: heartbeat, Memory: 512 << 20, Power: 1,
 		Bounds: node.Bounds{
 			Drain: 2 * time.Second, Grace: time.Second, Apply: 2 * time.Second, Revoke: 5 * time.Second,
 			RetryRatio: 0.2, RetryReserve: 50, RetryWindow: 10 * time.Second, Lease: 2 * time.Second,
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -21,21 +21,41 @@
 // Guards against nodes that give targets up for good: after a cut between a node and all its
 // targets has healed, that node's callers are served again.
 func TestCutOffNodeRecovers(t *testing.T) {
+	cases := map[string]struct {
+		mode      linkMode
+		heartbeat time.Duration
+	}{
+		"silent":                                 {linkSilent, rareHeartbeat},
+		"silent, frequent heartbeats":            {linkSilent, frequentHeartbeat},
+		"reset":                                  {linkReset, rareHeartbeat},
+		"refused and reset":                      {linkRefusedReset, rareHeartbeat},
+		"refused and reset, frequent heartbeats": {linkRefusedReset, frequentHeartbeat},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			startCutoffFleet(t, 3, c.heartbeat).playRecovery(c.mode)
+		})
+	}
+}
+
+// playRecovery cuts the first node of a fleet off from all targets for a while, and checks that its
+// callers are served again soon after the link is open.
+func (f *cutoffFleet) playRecovery(mode linkMode) {
 	const (
 		cutTime = 3 * time.Second
 		// recovery is the time in which a caller tries once or twice more.
 		recovery = 2 * time.Second
-		observed = 3 * time.Second
+		observed = 2500 * time.Millisecond
 	)
-	f := startCutoffFleet(t, 3)
+	targets := addrs(f.engines, f.plain)
 	stop := f.startCallers()
 	defer stop()
 	time.Sleep(warmUp)
 	begin := time.Now()
-	f.nodes[0].link.set(linkSilent, addrs(f.engines, f.plain)...)
+	f.nodes[0].link.set(mode, targets...)
 	time.Sleep(cutTime)
 	healed := time.Now()
-	f.nodes[0].link.set(linkOpen, addrs(f.engines, f.plain)...)
+	f.nodes[0].link.set(linkOpen, targets...)
 	time.Sleep(recovery + observed)
 	stop()
 	f.checkSafe()
@@ -45,10 +65,10 @@
 	cutOff := f.tallyOf(from, until, func(n int) bool { return n == 0 })
 	others := f.tallyOf(from, until, func(n int) bool { return n != 0 })
 	before := f.tallyOf(begin.Add(-warmUp), begin, func(int) bool { return true })
-	t.Logf("before the cut %v, since the recovery at the cut-off node %v, at the others %v", before, cutOff, others)
-	require.GreaterOrEqual(t, before.share(), 0.95, "before the cut")
-	require.GreaterOrEqual(t, others.share(), 0.95, "at the other nodes")
-	require.GreaterOrEqual(t, cutOff.share(), 0.95, "at the node that was cut off")
+	f.t.Logf("before the cut %v, since the recovery at the cut-off node %v, at the others %v", before, cutOff, others)
+	require.GreaterOrEqual(f.t, before.share(), 0.95, "before the cut")
+	require.GreaterOrEqual(f.t, others.share(), 0.95, "at the other nodes")
+	require.GreaterOrEqual(f.t, cutOff.share(), 0.95, "at the node that was cut off")
 }
 
 // Guards against nodes whose callers are refused for as long as the node does not reach its targets,
@@ -59,24 +79,27 @@
 	engines := func(f *cutoffFleet) [][]*platformtest.Replica { return [][]*platformtest.Replica{f.engines} }
 	plain := func(f *cutoffFleet) [][]*platformtest.Replica { return [][]*platformtest.Replica{f.plain} }
 	cases := map[string]struct {
-		mode   linkMode
-		cutOff int
-		pools  pools
+		mode      linkMode
+		cutOff    int
+		pools     pools
+		heartbeat time.Duration
 	}{
-		"silent":                      {linkSilent, 1, both},
-		"silent, two nodes":           {linkSilent, 2, both},
-		"silent, engines alone":       {linkSilent, 1, engines},
-		"silent, plain service alone": {linkSilent, 1, plain},
-		"reset":                       {linkReset, 1, both},
-		"reset, two nodes":            {linkReset, 2, both},
-		"refused":                     {linkRefused, 1, both},
-		"refused, two nodes":          {linkRefused, 2, both},
-		"refused and reset":           {linkRefusedReset, 1, both},
-		"refused and reset, two nodes, engines alone": {linkRefusedReset, 2, engines},
+		"silent":                                 {linkSilent, 1, both, rareHeartbeat},
+		"silent, two nodes":                      {linkSilent, 2, both, rareHeartbeat},
+		"silent, two nodes, frequent heartbeats": {linkSilent, 2, both, frequentHeartbeat},
+		"silent, engines alone":                  {linkSilent, 1, engines, rareHeartbeat},
+		"silent, plain service alone":            {linkSilent, 1, plain, rareHeartbeat},
+		"reset":                                  {linkReset, 1, both, rareHeartbeat},
+		"reset, two nodes":                       {linkReset, 2, both, rareHeartbeat},
+		"refused":                                {linkRefused, 1, both, rareHeartbeat},
+		"refused, two nodes":                     {linkRefused, 2, both, rareHeartbeat},
+		"refused and reset":                      {linkRefusedReset, 1, both, rareHeartbeat},
+		"refused and reset, two nodes":           {linkRefusedReset, 2, both, rareHeartbeat},
+		"refused and reset, two nodes, engines alone, frequent heartbeats": {linkRefusedReset, 2, engines, frequentHeartbeat},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			f := startCutoffFleet(t, 4)
+			f := startCutoffFleet(t, 4, c.heartbeat)
 			f.playCut(c.mode, c.cutOff, addrs(c.pools(f)...))
 		})
 	}
