node: a guard for what holds while links to targets flap

TestCutOffNodeKeepsGuarantees cuts two of four nodes off in turn, in each mode, and checks that no non-idempotent request runs twice, no answer goes astray and no refused request has run. TestTargetLink checks the link of the harness itself.

--- a/node/cutoff_link_test.go
+++ b/node/cutoff_link_test.go
@@ -5,8 +5,13 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // linkMode is what a link does with a node's connections to targets.
@@ -223,3 +228,79 @@
 	_, _ = c.nodeSide.SetLinger(0), c.farSide.SetLinger(0)
 	c.close()
 }
+
+// A link does with established connections and with new ones what its mode says, towards the
+// targets that are cut off alone, and carries what it held back once it is open.
+func TestTargetLink(t *testing.T) {
+	const short = 50 * time.Millisecond
+	cases := map[linkMode]struct {
+		established error
+		dial        error
+		// survives is true if an established connection works once the link is open.
+		survives bool
+	}{
+		linkOpen:         {nil, nil, true},
+		linkSilent:       {os.ErrDeadlineExceeded, context.DeadlineExceeded, true},
+		linkReset:        {syscall.ECONNRESET, context.DeadlineExceeded, false},
+		linkRefused:      {nil, syscall.ECONNREFUSED, true},
+		linkRefusedReset: {syscall.ECONNRESET, syscall.ECONNREFUSED, false},
+	}
+	for mode, c := range cases {
+		t.Run(mode.String(), func(t *testing.T) {
+			link := newTargetLink()
+			defer link.close()
+			cut, other := startEcho(t), startEcho(t)
+			established, err := link.dial(t.Context(), cut)
+			require.NoError(t, err)
+			require.NoError(t, exchange(established, cutoffWait))
+
+			link.set(mode, cut)
+			require.ErrorIs(t, exchange(established, short), c.established)
+			ctx, cancel := context.WithTimeout(t.Context(), short)
+			defer cancel()
+			_, err = link.dial(ctx, cut)
+			require.ErrorIs(t, err, c.dial)
+			sound, err := link.dial(t.Context(), other)
+			require.NoError(t, err)
+			require.NoError(t, exchange(sound, cutoffWait))
+
+			link.set(linkOpen, cut)
+			fresh, err := link.dial(t.Context(), cut)
+			require.NoError(t, err)
+			require.NoError(t, exchange(fresh, cutoffWait))
+			require.Equal(t, c.survives, exchange(established, cutoffWait) == nil)
+		})
+	}
+}
+
+// startEcho starts a server that returns what it receives.
+func startEcho(t *testing.T) netip.AddrPort {
+	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { lis.Close() })
+	go func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return lis.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// exchange sends a byte to an echo server and waits for one.
+func exchange(conn net.Conn, limit time.Duration) error {
+	if err := conn.SetDeadline(time.Now().Add(limit)); err != nil {
+		return err
+	}
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
--- a/node/cutoff_test.go
+++ b/node/cutoff_test.go
@@ -142,3 +142,47 @@
 	assert.GreaterOrEqual(f.t, at.share(), leastShare*others.share(), "at the cut-off nodes")
 	assert.LessOrEqual(f.t, at.failed(), allowedFailures+(at.sent+others.sent)/failuresPer, "failed at the cut-off nodes")
 }
+
+// Guards against requests that run twice, answers that go astray and refused requests that run, when
+// links to targets are cut and heal again and again.
+func TestCutOffNodeKeepsGuarantees(t *testing.T) {
+	cases := map[string]struct{ first, second linkMode }{
+		"silent, then reset":             {linkSilent, linkReset},
+		"refused and reset, then silent": {linkRefusedReset, linkSilent},
+		"reset, then refused":            {linkReset, linkRefused},
+		"silent, then refused and reset": {linkSilent, linkRefusedReset},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := startCutoffFleet(t, 4, frequentHeartbeat)
+			f.playFlaps(c.first, c.second)
+		})
+	}
+}
+
+// playFlaps cuts two nodes of a fleet off from all targets in turn, several times.
+func (f *cutoffFleet) playFlaps(first, second linkMode) {
+	const (
+		flaps    = 2
+		cutTime  = 1500 * time.Millisecond
+		openTime = 500 * time.Millisecond
+	)
+	targets := addrs(f.engines, f.plain)
+	stop := f.startCallers()
+	defer stop()
+	time.Sleep(warmUp)
+	for range flaps {
+		for i, mode := range []linkMode{first, second} {
+			f.nodes[i].link.set(mode, targets...)
+			time.Sleep(cutTime)
+			f.nodes[i].link.set(linkOpen, targets...)
+			time.Sleep(openTime)
+		}
+	}
+	stop()
+	time.Sleep(lateDelivery)
+	f.checkSafe()
+	all := f.tallyOf(time.Time{}, time.Now(), func(int) bool { return true })
+	f.t.Logf("%v", all)
+	require.Positive(f.t, all.served)
+}
