--- a/node/crash.go
+++ b/node/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/netip"
 	"time"
 
@@ -31,18 +30,34 @@
 	})
 }
 
+// probeAttempts is the number of connections that a probe tries to open: the packet that opens one
+// may be lost.
+const probeAttempts = 2
+
 // probeTarget opens a connection to a target and reports the result to the board.
 func (n *Node) probeTarget(target netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	err := n.conns.CheckReachable(ctx, target)
+	begun := n.now()
+	var err error
+	for range probeAttempts {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		err = n.conns.CheckReachable(ctx, target)
+		cancel()
+		if !transport.NoResponse(err) {
+			break
+		}
+	}
 	switch {
 	case err == nil:
 		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
 	case transport.ConnectionRefused(err):
 		n.reportCrashed(target)
-	case errors.Is(err, transport.ErrUnresponsive), ctx.Err() != nil:
-		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Unresponsive(now, target) })
+	case transport.NoResponse(err):
+		if n.now.Since(begun) > 2*probeAttempts*probeTimeout {
+			// This process was suspended, or had no processor time.
+			return
+		}
+		n.conns.CloseIdleSince(target, begun)
+		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Unresponsive(now, target, begun) })
 	default:
 		n.log.Debug("target accepts no new connection", "target", target, "error", err)
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -245,16 +245,10 @@
 	f.heardAt = now
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := newSilenceTimer(now.Add(f.patience(a, now)), f.n.now, func() bool { return f.n.suspected(a) }, func() bool {
-		if !f.n.givesUp(a) {
-			return false
-		}
-		cancel(errUnresponsive.Errorf("target %s", a.Target))
-		return true
-	})
+	timer := newSilenceTimer(now.Add(f.patience(a, now)), f.n.now, func() bool { return f.n.suspected(a) },
+		func() bool { return f.n.mayGiveUp(a) }, func() { cancel(errUnresponsive.Errorf("target %s", a.Target)) })
 	defer timer.Stop()
-	f.probe = time.AfterFunc(max(probeSilence, f.patience(a, now)), func() { f.n.probeSilent(a.Target, now) })
-	defer f.probe.Stop()
+	defer f.probeWhileSilent(ctx, a.Target)()
 	if d := f.idleTimeout(a, now); d > 0 {
 		timer.Reset(d)
 	}
@@ -295,6 +289,20 @@
 	return f.bufferAnswer(a, resp, out, timer)
 }
 
+// probeWhileSilent probes the target of an attempt whenever it has sent nothing for a while, until the
+// returned function is called.
+func (f *forwarding) probeWhileSilent(ctx context.Context, target netip.AddrPort) (stop func() bool) {
+	var probe *time.Timer
+	probe = time.AfterFunc(probeSilence, func() {
+		f.n.probeSilent(target)
+		if ctx.Err() == nil {
+			probe.Reset(probeInterval)
+		}
+	})
+	f.probe = probe
+	return probe.Stop
+}
+
 // recordTargetHints passes the target hints in the response to an attempt sent at the given time to
 // the board, before any part of the response is sent on.
 func (f *forwarding) recordTargetHints(responder route.TargetKey, sent time.Time, hints route.TargetHints) {
--- a/node/pass_through_test.go
+++ b/node/pass_through_test.go
@@ -60,7 +60,7 @@
 					}
 					return false
 				}
-				timer = newSilenceTimer(time.Now().Add(2*time.Second), time.Now, suspected, func() bool { gaveUp.Store(true); return true })
+				timer = newSilenceTimer(time.Now().Add(2*time.Second), time.Now, suspected, always, func() { gaveUp.Store(true) })
 				timer.Reset(100 * time.Millisecond)
 				time.Sleep(150 * time.Millisecond)
 				resp := &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: -1, Body: &slowBody{parts: 3, pause: 3 * time.Second}}
@@ -90,7 +90,7 @@
 			t.Parallel()
 			f, _ := newForwarding(t, 0)
 			f.req.Repeatable, f.req.Resumable, f.req.MaxTries = true, true, 3
-			timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, func() bool { return true })
+			timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, always, func() {})
 			resp := &transport.Response{Status: c.status, Header: http.Header{}, Size: -1, Body: &slowBody{parts: 2 * commonEvents / 4}}
 			answer := f.bufferAnswer
 			if c.stream {
@@ -137,7 +137,7 @@
 				answer = f.stream
 			}
 			for range 3 {
-				timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, func() bool { return true })
+				timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, always, func() {})
 				resp := &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: c.size, Body: c.body()}
 				answer(route.Attempt{Number: 1}, resp, route.Outcome{}, timer)
 				held, _ := f.n.memory.usage()
--- a/node/probe.go
+++ b/node/probe.go
@@ -37,15 +37,21 @@
 	delete(r.targets, target)
 }
 
-// probeSilence is how long a target may send nothing on an attempt, after the predicted start of its
-// answer, until it is probed.
-const probeSilence = 600 * time.Millisecond
+// probeSilence is how long a target may send nothing on an attempt until it is probed, and probeInterval
+// the time until it is probed again if the silence goes on.
+const (
+	probeSilence  = 600 * time.Millisecond
+	probeInterval = time.Second
+)
 
-// probeSilent probes a target that has sent nothing on an attempt. The connections that were idle when
-// the attempt began may have stopped responding like its own.
-func (n *Node) probeSilent(target netip.AddrPort, begun time.Time) {
-	n.conns.CloseIdleSince(target, begun)
-	n.probeUnresponsive(target)
+// probeSilent probes a target that has sent nothing on an attempt, unless it responded to this node
+// a moment ago.
+func (n *Node) probeSilent(target netip.AddrPort) {
+	n.probeAsync(target, func() bool {
+		n.Lock()
+		defer n.Unlock()
+		return !n.Board().Responds(n.now(), target)
+	})
 }
 
 // probeUnresponsive probes a target on which a connection stopped responding, in the background.
--- a/node/silence.go
+++ b/node/silence.go
@@ -17,8 +17,9 @@
 	until     time.Time
 	now       func() time.Time
 	suspected func() bool
-	// giveUp gives the attempt up, unless its request can go nowhere else, and reports whether it did.
-	giveUp func() bool
+	// mayGiveUp reports whether the request can go elsewhere.
+	mayGiveUp func() bool
+	giveUp    func()
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -30,8 +31,8 @@
 
 // newSilenceTimer returns a stopped timer. If it expires before the given time, it is extended,
 // unless the answer has begun or the target is suspected.
-func newSilenceTimer(until time.Time, now func() time.Time, suspected, giveUp func() bool) *silenceTimer {
-	s := &silenceTimer{until: until, now: now, suspected: suspected, giveUp: giveUp}
+func newSilenceTimer(until time.Time, now func() time.Time, suspected, mayGiveUp func() bool, giveUp func()) *silenceTimer {
+	s := &silenceTimer{until: until, now: now, suspected: suspected, mayGiveUp: mayGiveUp, giveUp: giveUp}
 	s.timer = time.AfterFunc(time.Hour, s.expired)
 	s.timer.Stop()
 	return s
@@ -67,15 +68,18 @@
 		return
 	}
 	left := s.until.Sub(s.now())
-	lost := left <= 0 || s.begun.Load() || s.suspected()
+	overdue := left <= 0 || s.begun.Load() || s.suspected()
+	lost := overdue && s.mayGiveUp()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.generation != generation:
-	case !lost:
-		s.arm(min(left, suspicionInterval))
-	case !s.giveUp():
+	case lost:
+		s.giveUp()
+	case overdue:
 		s.arm(suspicionInterval)
+	default:
+		s.arm(min(left, suspicionInterval))
 	}
 }
 
@@ -101,8 +105,8 @@
 	return min(fraction(a.FirstToken, patienceFactor), f.req.Deadline.Sub(now))
 }
 
-// givesUp reports whether an attempt whose target is silent is to be given up.
-func (n *Node) givesUp(a route.Attempt) bool {
+// mayGiveUp reports whether an attempt whose target is silent is to be given up.
+func (n *Node) mayGiveUp(a route.Attempt) bool {
 	n.Lock()
 	defer n.Unlock()
 	return n.Board().GiveUp(n.now(), a.Request, a.ID)
--- a/node/silence_test.go
+++ b/node/silence_test.go
@@ -26,9 +26,8 @@
 		t.Run(name, func(t *testing.T) {
 			begun := time.Now()
 			gaveUp := make(chan time.Duration, 1)
-			s := newSilenceTimer(begun.Add(c.patience), time.Now, func() bool { return c.suspected }, func() bool {
+			s := newSilenceTimer(begun.Add(c.patience), time.Now, func() bool { return c.suspected }, always, func() {
 				gaveUp <- time.Since(begun)
-				return true
 			})
 			s.begun.Store(c.begun)
 			s.Reset(idle)
@@ -47,7 +46,7 @@
 			asked, answer := make(chan bool), make(chan bool)
 			gaveUp := make(chan bool, 1)
 			s := newSilenceTimer(time.Now().Add(150*time.Millisecond), time.Now,
-				func() bool { asked <- true; return <-answer }, func() bool { gaveUp <- true; return true })
+				func() bool { asked <- true; return <-answer }, always, func() { gaveUp <- true })
 			s.Reset(time.Millisecond)
 			<-asked
 			s.Stop()
@@ -73,15 +72,14 @@
 		gaveUp := make(chan time.Duration, 1)
 		begun := time.Now()
 		s := newSilenceTimer(begun, time.Now, func() bool { return false }, func() bool {
-			if asked++; asked < 4 {
-				return false
-			}
-			gaveUp <- time.Since(begun)
-			return true
-		})
+			asked++
+			return asked >= 4
+		}, func() { gaveUp <- time.Since(begun) })
 		s.Reset(time.Second)
 		require.Equal(t, time.Second+3*suspicionInterval, <-gaveUp)
 		time.Sleep(time.Minute)
 		require.Equal(t, 4, asked, "the timer went on after the attempt was given up")
 	})
 }
+
+func always() bool { return true }
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -106,6 +106,7 @@
 		return append(b.endLocally(now, r, a, o), b.dispatch(now)...)
 	}
 	if o.Kind == OutcomeBroken {
+		o.Silent = o.Silent || !o.Closed && a.silentSince()
 		b.recordReleaseResult(now, r, a, true)
 	}
 	b.recordBroken(now, r, a, o)
--- a/route/board.go
+++ b/route/board.go
@@ -388,6 +388,7 @@
 func (b *Board) expire(now time.Time, r *request) []Action {
 	var out []Action
 	if r.attempt != nil {
+		b.recordSilence(now, r.attempt)
 		out = append(out, Cancel{Request: r.ID, Attempt: r.attempt.ID})
 		r.verdict = MayHaveRun
 	}
--- a/route/health.go
+++ b/route/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -25,15 +26,21 @@
 	return time.Duration(t.failedSends.value / (t.sends.value + 1) * float64(maxFailurePenalty))
 }
 
-// Unresponsive records that a target's machine accepts no new connection although no failure is
-// known.
-func (b *Board) Unresponsive(now time.Time, addr netip.AddrPort) []Action {
-	if t, ok := b.targets[addr]; ok {
+// Unresponsive records that a target's machine accepted no connection that was tried since the given
+// time. It has no effect if the target answered meanwhile.
+func (b *Board) Unresponsive(now time.Time, addr netip.AddrPort, since time.Time) []Action {
+	if t, ok := b.targets[addr]; ok && !t.answeredAt.After(since) {
 		b.markUnresponsive(now, t)
 	}
 	return nil
 }
 
+// Responds reports whether a target answered this router, or accepted a connection, a moment ago.
+func (b *Board) Responds(now time.Time, addr netip.AddrPort) bool {
+	t, ok := b.targets[addr]
+	return ok && now.Sub(t.answeredAt) < answerValidTime
+}
+
 // markUnresponsive marks a target as failing because it did not respond to this router.
 func (b *Board) markUnresponsive(now time.Time, t *target) {
 	t.unresponsiveAt = now
@@ -44,11 +51,13 @@
 // was unresponsive.
 func (b *Board) Reached(now time.Time, addr netip.AddrPort) []Action {
 	t, ok := b.targets[addr]
+	if ok {
+		t.answeredAt = now
+	}
 	if !ok || t.unresponsiveAt.IsZero() || t.suspectedAt.After(t.unresponsiveAt) {
 		return nil
 	}
 	t.unresponsiveAt = time.Time{}
-	t.answeredAt = now
 	b.recordRecovery(t)
 	return b.dispatch(now)
 }
@@ -100,15 +109,16 @@
 // stallTime is how long an attempt at a failing target may go without progress.
 const stallTime = 2 * time.Second
 
-// cancelStalled cancels stalled attempts at a failing target that are to be retried elsewhere, and
-// those at an incarnation that has ended.
+// cancelStalled cancels stalled attempts that are to be retried elsewhere than at a failing target, and
+// those at an incarnation that another one has replaced.
 func (b *Board) cancelStalled(now time.Time, t *target) []Action {
 	var out []Action
 	for _, a := range t.attempts {
 		if a.cancelled || now.Sub(a.progress) <= stallTime {
 			continue
 		}
-		if ended := !t.incarnation.Same(a.Incarnation); ended || t.failing && b.GiveUp(now, a.Request, a.ID) {
+		if t.replaced(a) || t.failing && b.GiveUp(now, a.Request, a.ID) {
+			b.recordSilence(now, a)
 			a.cancelled = true
 			out = append(out, Cancel{Request: a.Request, Attempt: a.ID})
 		}
@@ -116,6 +126,26 @@
 	return out
 }
 
+// replaced reports whether another incarnation is known to have replaced the one of an attempt.
+func (t *target) replaced(a *attempt) bool {
+	return t.incarnation != "" && a.Incarnation != "" && !t.incarnation.Same(a.Incarnation)
+}
+
+// silentSince reports whether the machine of an attempt's target stopped responding after the attempt
+// was sent, as far as this router found itself.
+func (a *attempt) silentSince() bool {
+	return a.target.unresponsiveAt.After(a.sent) && !a.target.answeredAt.After(a.target.unresponsiveAt)
+}
+
+// recordSilence records that an attempt ends at a target whose machine stopped responding or was
+// replaced: the request may have crashed it.
+func (b *Board) recordSilence(now time.Time, a *attempt) {
+	r, ok := b.requests[a.Request]
+	if ok && (a.silentSince() || a.target.replaced(a)) {
+		b.recordBroken(now, r, a, Outcome{Kind: OutcomeBroken, Silent: true})
+	}
+}
+
 // GiveUp reports whether an attempt whose target is silent is to be given up, and takes the retry
 // that follows from the budget. A sound target may be silent for a while and then complete its
 // answer. If the request cannot go to another target now, giving the attempt up would only end its
@@ -125,7 +155,7 @@
 	switch {
 	case a == nil, r.retryPaid:
 		return true
-	case !b.retryable(now, r), !b.hasOther(r, a.target), !b.spendRetry(now, &b.pools[r.Pool].retries):
+	case !b.retryable(now, r), !b.hasOther(now, r, a.target), !b.spendRetry(now, &b.pools[r.Pool].retries):
 		return false
 	}
 	r.retryPaid = true
@@ -139,8 +169,10 @@
 		!b.disabled.Has(Retrying) && !b.crashes.holds(now, r.Print)
 }
 
-// hasOther reports whether another target than t, which the request was not sent to yet, has capacity.
-func (b *Board) hasOther(r *request, t *target) bool {
+// hasOther reports whether another target than t, which the request was not sent to yet, can take it.
+func (b *Board) hasOther(now time.Time, r *request, t *target) bool {
 	p := b.pools[r.Pool]
-	return p.hasUsable(func(o *target) bool { return o != t && !r.tried[o.addr] && b.hasCapacity(o, p) })
+	return slices.ContainsFunc(b.candidates(now, p, r), func(c candidate) bool {
+		return c.target != t && !r.tried[c.target.addr] && b.hasCapacity(c.target, p)
+	})
 }
--- a/route/resend.go
+++ b/route/resend.go
@@ -33,7 +33,7 @@
 	if !ok || !b.resendInTime(now, r, c) {
 		return false
 	}
-	return b.spendRetry(now, &b.pools[r.Pool].retries)
+	return r.retryPaid || b.spendRetry(now, &b.pools[r.Pool].retries)
 }
 
 // acceptsResend reports whether a request that the target refused may go there once more. A target
@@ -71,6 +71,7 @@
 func (b *Board) resend(now time.Time, r *request, a *attempt) []Action {
 	t := a.target
 	r.resent++
+	r.retryPaid = false
 	detail := fmt.Sprintf("incarnation %s", t.incarnation)
 	if t.unconfirmed {
 		r.parked, r.parkedAt = t.incarnation, a.Target
--- a/transport/dial_test.go
+++ b/transport/dial_test.go
@@ -25,12 +25,7 @@
 	c, err := p.get(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	require.NoError(t, err)
 	defer c.discard()
-	rc, err := c.Conn.(*net.TCPConn).SyscallConn()
-	require.NoError(t, err)
-	var ms int
-	require.NoError(t, rc.Control(func(fd uintptr) { ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout) }))
-	require.NoError(t, err)
-	require.Equal(t, int(userTimeout.Milliseconds()), ms)
+	require.Equal(t, int(userTimeout.Milliseconds()), socketOption(t, c, syscall.IPPROTO_TCP, tcpUserTimeout))
 }
 
 // Guards against a dial function that hangs for longer than the dial timeout.
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -57,6 +57,12 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// NoResponse reports whether an error of opening a connection means that the target's machine did not
+// respond in time.
+func NoResponse(err error) bool {
+	return errors.Is(err, ErrUnresponsive) || errors.Is(err, context.DeadlineExceeded) || isTimeout(err)
+}
+
 // Pool holds the connections to targets.
 type Pool struct {
 	dialTimeout time.Duration
--- a/transport/send.go
+++ b/transport/send.go
@@ -215,6 +215,10 @@
 	}
 	x.done = true
 	x.stop()
+	if x.patient {
+		// What is still on its way then does not keep the closed connection for long.
+		_ = x.conn.setSilenceTimeouts(true)
+	}
 	x.conn.discard()
 	if x.wrote != nil {
 		<-x.wrote
--- a/transport/silent_target_test.go
+++ b/transport/silent_target_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -80,6 +81,18 @@
 			require.NoError(t, err)
 			require.Equal(t, "the answer", got)
 			require.Len(t, p.idle[req.Target], 1)
+			require.Equal(t, int(userTimeout.Milliseconds()), socketOption(t, p.idle[req.Target][0], syscall.IPPROTO_TCP, tcpUserTimeout))
+			require.Equal(t, 1, socketOption(t, p.idle[req.Target][0], syscall.SOL_SOCKET, syscall.SO_KEEPALIVE))
 		})
 	}
 }
+
+// socketOption returns an option of a connection's socket.
+func socketOption(t *testing.T, c *conn, level, name int) int {
+	rc, err := c.Conn.(*net.TCPConn).SyscallConn()
+	require.NoError(t, err)
+	value := 0
+	require.NoError(t, rc.Control(func(fd uintptr) { value, err = syscall.GetsockoptInt(int(fd), level, name) }))
+	require.NoError(t, err)
+	return value
+}
