node, route: a planned stop answers the requests that are left

150 ms before the process ends, what is left is refused as a request that may have run, and its attempts are cancelled.

--- a/node/stop.go
+++ b/node/stop.go
@@ -14,24 +14,39 @@
 	balancerLag = 3 * time.Second
 	// stopMargin is how long before the end of the grace period the process ends by itself.
 	stopMargin = 300 * time.Millisecond
+	// refusalTime is the part of stopMargin in which the requests that are left get their refusals.
+	refusalTime = 150 * time.Millisecond
 )
 
 // drain is the planned stop at the end of [Node.Run]. The node stops being ready and serves
 // requests for the balancer's lag. Then it refuses new requests as not run, since they could
-// outlast the grace period, and finishes those in flight.
+// outlast the grace period, and finishes those in flight. Requests that are not finished at its end
+// are refused as ones that may have run.
 func (n *Node) drain() {
 	n.stopping.Store(true)
 	n.events.Record(event.Event{Code: event.ProcessDraining})
 	end := time.Now().Add(n.settings().Bounds.Grace - stopMargin)
 	time.Sleep(min(balancerLag, n.settings().Bounds.Grace/2))
+	refusal := route.Refusal{Cause: route.CauseStopping, RetryAfter: minRetryAfter, Detail: "this node is stopping"}
 	n.Lock()
-	n.Board().Close(&route.Refusal{Cause: route.CauseStopping, RetryAfter: minRetryAfter, Detail: "this node is stopping"})
+	n.Board().Close(&refusal)
 	n.Unlock()
+	if n.drained(end) {
+		return
+	}
+	n.Do(func(b *route.Board, now time.Time) []route.Action { return b.EndAll(now, refusal) })
+	n.drained(time.Now().Add(refusalTime))
+}
+
+// drained waits until no request and no connection of a caller is left, and reports false at the end
+// of the wait.
+func (n *Node) drained(end time.Time) bool {
 	for time.Now().Before(end) {
 		n.callers.closeStale(time.Now(), time.Time{})
 		if n.Calls() == 0 && n.callers.count() == 0 {
-			return
+			return true
 		}
 		time.Sleep(tickInterval)
 	}
+	return false
 }
--- a/route/board.go
+++ b/route/board.go
@@ -384,15 +384,29 @@
 	return append(out, b.dispatch(now)...)
 }
 
+// EndAll ends all requests, queued or running, since this router is about to stop.
+func (b *Board) EndAll(now time.Time, why Refusal) []Action {
+	var out []Action
+	for _, r := range b.requests {
+		out = append(out, b.end(now, r, why.Cause, why.Detail)...)
+	}
+	return out
+}
+
 // expire ends a request at its deadline.
 func (b *Board) expire(now time.Time, r *request) []Action {
+	return b.end(now, r, CauseDeadline, "the request's time is over")
+}
+
+// end ends a request and cancels its attempt.
+func (b *Board) end(now time.Time, r *request, cause Cause, detail string) []Action {
 	var out []Action
 	if r.attempt != nil {
 		b.recordSilence(now, r.attempt)
 		out = append(out, Cancel{Request: r.ID, Attempt: r.attempt.ID})
 		r.verdict = MayHaveRun
 	}
-	return append(out, b.refuse(now, r, CauseDeadline, "the request's time is over")...)
+	return append(out, b.refuse(now, r, cause, detail)...)
 }
 
 // TargetView describes a target to operators.
