route, node: targets that were given up are probed again

A node that had been cut off from all targets refused its callers ("no target had room in time") for as long as it ran after the cut had healed: a failing target became healthy only by a report, an answer or the one probe right after an attempt failed. A list entry that does not change is no report, and no attempt goes to a failing target. On a board with one silent target 590 of 600 requests in the next minute were refused and it was never healthy again.

The board now names the failing targets that are due for a new connection (ProbesDue), with jitter, growing waits from 0.1 to 2 s and at most 40 probes a second; the node opens them and reports successes (Reached, which takes the time at which the probe began, so that one begun after peers' suspicion counts). A target that accepts and does not answer is held from 0.5 to 32 s and then gets one request at a time until an answer begins. As one target recovers, the others are probed within 250 ms.

--- a/node/crash.go
+++ b/node/crash.go
@@ -34,10 +34,11 @@
 func (n *Node) probeTarget(target netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := n.conns.CheckReachable(ctx, target)
+	began := n.now()
+	err := n.checkReachable(ctx, target)
 	switch {
 	case err == nil:
-		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
+		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target, began) })
 	case transport.ConnectionRefused(err):
 		n.reportCrashed(target)
 	default:
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -83,6 +83,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_config_fetches_total{end=%q}", end)).Inc()
 }
 
+// probed counts a probe of a target by result.
+func (c counters) probed(result probeResult) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_target_probes_total{result=%q}", result)).Inc()
+}
+
 // invalidEntry counts an invalid list entry in one reading.
 func (c counters) invalidEntry(f InvalidReason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_list_faults_total{fault=%q}", f)).Inc()
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -31,6 +31,9 @@
 // Arrive accepts a new request, which is sent, queued or refused immediately.
 func (b *Board) Arrive(now time.Time, req Request) []Action {
 	r := &request{Request: req, arrived: now, tried: make(map[netip.AddrPort]bool), index: -1, sample: b.rng.Float64()}
+	if p, ok := b.pools[r.Pool]; ok {
+		p.askedAt = now
+	}
 	if refusal := b.admit(now, r); refusal != nil {
 		b.emit(event.Event{
 			Code: event.RequestRefused, Request: r.ID, Org: r.Org, Route: r.Route, Tokens: r.promptTokens(),
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -23,6 +23,7 @@
 	a.firstToken, a.firstTokenAt = true, now
 	a.progress = now
 	a.target.answeredAt = now
+	a.target.reprobe.answerBegun()
 	if r.Model != nil {
 		b.pools[r.Pool].firstTokens.add(now.Sub(a.sent), a.target.minFirstToken(r))
 		b.pools[r.Pool].forecasts.observe(now, a.predicted, now.Sub(a.sent))
@@ -90,6 +91,7 @@
 	}
 	if o.Kind == OutcomeDone {
 		a.target.answeredAt = now
+		a.target.reprobe.answered()
 		if o.TargetError {
 			a.target.failedSends.add(now, 1)
 		} else {
@@ -201,6 +203,12 @@
 	if r, ok := b.requests[o.Request]; ok && a.Salt != "" {
 		b.prefixes.forget(r.chain(a.Weights), a.target.slot)
 	}
+	switch {
+	case o.Kind == OutcomeRefused || o.TargetError:
+		a.target.reprobe.answered()
+	case o.Kind == OutcomeBroken:
+		a.target.reprobe.lost(now, a.sent)
+	}
 	if o.Kind != OutcomeRefused && !a.cancelled && !o.TargetError {
 		b.recordTargetFailure(a.target)
 		if o.Silent {
--- a/route/board.go
+++ b/route/board.go
@@ -99,6 +99,8 @@
 	// of targets that are held back, as set last.
 	reserve TargetIndex
 	holding map[TargetKey]bool
+	// probeBudget bounds the probes of failing targets.
+	probeBudget bucket
 	// retiredAt is when unused targets were last unloaded.
 	retiredAt time.Time
 	// exposure is the share of the requests that a release on trial receives.
@@ -126,8 +128,10 @@
 	// throughput measures the cost of the requests sent while others wait, which is the pool's
 	// capacity.
 	throughput meter
-	// arrivals measures the rate of arriving requests.
+	// arrivals measures the rate of arriving requests. askedAt is when the last one arrived,
+	// including those that were refused on arrival.
 	arrivals meter
+	askedAt  time.Time
 	// learned is the prefill rate of the members, in tokens per second, or zero before the first
 	// observation. latency is the part of the time to a first token that does not depend on the
 	// prompt's length.
--- a/route/health.go
+++ b/route/health.go
@@ -31,19 +31,6 @@
 	b.markFailing(now, t, "it did not respond")
 }
 
-// Reached records that a target's machine accepted a new connection, so only the earlier connection
-// was unresponsive.
-func (b *Board) Reached(now time.Time, addr netip.AddrPort) []Action {
-	t, ok := b.targets[addr]
-	if !ok || t.unresponsiveAt.IsZero() || t.suspectedAt.After(t.unresponsiveAt) {
-		return nil
-	}
-	t.unresponsiveAt = time.Time{}
-	t.answeredAt = now
-	b.recordRecovery(t)
-	return b.dispatch(now)
-}
-
 // markFailing marks a target that appears to be down as failing until it responds again.
 func (b *Board) markFailing(now time.Time, t *target, why string) {
 	t.suspectedAt = now
@@ -66,8 +53,8 @@
 	return b.cancelStalled(now, t)
 }
 
-// recordTargetFailure counts a failure. Several in a row mark the target as failing until a poll
-// succeeds.
+// recordTargetFailure counts a failure. Several in a row mark the target as failing until a poll or
+// a probe succeeds.
 func (b *Board) recordTargetFailure(t *target) {
 	t.failures++
 	if t.failures < failuresToFail || t.failing {
@@ -80,6 +67,7 @@
 
 func (b *Board) recordRecovery(t *target) {
 	t.failures = 0
+	t.reprobe.recovered()
 	if !t.failing {
 		return
 	}
--- a/route/identity.go
+++ b/route/identity.go
@@ -80,6 +80,7 @@
 	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
 	t.peerSends = nil
 	t.suspectedAt, t.unresponsiveAt = time.Time{}, time.Time{}
+	t.reprobe = reprobe{}
 	t.endedAt, t.loadingUntil, t.ordered, t.endedReports = time.Time{}, time.Time{}, false, endedReports{}
 }
 
--- a/route/place.go
+++ b/route/place.go
@@ -106,6 +106,9 @@
 	judged := b.judgesAim(r)
 	for i := range cs {
 		c := &cs[i]
+		if c.target.onTrial() {
+			continue
+		}
 		memory := b.disabled.Has(MemoryBound) || c.target.hasMemory(now, p, r)
 		inTime := true
 		if judged {
--- a/route/silent_test.go
+++ b/route/silent_test.go
@@ -19,7 +19,7 @@
 	waiting := f.request("a", own)
 	require.Nil(t, f.place(waiting))
 	f.now = f.now.Add(5 * time.Millisecond)
-	require.Equal(t, []string{waiting.ID}, f.sentRequests(f.b.Reached(f.now, testAddr(0))))
+	require.Equal(t, []string{waiting.ID}, f.sentRequests(f.b.Reached(f.now, testAddr(0), f.now)))
 	require.Empty(t, f.b.State(f.now).Silent)
 }
 
@@ -29,9 +29,10 @@
 	f := newPartsBoard(t, 1)
 	a := f.place(f.request("a", own))
 	f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
+	began := f.now
 	f.now = f.now.Add(time.Millisecond)
 	m := TargetKey{testAddr(0), "0"}
 	f.b.MergePeers(f.now, map[string]PeerState{"p": {Silent: []UnresponsiveUpdate{{m, minUnresponsiveRouters}}}}, 2)
-	f.b.Reached(f.now, testAddr(0))
+	f.b.Reached(f.now, testAddr(0), began)
 	require.False(t, f.b.targets[testAddr(0)].usable())
 }
--- a/route/target.go
+++ b/route/target.go
@@ -102,6 +102,7 @@
 	// unresponsiveAt when this router observed that itself, and answeredAt when it last received an
 	// answer.
 	suspectedAt, unresponsiveAt, answeredAt time.Time
+	reprobe                                 reprobe
 	// sends and failedSends measure the attempts that ended here and those of them that failed.
 	sends, failedSends meter
 	// learned is the prefill rate observed in answers, in tokens per second; zero if there is none.
--- a/route/wait_test.go
+++ b/route/wait_test.go
@@ -102,7 +102,7 @@
 	}
 	require.Contains(t, got, other.ID)
 	require.NotContains(t, got, started.ID)
-	require.Equal(t, []string{started.ID}, f.sentRequests(f.b.Reached(f.now, testAddr(0))))
+	require.Equal(t, []string{started.ID}, f.sentRequests(f.b.Reached(f.now, testAddr(0), f.now)))
 }
 
 // TestUrgentFirst checks with seeded overloads that requests of higher priority are served at
