--- a/node/crash.go
+++ b/node/crash.go
@@ -36,28 +36,28 @@
 
 // probeTarget opens a connection to a target and reports the result to the board.
 func (n *Node) probeTarget(target netip.AddrPort) {
-	begun := n.now()
+	began := n.now()
 	var err error
 	for range probeAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		err = n.conns.CheckReachable(ctx, target)
+		err = n.checkReachable(ctx, target)
 		cancel()
-		if !transport.NoResponse(err) {
+		if probeResultOf(err) != probeSilent {
 			break
 		}
 	}
 	switch {
 	case err == nil:
-		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target) })
+		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Reached(now, target, began) })
 	case transport.ConnectionRefused(err):
 		n.reportCrashed(target)
-	case transport.NoResponse(err):
-		if n.now.Since(begun) > 2*probeAttempts*probeTimeout {
+	case probeResultOf(err) == probeSilent:
+		if n.now.Since(began) > 2*probeAttempts*probeTimeout {
 			// This process was suspended, or had no processor time.
 			return
 		}
-		n.conns.CloseIdleSince(target, begun)
-		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Unresponsive(now, target, begun) })
+		n.conns.CloseIdleSince(target, began)
+		n.Do(func(b *route.Board, now time.Time) []route.Action { return b.Unresponsive(now, target, began) })
 	default:
 		n.log.Debug("target accepts no new connection", "target", target, "error", err)
 	}
