route: a router that is cut off from a pool hands its requests to another one

Callers of a node that reaches no target of a pool got 503 ("no target had room in time", "tried too often") for as long as the cut lasted, while other nodes reached the same targets: a queued request could only wait for a target of this router's own.

The board now finds per pool that its own link is at fault: three targets in a row, or all of a smaller pool, gave no response to attempts, none that was sent later was answered, and a peer does not report the same. A request that is queued then becomes a Send with Attempt.Via. Its target is not on the board, so loads, caches, notices, limits of targets and crash evidence learn nothing from it. A cut-off router sends no notice, reports no unresponsive target and charges no crash; the first answer ends the cut and clears the marks that were set in it, so that no target stays failing for it.

Nothing calls SetHandoffPeers yet.

Measured: go test ./route -run HandoffFuzz -rapid.checks=3000 is green. Each of four faults put into the code (a broken handover counts as not run, the other router's verdict or its tries are dropped, a second hop) fails it, all but the last also TestHandoffOutcomes.

Tried: counting an answer to any attempt as a sign of a sound link; streams that live on while new connections are refused would have hidden the cut. Dropping the crash evidence of a cut-off router; it now waits for the target's next incarnation, as a request may indeed crash a whole pool. TestRetryBudget was red while the first send was told by the targets reached. TestMechanisms names the new last constant.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -17,33 +17,34 @@
 	SettingsRejected Code = 107
 	ProcessSuspended Code = 108
 
-	RequestArrived   Code = 201
-	RequestQueued    Code = 202
-	RequestPlaced    Code = 203
-	RequestAnswered  Code = 204
-	RequestRefused   Code = 205
-	AttemptRefused   Code = 206
-	AttemptBroken    Code = 207
-	RequestResumed   Code = 208
-	RequestRetried   Code = 209
-	CallerGone       Code = 210
-	ReplyDropped     Code = 211
-	ClaimTaken       Code = 212
-	ClaimReplayed    Code = 213
-	ClaimUnsettled   Code = 214
-	OutcomeRecorded  Code = 215
-	OutcomeUnsaved   Code = 216
-	AnswerUnfinished Code = 217
-	RequestFaulty    Code = 218
-	RequestLate      Code = 219
-	AttemptWithdrawn Code = 220
-	RequestHeld      Code = 221
-	RequestReleased  Code = 222
-	RequestSentLate  Code = 223
-	PoolSaturated    Code = 225
-	PoolDrained      Code = 226
-	CallerStalled    Code = 227
-	MemoryExhausted  Code = 228
+	RequestArrived    Code = 201
+	RequestQueued     Code = 202
+	RequestPlaced     Code = 203
+	RequestAnswered   Code = 204
+	RequestRefused    Code = 205
+	AttemptRefused    Code = 206
+	AttemptBroken     Code = 207
+	RequestResumed    Code = 208
+	RequestRetried    Code = 209
+	CallerGone        Code = 210
+	ReplyDropped      Code = 211
+	ClaimTaken        Code = 212
+	ClaimReplayed     Code = 213
+	ClaimUnsettled    Code = 214
+	OutcomeRecorded   Code = 215
+	OutcomeUnsaved    Code = 216
+	AnswerUnfinished  Code = 217
+	RequestFaulty     Code = 218
+	RequestLate       Code = 219
+	AttemptWithdrawn  Code = 220
+	RequestHeld       Code = 221
+	RequestReleased   Code = 222
+	RequestSentLate   Code = 223
+	PoolSaturated     Code = 225
+	PoolDrained       Code = 226
+	CallerStalled     Code = 227
+	MemoryExhausted   Code = 228
+	RequestHandedOver Code = 229
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -62,6 +63,8 @@
 	TargetCapacity  Code = 316
 	TargetNoticed   Code = 318
 	AttemptResent   Code = 319
+	PoolCutOff      Code = 320
+	PoolReached     Code = 321
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -148,6 +151,7 @@
 	{PoolDrained, "pool-drained", slog.LevelInfo, "The backlog of a saturated pool is gone; requests are no longer refused for it."},
 	{CallerStalled, "caller-stalled", slog.LevelInfo, "A caller took nothing of its answer for some seconds; the connection was closed and the attempt cancelled."},
 	{MemoryExhausted, "memory-exhausted", slog.LevelWarn, "Requests are refused because the memory for callers is in use; the detail has the bytes. The organisation is the one that holds most. Logged once while refusals last."},
+	{RequestHandedOver, "request-handed-over", slog.LevelInfo, "A request was handed over to another node, since this one is cut off from its pool; the target is that node's address."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was discovered."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target has a new incarnation; the state known of the previous one was discarded."},
@@ -166,6 +170,8 @@
 	{TargetCapacity, "target-capacity", slog.LevelInfo, "The prefill rate learned for a target now differs by another step from the middle of its pool, so that it becomes the first choice for more or fewer prompts; the detail has its weight and rate."},
 	{TargetNoticed, "target-noticed", slog.LevelInfo, "This process told the others what a request that a target did not run shows: another incarnation answers at its address, nothing listens there, it has other weights than expected, or it is carrying out an order. The detail has which, and the incarnation."},
 	{AttemptResent, "attempt-resent", slog.LevelInfo, "A request goes once more to the same target, which had refused it over its weights or its incarnation; the detail has what is expected now, and whether the request waits until the list names the incarnation."},
+	{PoolCutOff, "pool-cut-off", slog.LevelWarn, "No target of a pool responds to this process while other nodes reach them, so its requests are handed over; the detail has the pool."},
+	{PoolReached, "pool-reached", slog.LevelInfo, "A pool from which this process was cut off is reached again, or by no other node either; the detail has the pool and how long the cut lasted."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process uses a new revision of the configuration."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which makes it confirmed."},
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -30,7 +30,7 @@
 
 // Arrive accepts a new request, which is sent, queued or refused immediately.
 func (b *Board) Arrive(now time.Time, req Request) []Action {
-	r := &request{Request: req, arrived: now, tried: make(map[netip.AddrPort]bool), index: -1, sample: b.rng.Float64()}
+	r := &request{Request: req, arrived: now.Add(-req.Waited), tried: make(map[netip.AddrPort]bool), index: -1, sample: b.rng.Float64()}
 	if refusal := b.admit(now, r); refusal != nil {
 		b.emit(event.Event{
 			Code: event.RequestRefused, Request: r.ID, Org: r.Org, Route: r.Route, Tokens: r.promptTokens(),
@@ -42,6 +42,9 @@
 	b.requests[r.ID] = r
 	b.emit(event.Event{Code: event.RequestArrived, Request: r.ID, Org: r.Org, Route: r.Route, Tokens: r.promptTokens(), Revision: b.snap.Revision})
 	r.queueDeadline = now.Add(b.maxQueueTime(r))
+	if r.HandedOver {
+		r.queueDeadline = b.retryQueueDeadline(now, r)
+	}
 	r.urgent = b.Urgent(r.Pool, r.Aim) && !r.AimAssumed
 	r.cost = b.cost(r)
 	b.pools[r.Pool].arrivals.add(now, 1)
@@ -75,12 +78,17 @@
 	if oversized := b.oversizedRefusal(p, r); oversized != nil {
 		return oversized
 	}
-	if backoff := b.backoffRefusal(now, p, r); backoff != nil {
-		return backoff
-	}
-	if refusal := b.queueRefusal(now, p, r); refusal != nil {
+	if refusal := b.cutOffRefusal(p, r); refusal != nil {
 		return refusal
 	}
+	if !b.cutOff(now, p) {
+		if backoff := b.backoffRefusal(now, p, r); backoff != nil {
+			return backoff
+		}
+		if refusal := b.queueRefusal(now, p, r); refusal != nil {
+			return refusal
+		}
+	}
 	if refusal := b.admitOrg(now, r); refusal != nil {
 		return refusal
 	}
@@ -128,6 +136,9 @@
 	for _, p := range b.pools {
 		if p.queue.n > 0 {
 			b.saturated(now, p)
+			if b.cutOff(now, p) {
+				out = append(out, b.handOver(now, p)...)
+			}
 		}
 		for p.queue.n > 0 {
 			actions := b.sendNext(now, p)
@@ -214,7 +225,7 @@
 		p.throughput.add(now, r.cost)
 	}
 	b.countRelease(p, c.target)
-	if r.tries == 0 {
+	if r.tries == r.handoffs && r.peerTries == 0 && !r.Sent {
 		b.earnRetry(now, &p.retries)
 	}
 	a := &attempt{
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -23,6 +23,10 @@
 	a.firstToken, a.firstTokenAt = true, now
 	a.progress = now
 	a.target.answeredAt = now
+	if a.Via.IsValid() {
+		return nil
+	}
+	b.targetAnswered(now, a.target, a.sent)
 	if r.Model != nil {
 		b.pools[r.Pool].firstTokens.add(now.Sub(a.sent), a.target.minFirstToken(r))
 		b.pools[r.Pool].forecasts.observe(now, a.predicted, now.Sub(a.sent))
@@ -79,7 +83,11 @@
 	if a == nil {
 		return nil
 	}
+	if a.Via.IsValid() {
+		return append(b.handoffEnded(now, r, a, o), b.dispatch(now)...)
+	}
 	b.detachAttempt(now, r, a)
+	b.observeLink(now, a, o)
 	if o.Delivered {
 		r.delivered = true
 		r.weights = a.Weights
@@ -133,6 +141,11 @@
 func (b *Board) detachAttempt(now time.Time, r *request, a *attempt) {
 	t := a.target
 	delete(t.attempts, a.ID)
+	if a.Via.IsValid() {
+		r.attempt = nil
+		b.handoffs.detach(a.Via)
+		return
+	}
 	b.endFill(a)
 	t.tokens -= r.size()
 	if !a.firstToken {
@@ -250,7 +263,7 @@
 	if r.MaxTries == 0 || r.tries >= maxTries {
 		return r.tries
 	}
-	return r.tries - r.unsent - r.resent
+	return r.countedSends()
 }
 
 // maxAllowedTries returns the number of attempts that the request may make.
@@ -287,7 +300,7 @@
 	}
 	b.emit(event.Event{Code: code, Request: r.ID, Org: r.Org, Route: r.Route, Tokens: r.promptTokens(), Detail: cause.String() + ", " + r.verdict.String() + ": " + detail})
 	return []Action{Refuse{Request: r.ID, Refusal: Refusal{
-		Cause: cause, Verdict: r.verdict, RetryAfter: b.retryAfter(now, r), Detail: detail,
+		Cause: cause, Verdict: r.verdict, RetryAfter: b.retryAfter(now, r), Detail: detail, Tries: r.countedSends(),
 	}}}
 }
 
--- a/route/board.go
+++ b/route/board.go
@@ -95,6 +95,8 @@
 	notices targetNotices
 	// rollouts holds the newest roll-out of each pool.
 	rollouts map[string]*rollout
+	// handoffs is the state of handing requests over to other routers.
+	handoffs handoffs
 	// reserve is the index from which the targets of large pools are loaded. holding is the set
 	// of targets that are held back, as set last.
 	reserve TargetIndex
@@ -149,6 +151,8 @@
 	retries   retryBudget
 	// joint is the demand for the pool at all routers.
 	joint jointDemand
+	// link is what was observed of the path to the members.
+	link poolLink
 	// releases holds every release seen among the pool's targets. newest is the one seen last,
 	// which gets no requests until newestFrom.
 	releases   map[string]bool
@@ -244,6 +248,7 @@
 		minRetryAfter: defaultMinRetryAfter,
 		onPlaced:      func(PlacementReport) {},
 		crashes:       newCrashTracker(),
+		handoffs:      newHandoffs(),
 		returns:       newGenerationalMap[Fingerprint, promise](maxReturns),
 		reserve:       noTargetIndex{},
 		rollouts:      make(map[string]*rollout),
--- a/route/crash.go
+++ b/route/crash.go
@@ -216,6 +216,14 @@
 
 // TargetCrashed records that nothing listens at a target's address.
 func (b *Board) TargetCrashed(now time.Time, addr netip.AddrPort) []Action {
+	if t, ok := b.targets[addr]; ok {
+		b.targetDark(now, t, now)
+		if b.cutOffFrom(now, t) {
+			// This router's own path may be at fault. A crash shows by the target's next incarnation.
+			b.markEnded(now, t, "nothing listens at its address, nor at those of others")
+			return b.dispatch(now)
+		}
+	}
 	b.noticeEnded(now, addr)
 	for len(b.crashes.broken[addr]) > 0 {
 		b.recordIncarnationCrash(now, b.crashes.broken[addr][0].target)
--- a/route/health.go
+++ b/route/health.go
@@ -35,6 +35,9 @@
 // was unresponsive.
 func (b *Board) Reached(now time.Time, addr netip.AddrPort) []Action {
 	t, ok := b.targets[addr]
+	if ok {
+		b.targetAnswered(now, t, now)
+	}
 	if !ok || t.unresponsiveAt.IsZero() || t.suspectedAt.After(t.unresponsiveAt) {
 		return nil
 	}
--- a/route/limit.go
+++ b/route/limit.go
@@ -164,7 +164,7 @@
 	if r.Org == "" {
 		return nil
 	}
-	if r.Charge == (Charge{}) {
+	if r.Charge == (Charge{}) && !r.HandedOver {
 		size := r.promptTokens() + r.MaxTokens
 		charge, refusal := b.Charge(now, r.Org, size, b.Urgent(r.Pool, r.Aim))
 		if refusal != nil {
@@ -177,7 +177,7 @@
 		return &Refusal{Cause: CauseLimit, Detail: "the organisation is not configured any more"}
 	}
 	o := b.orgState(r.Org)
-	if most := org.Limits.InFlight; most > 0 && o.inFlight >= shareOf(most, o.share) {
+	if most := org.Limits.InFlight; most > 0 && !r.HandedOver && o.inFlight >= shareOf(most, o.share) {
 		return &Refusal{Cause: CauseLimit, RetryAfter: b.minRetryAfter, Detail: "limit on requests in flight"}
 	}
 	o.inFlight++
--- a/route/mechanism.go
+++ b/route/mechanism.go
@@ -91,6 +91,8 @@
 	JointShares
 	// ReturnTimes lets requests that return when a refusal advised it go before new ones.
 	ReturnTimes
+	// HandingOver hands requests over to other routers while this one is cut off from the targets.
+	HandingOver
 )
 
 // mechanismNames are the names in settings, in the order of the constants.
@@ -99,7 +101,7 @@
 	"retrying", "resuming", "newest-weights", "distance", "failure-price", "silent-words", "await-reading",
 	"pool-rate", "await-best", "placed-words", "holder-homes", "recent-words", "pairs", "least-loaded",
 	"others-entries", "limit-account", "capacity", "aim-admission", "resend-same-target", "weights-notices", "urgent-room",
-	"joint-admission", "predicted-patience", "bounded-price", "spread-choices", "joint-shares", "return-times",
+	"joint-admission", "predicted-patience", "bounded-price", "spread-choices", "joint-shares", "return-times", "handing-over",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/route/peers.go
+++ b/route/peers.go
@@ -49,6 +49,8 @@
 	RatesDropped int
 	// Pools is the demand for saturated pools by organisation and priority.
 	Pools []PoolDemand
+	// CutOff are the pools of which no target responds to this router.
+	CutOff []string
 }
 
 // Load is what a router has in flight at a target.
@@ -225,6 +227,7 @@
 	}
 	s.Rates, s.RatesDropped = b.rateUpdates(now)
 	s.Silent = b.unresponsiveTargets(now)
+	s.CutOff = b.unreachablePools()
 	s.Rollouts = b.Rollouts(now)
 	s.Notices = b.noticeUpdates(now)
 	s.Pools = b.poolDemands(now)
--- a/route/request.go
+++ b/route/request.go
@@ -64,6 +64,11 @@
 	ResumeAnywhere bool
 	// Resumable allows resuming an interrupted answer at another target.
 	Resumable bool
+	// HandedOver is set if another router handed the request over, which has charged it to limits.
+	// Waited is how long that router had it, and Sent is set if a target has received it before.
+	HandedOver bool
+	Waited     time.Duration
+	Sent       bool
 }
 
 // Salt returns the salt of the request's cached blocks under the given weights.
@@ -107,6 +112,13 @@
 	FirstToken time.Duration
 	// Reason describes the placement to operators.
 	Reason string
+	// Via is the router that the request is handed over to; it is invalid if the request is sent to
+	// a target. Tries is how many targets that router may send it to, Waited how long this router
+	// had the request, and Sent is set if a target has received it before.
+	Via    netip.AddrPort
+	Tries  int
+	Waited time.Duration
+	Sent   bool
 }
 
 // Action is an instruction from the board to its caller.
@@ -188,6 +200,16 @@
 	panic("route: unknown cause")
 }
 
+// ParseCause returns the cause with the given name; ok is false if there is none.
+func ParseCause(name string) (c Cause, ok bool) {
+	for c := range CauseMemory + 1 {
+		if c.String() == name {
+			return c, true
+		}
+	}
+	return 0, false
+}
+
 // Refusal is the final answer to a failed request.
 type Refusal struct {
 	Cause   Cause
@@ -196,6 +218,8 @@
 	// that it should not repeat it.
 	RetryAfter time.Duration
 	Detail     string
+	// Tries is the number of targets that the request was sent to.
+	Tries int
 }
 
 // OutcomeKind classifies the end of an attempt.
@@ -259,6 +283,8 @@
 	Backoff time.Duration
 	// Weights are the weights of the request's model that the target stated, if any.
 	Weights string
+	// Handoff is the refusal of the router that the request was handed over to, if it sent one.
+	Handoff *HandoffRefusal
 	Detail  string
 }
 
@@ -278,6 +304,9 @@
 	index     int
 	tries     int
 	unsent    int
+	// handoffs counts how often the request was handed over, peerTries the targets that received it
+	// from other routers.
+	handoffs, peerTries int
 	// resent counts the attempts at a target that had refused the request before. parked is the
 	// incarnation at parkedAt that the request waits for meanwhile.
 	resent   int
--- a/route/silent.go
+++ b/route/silent.go
@@ -29,7 +29,7 @@
 		if t.listed {
 			listed++
 		}
-		if !t.unresponsiveAt.IsZero() && now.Sub(t.unresponsiveAt) < unresponsiveReportTime {
+		if !t.unresponsiveAt.IsZero() && !b.cutOffFrom(now, t) && now.Sub(t.unresponsiveAt) < unresponsiveReportTime {
 			out = append(out, UnresponsiveUpdate{t.key(), 1})
 		}
 	}
