node, peer: requests of a node that is cut off from its targets go by way of another

Callers of a node whose links to all targets of a pool hang, are reset or refuse new connections were refused for as long as the cut lasted: none of their first tries was served (TestCutOffNodeServes, 10 of 12 cases).

The node sends a request that its board hands over to the peers' listener of another node, on a connection that begins with a preface that no call begins with. That node checks configuration, route and key itself, charges no limits, never hands it on, and serves it within its memory budget and 128 such requests a core; events go through at once. What a refusal says of the request travels in headers that are dropped from what callers and targets send. The closing of a connection reaches through to the target. A node tells by gossip, or in the roster of a large fleet, that it takes requests; one of an older release does not and is never asked. A target of a pool that is cut off is probed each half second.

From 1.5 s after the cut began 100 of 100 to 300 of 300 first tries at the cut-off nodes are served in each of the 12 cases, with three of four nodes cut off, and in a fleet that reports to relays; at the moment of the cut up to two of 143 fail, streams that may not be resumed or an answer that was reset. TestCutOffNodeRecovers is green in its 5 cases (100 of 100), TestCutOffEnds shows that the node then uses its own links. With all nodes cut off 120 of 120 are refused as not run, as before.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -22,6 +22,8 @@
 	// Power is its capacity for work relative to the other members. A member with zero power never
 	// acts as a relay and owns no numbers.
 	Power float64
+	// TakesHandoffs is set if it serves requests that others hand over.
+	TakesHandoffs bool
 }
 
 // The number of relays of a fleet. With three, two may fail at the same time. Each relay answers
--- a/node/callers.go
+++ b/node/callers.go
@@ -77,6 +77,8 @@
 	memory *reservation
 	// charge is the amount charged to the limits of the organisation.
 	charge route.Charge
+	// handed is set if another node handed the request over.
+	handed *handedRequest
 }
 
 // handleCall serves one request of a caller.
@@ -100,7 +102,12 @@
 		return
 	}
 	v.info = ask
-	if !n.admit(v) || !n.reserveMemory(v) {
+	n.serveCall(v)
+}
+
+// serveCall serves a request whose header was read.
+func (n *Node) serveCall(v *callerRequest) {
+	if !n.admit(v) || !n.admitHanded(v) || !n.reserveMemory(v) {
 		return
 	}
 	defer func() { v.memory.release(n.now()) }()
@@ -117,7 +124,7 @@
 // charge charges the request to the limits of its organisation, or refuses it. The header carries
 // the token count, so a request over the limit is refused before its body is read.
 func (n *Node) charge(v *callerRequest) bool {
-	if v.org == nil {
+	if v.org == nil || v.handed != nil {
 		return true
 	}
 	n.Lock()
@@ -225,6 +232,11 @@
 
 // rejectInvalid answers an invalid request.
 func (n *Node) rejectInvalid(v *callerRequest, status int, text string) {
+	if v.handed != nil {
+		// The other node accepted the request, so the two do not have the same configuration.
+		n.refuse(v, route.Refusal{Cause: route.CauseChanged, RetryAfter: minRetryAfter, Detail: http.StatusText(status) + ": " + text})
+		return
+	}
 	n.counters.badRequests.Inc()
 	n.events.Record(event.Event{Code: event.RequestFaulty, Request: v.info.ID, Detail: http.StatusText(status) + ": " + text, Revision: revisionOf(v.snap)})
 	n.protocol.WriteBadRequest(v.w, status, text)
@@ -251,7 +263,7 @@
 		e.Org = v.org.Name
 	}
 	n.events.Record(e)
-	n.protocol.WriteRefusal(v.w, f)
+	n.writeRefusal(v, f)
 }
 
 var errTooLarge = errs.Tag("the body is too large")
--- a/node/cutoff_harness_test.go
+++ b/node/cutoff_harness_test.go
@@ -69,6 +69,8 @@
 	engines   []*platformtest.Replica
 	plain     []*platformtest.Replica
 	nodes     []*cutoffNode
+	// options are further options of the nodes.
+	options []node.Option
 
 	mu    sync.Mutex
 	calls []cutoffCall
@@ -95,11 +97,11 @@
 
 // startCutoffFleet starts a platform and nodes, and waits until the nodes are ready. Its test runs in
 // parallel to others of this harness.
-func startCutoffFleet(t *testing.T, nodes int, heartbeat time.Duration) *cutoffFleet {
+func startCutoffFleet(t *testing.T, nodes int, heartbeat time.Duration, opts ...node.Option) *cutoffFleet {
 	t.Parallel()
 	fleetSlots <- struct{}{}
 	t.Cleanup(func() { <-fleetSlots })
-	f := &cutoffFleet{t: t, heartbeat: heartbeat, store: platformtest.NewStore(), log: new(platformtest.RunLog)}
+	f := &cutoffFleet{t: t, heartbeat: heartbeat, options: opts, store: platformtest.NewStore(), log: new(platformtest.RunLog)}
 	t.Cleanup(f.store.Close)
 	for i := range engineCount {
 		f.engines = append(f.engines, f.startReplica(fmt.Sprintf("e%d", i), engineName,
@@ -176,8 +178,8 @@
 	countCall := func(string) {}
 	store := platform.NewStore(n.store, countCall)
 	engines := platform.NewEngines(countCall, platform.WithDial(n.link.dial))
-	running, err := node.New(n.settings(seeds, f.heartbeat), store, platform.Protocol{}, engines, node.WithTargetDial(n.link.dial),
-		node.WithLogger(slog.New(slog.NewTextHandler(&n.out, nil))))
+	opts := append([]node.Option{node.WithTargetDial(n.link.dial), node.WithLogger(slog.New(slog.NewTextHandler(&n.out, nil)))}, f.options...)
+	running, err := node.New(n.settings(seeds, f.heartbeat), store, platform.Protocol{}, engines, opts...)
 	require.NoError(f.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- a/node/forward.go
+++ b/node/forward.go
@@ -41,6 +41,8 @@
 	// was sent to the caller, both since the arrival of the request.
 	sentAfter  time.Duration
 	firstAfter time.Duration
+	// handedOver is set during an attempt by way of another node.
+	handedOver bool
 }
 
 // bufferedAnswer is a response that was read completely.
@@ -53,6 +55,9 @@
 // forward forwards an admitted request and sends the answer.
 func (n *Node) forward(v *callerRequest) {
 	f := &forwarding{n: n, v: v, req: n.request(v), head: callerHeader(v.r.Header)}
+	if v.handed != nil {
+		f.lastEvent = v.handed.lastEvent
+	}
 	n.recordAges(n.now())
 	n.queryHolders(v.r.Context(), f.req)
 	c := dispatch.NewCallWithID(v.info.ID)
@@ -79,7 +84,7 @@
 	case f.fallback != nil:
 		f.writeBuffered(f.fallback)
 	default:
-		n.protocol.WriteRefusal(v.w, *refusal)
+		n.writeRefusal(v, *refusal)
 	}
 }
 
@@ -132,6 +137,7 @@
 	if n.disabled.Has(route.Urgency) {
 		req.Priority = 0
 	}
+	v.applyHanded(n.now(), &req)
 	if m, _, ok := v.snap.Model(v.info.Model); ok && m.Pool == req.Pool {
 		req.Model = m
 	}
@@ -196,6 +202,7 @@
 	for _, name := range connectionHeaders {
 		out.Del(name)
 	}
+	dropHandoffHeaders(out)
 	return out
 }
 
@@ -233,6 +240,9 @@
 	}
 	now := f.n.now()
 	f.sentAfter = now.Sub(f.v.receivedAt)
+	if a.Via.IsValid() {
+		return f.handOver(ctx, a, out)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := newSilenceTimer(now.Add(f.patience(a, now)), f.n.now, func() bool { return f.n.suspected(a) },
@@ -314,7 +324,7 @@
 func (f *forwarding) call(a route.Attempt, now time.Time) transport.Request {
 	h := f.head.Clone()
 	s := AttemptInfo{Attempt: a, Org: f.req.Org, Remaining: f.req.Deadline.Sub(now), Priority: f.req.Priority}
-	if a.Resume {
+	if a.Resume || f.v.handed != nil {
 		s.LastEvent = f.lastEvent
 	}
 	f.n.protocol.Header(h, s)
@@ -330,6 +340,11 @@
 	if out.Kind = route.OutcomeBroken; errors.Is(err, transport.ErrUnsent) {
 		out.Kind = route.OutcomeUnsent
 	}
+	out.Delivered, out.Detail = f.started, err.Error()
+	if f.handedOver {
+		// The target stands for another node.
+		return out
+	}
 	if out.Silent = errors.Is(err, transport.ErrUnresponsive); out.Silent && out.Kind != route.OutcomeUnsent {
 		f.n.probeUnresponsive(target)
 	}
@@ -340,8 +355,6 @@
 		out.Closed = true
 		f.n.probeClosed(target)
 	}
-	out.Delivered = f.started
-	out.Detail = err.Error()
 	return out
 }
 
@@ -359,7 +372,7 @@
 		f.n.memory.countAnswer(f.req.Route, min(maxBufferedAnswer, max(resp.Size, int64(len(data)))))
 	}
 	out.TargetError = resp.Status >= http.StatusInternalServerError
-	again := out.TargetError && f.req.Repeatable && (f.started || a.Number < f.req.MaxTries)
+	again := out.TargetError && !f.handedOver && f.req.Repeatable && (f.started || a.Number < f.req.MaxTries)
 	switch {
 	case errors.Is(err, errNoMemory) && !f.started && !f.req.Resumable && !again:
 		timer.Stop()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,8 @@
 	memoryRefusals, passedThrough, stalledCallers *metrics.Counter
 	// idleClosed counts the idle connections that were closed for want of memory.
 	idleClosed *metrics.Counter
+	// handedTaken counts the requests that other nodes handed over.
+	handedTaken *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -54,6 +56,7 @@
 		passedThrough:  set.NewCounter("pathhead_unbuffered_answers_total"),
 		stalledCallers: set.NewCounter("pathhead_stalled_callers_total"),
 		idleClosed:     set.NewCounter("pathhead_idle_connections_closed_total"),
+		handedTaken:    set.NewCounter("pathhead_handed_requests_total"),
 	}
 }
 
@@ -63,6 +66,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_attempts_total{outcome=%q}", k)).Inc()
 }
 
+// handedOver counts an attempt by way of another node.
+func (c counters) handedOver(k route.OutcomeKind) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_handoffs_total{outcome=%q}", k)).Inc()
+}
+
 func (c counters) refused(f route.Refusal) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_requests_total{end=%q,verdict=%q}", f.Cause, f.Verdict)).Inc()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,10 @@
 	protocol Protocol
 	engines  Engines
 	conns    *transport.Pool
+	// handoffs holds the connections to other nodes for requests that are handed over, handed serves
+	// those that other nodes hand over.
+	handoffs *transport.Pool
+	handed   *handoffServer
 	peers    *peer.Client
 	gossip   *peer.Gossip
 	crashes  *peer.CrashGossip
@@ -207,6 +211,8 @@
 		n.peers = peer.NewClient(peerCallTimeout, nil, peer.WithObserver(n.countPeerBytes))
 	}
 	n.conns = transport.NewPool(append(n.connOptions, transport.WithOpened(n.counters.opened.Inc), transport.WithMaxConns(n.maxConns), transport.WithClock(n.now))...)
+	n.handoffs = transport.NewPool(transport.WithDial(dialHandoff), transport.WithClock(n.now))
+	n.handed = newHandoffServer()
 	board := route.NewBoard(
 		route.WithSeed(seed),
 		route.WithRouters(len(s.Seeds)),
@@ -337,6 +343,7 @@
 	servers.Wait()
 	n.peers.Close()
 	n.conns.Close()
+	n.handoffs.Close()
 	n.events.Record(event.Event{Code: event.ProcessStopped})
 	return err
 }
@@ -358,7 +365,8 @@
 			return door.HTTP(set.Callers, n.callersServer(), nil, n.log, door.WithConnWrapper(n.callers.track))
 		},
 		func() (door.Listener, error) { return n.internalDoor(set.Readiness, http.HandlerFunc(n.handleReady)) },
-		func() (door.Listener, error) { return peer.Open(set.Peers, nil, n) },
+		func() (door.Listener, error) { return peer.Open(set.Peers, nil, n, peer.WithHandoffs(n.handed.take)) },
+		n.handoffDoor,
 	}
 	if n.metricsAddr.IsValid() {
 		openers = append(openers, func() (door.Listener, error) { return n.internalDoor(n.metricsAddr, n.operatorsHandler()) })
--- a/node/peers.go
+++ b/node/peers.go
@@ -22,6 +22,7 @@
 			every = n.gossip.Period(gossipInterval)
 		}
 		n.updateBoard()
+		n.probeLinks()
 	}
 }
 
@@ -64,6 +65,8 @@
 		Power:    n.settings().Power,
 		Word:     n.adoption.Status(now),
 		State:    state,
+
+		TakesHandoffs: !n.disabled.Has(route.HandingOver),
 	}
 }
 
@@ -115,7 +118,9 @@
 		states[allOthers] = others
 		loaded = append(loaded, others.Loaded...)
 	}
+	takers := n.handoffPeers(large)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
+		b.SetHandoffPeers(now, takers)
 		holds, pending, own := n.weights.announcement()
 		for _, m := range holds {
 			held[m] = true
--- a/node/relay.go
+++ b/node/relay.go
@@ -79,7 +79,7 @@
 func newRelays(n *Node) *relays {
 	s := n.settings()
 	now := n.now()
-	self := fleet.Member{ID: s.Name, Addr: s.Peers, Zone: s.Zone, Epoch: now.UnixNano(), Power: s.Power}
+	self := fleet.Member{ID: s.Name, Addr: s.Peers, Zone: s.Zone, Epoch: now.UnixNano(), Power: s.Power, TakesHandoffs: !n.disabled.Has(route.HandingOver)}
 	return &relays{
 		n:       n,
 		roster:  fleet.NewRoster(now, self, rosterTimeout, fleet.WithStateAging(route.PeerState.Aged)),
@@ -119,7 +119,7 @@
 	r.large, r.largeAt = true, now
 	r.n.gossip.SuppressPeerEvents(true)
 	for _, e := range live {
-		r.roster.Hint(now, fleet.Member{ID: e.ID, Addr: e.Addr, Zone: e.Payload.Zone, Epoch: e.Epoch, Power: e.Payload.Power})
+		r.roster.Hint(now, fleet.Member{ID: e.ID, Addr: e.Addr, Zone: e.Payload.Zone, Epoch: e.Epoch, Power: e.Payload.Power, TakesHandoffs: e.Payload.TakesHandoffs})
 	}
 }
 
--- a/node/watch.go
+++ b/node/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -227,6 +228,7 @@
 			n.events.Record(event.Event{Code: event.ProcessSuspended, Detail: "for " + d.Round(time.Millisecond).String()})
 		}
 		n.conns.Sweep(n.list.has)
+		n.handoffs.Sweep(func(netip.AddrPort) bool { return true })
 		now, limits := time.Now(), n.callerLimits()
 		n.callers.closeStale(now.Add(-limits.IdleTime), now.Add(-limits.HeaderTime))
 		n.counters.idleClosed.Add(n.callers.closeExcessIdle(now, n.memory.idleConns()))
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -35,6 +35,8 @@
 	Power float64
 	Word  fleet.ConfigStatus
 	State route.PeerState
+	// TakesHandoffs is set if the process serves requests that others hand over.
+	TakesHandoffs bool
 }
 
 // Entry is the gossip entry of one process.
@@ -127,19 +129,23 @@
 }
 
 // Open opens the listener for peers; cfg is nil for plain TCP.
-func Open(addr netip.AddrPort, cfg *tls.Config, h Handler) (door.Listener, error) {
+func Open(addr netip.AddrPort, cfg *tls.Config, h Handler, opts ...ServeOption) (door.Listener, error) {
 	l, err := door.Listen(addr, cfg)
 	if err != nil {
 		return door.Listener{}, err
 	}
 	return door.Listener{
-		Serve: func() error { return Serve(l, h) },
+		Serve: func() error { return Serve(l, h, opts...) },
 		Close: func() { l.Close() },
 	}, nil
 }
 
 // Serve answers peers on a listener until it is closed, and then closes their connections.
-func Serve(l net.Listener, h Handler) error {
+func Serve(l net.Listener, h Handler, opts ...ServeOption) error {
+	var set serveSettings
+	for _, opt := range opts {
+		opt(&set)
+	}
 	server := rpc.NewServer()
 	if err := server.RegisterName(peerName, peerService{handler: h, packed: new(packer)}); err != nil {
 		return errs.Wrap(err)
@@ -169,7 +175,7 @@
 		conns[c] = true
 		mu.Unlock()
 		wg.Go(func() {
-			server.ServeConn(c)
+			set.serve(server, c)
 			mu.Lock()
 			defer mu.Unlock()
 			delete(conns, c)
