--- a/node/pass_through_test.go
+++ b/node/pass_through_test.go
@@ -42,7 +42,7 @@
 	w := httptest.NewRecorder()
 	v := &callerRequest{w: w, r: httptest.NewRequest(http.MethodPost, "/x", nil), receivedAt: n.now(), route: &policy.Route{}}
 	v.memory = &reservation{budget: n.memory, org: "a", since: n.now()}
-	return &forwarding{n: n, v: v, probe: time.NewTimer(time.Hour)}, w
+	return &forwarding{n: n, v: v}, w
 }
 
 // An answer that is sent on as it arrives, for want of memory, may pause for longer than an attempt
--- a/node/stream.go
+++ b/node/stream.go
@@ -48,7 +48,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			f.heard()
-			f.probe.Reset(probeSilence)
+			f.delayProbe()
 		}
 		buffered = append(buffered, buf[:n]...)
 		complete := completeEvents(buffered)
--- a/route/health.go
+++ b/route/health.go
@@ -30,6 +30,7 @@
 // time. It has no effect if the target answered meanwhile.
 func (b *Board) Unresponsive(now time.Time, addr netip.AddrPort, since time.Time) []Action {
 	if t, ok := b.targets[addr]; ok && !t.answeredAt.After(since) {
+		b.targetDark(now, t, now)
 		b.markUnresponsive(now, t)
 	}
 	return nil
@@ -155,9 +156,14 @@
 		!b.disabled.Has(Retrying) && !b.crashes.holds(now, r.Print)
 }
 
-// hasOther reports whether another target than t, which the request was not sent to yet, can take it.
+// hasOther reports whether another target than t, which the request was not sent to yet, can take it,
+// or another router if this one is cut off.
 func (b *Board) hasOther(now time.Time, r *request, t *target) bool {
 	p := b.pools[r.Pool]
+	if b.cutOff(now, p) {
+		_, ok := b.chooseHandoffPeer(now, p)
+		return ok && r.mayBeHandedOver()
+	}
 	return slices.ContainsFunc(b.candidates(now, p, r), func(c candidate) bool {
 		return c.target != t && !r.tried[c.target.addr] && b.hasCapacity(c.target, p)
 	})
--- a/route/reprobe.go
+++ b/route/reprobe.go
@@ -134,9 +134,11 @@
 // target had accepted a connection.
 func (b *Board) Reached(now time.Time, addr netip.AddrPort, began time.Time) []Action {
 	t, ok := b.targets[addr]
-	switch {
-	case !ok:
+	if !ok {
 		return nil
+	}
+	b.targetAnswered(now, t, now)
+	switch {
 	case !t.failing && t.unresponsiveAt.IsZero():
 		t.answeredAt = now
 		return nil
