route: divide the slots of targets that announce that they are brittle

What callers would see: targets that say that they fall over when they reject more than N requests a second, from all nodes together, fell over in a surge, each with its requests, and again as soon as they were back.

Cause: each router sent by its own view, up to half a request per slot beyond the slots, and reported loads are half a second old; 84 routers fill the same free slot.

Change: routers divide the slots of a brittle target into places by their position and the time, and send into their own places only. A rejection takes away slots for a while and, beyond the router's part of half of N, a second of sending. A router without any place takes a risk by a draw. Targets of a pool with brittle members of which nothing is known count as brittle. PeerState.Brittle and .Arrivals carry what routers tell each other; older releases ignore them.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -62,6 +62,7 @@
 	TargetCapacity  Code = 316
 	TargetNoticed   Code = 318
 	AttemptResent   Code = 319
+	TargetBrittle   Code = 320
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -166,6 +167,7 @@
 	{TargetCapacity, "target-capacity", slog.LevelInfo, "The prefill rate learned for a target now differs by another step from the middle of its pool, so that it becomes the first choice for more or fewer prompts; the detail has its weight and rate."},
 	{TargetNoticed, "target-noticed", slog.LevelInfo, "This process told the others what a request that a target did not run shows: another incarnation answers at its address, nothing listens there, it has other weights than expected, or it is carrying out an order. The detail has which, and the incarnation."},
 	{AttemptResent, "attempt-resent", slog.LevelInfo, "A request goes once more to the same target, which had refused it over its weights or its incarnation; the detail has what is expected now, and whether the request waits until the list names the incarnation."},
+	{TargetBrittle, "target-brittle", slog.LevelInfo, "A target announced in its answers how many requests per second it can reject before it fails, changed that or no longer announces it; the detail has the number and its source. Nodes divide its slots among themselves meanwhile."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process uses a new revision of the configuration."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which makes it confirmed."},
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -240,6 +240,7 @@
 		b.recordExpectedFill(now, c)
 		b.beginFill(now, c, r, a)
 	}
+	a.risky = b.lacksPlace(now, c.target, p)
 	r.attempt = a
 	if c.target.attempts == nil {
 		c.target.attempts = make(map[string]*attempt)
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -194,6 +194,7 @@
 		b.learnSuccessor(now, r, a, o)
 	}
 	b.learnFromRefusal(now, a, o)
+	b.recordRejection(now, a, o)
 	if a.withdrawn {
 		return
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -85,6 +85,12 @@
 	disabled Mechanisms
 	// backoffUntil is the latest end of a back-off that a target requested.
 	backoffUntil time.Time
+	// brittleUntil is the time until which pools are taken to have brittle targets. position is this
+	// router's place among those that divide them.
+	brittleUntil time.Time
+	position     Position
+	// ownID identifies this router if it has no name.
+	ownID uint64
 	// unlisted holds the hints of targets that left the list, which apply again if they return.
 	unlisted map[netip.AddrPort]unlistedHints
 	// returns holds when refused requests were told to return.
@@ -149,6 +155,8 @@
 	retries   retryBudget
 	// joint is the demand for the pool at all routers.
 	joint jointDemand
+	// brittle is what is known of the pool's brittle targets.
+	brittle brittlePool
 	// releases holds every release seen among the pool's targets. newest is the one seen last,
 	// which gets no requests until newestFrom.
 	releases   map[string]bool
@@ -411,6 +419,9 @@
 	// Limit is the number of requests per second that the target accepts from all routers
 	// together, or nil if it states none.
 	Limit *float64 `json:"limitPerSecond,omitempty"`
+	// Brittle is the number of requests per second that the target can reject, or nil if it did not
+	// announce that it is brittle.
+	Brittle *float64 `json:"brittlePerSecond,omitempty"`
 	// Rests is the remaining back-off that the target requested from this router.
 	Rests time.Duration `json:"restsNs,omitempty"`
 }
@@ -433,6 +444,10 @@
 			limit := t.limit.perSecond
 			v.Limit = &limit
 		}
+		if t.brittle.named {
+			bearable := t.brittle.maxRejected
+			v.Brittle = &bearable
+		}
 		if t.backingOff(now) {
 			v.Rests = later(t.backoffUntil, t.loadingUntil).Sub(now)
 		}
--- a/route/identity.go
+++ b/route/identity.go
@@ -75,7 +75,7 @@
 	t.capacity, t.home = capacityWeight{}, capacityWeight{}
 	t.reportOutdated = true
 	t.unused = ""
-	t.limit = targetLimit{}
+	t.limit, t.brittle = targetLimit{}, brittleness{}
 	t.backoffUntil = time.Time{}
 	t.peerInFlight, t.peerPrefill, t.peerTokens = 0, 0, 0
 	t.peerSends = nil
--- a/route/mechanism.go
+++ b/route/mechanism.go
@@ -91,6 +91,8 @@
 	JointShares
 	// ReturnTimes lets requests that return when a refusal advised it go before new ones.
 	ReturnTimes
+	// BrittleTargets divides the slots of targets that announced that they are brittle.
+	BrittleTargets
 )
 
 // mechanismNames are the names in settings, in the order of the constants.
@@ -100,6 +102,7 @@
 	"pool-rate", "await-best", "placed-words", "holder-homes", "recent-words", "pairs", "least-loaded",
 	"others-entries", "limit-account", "capacity", "aim-admission", "resend-same-target", "weights-notices", "urgent-room",
 	"joint-admission", "predicted-patience", "bounded-price", "spread-choices", "joint-shares", "return-times",
+	"brittle-targets",
 }
 
 // MechanismNames returns the names of all mechanisms.
--- a/route/mechanism_test.go
+++ b/route/mechanism_test.go
@@ -9,7 +9,7 @@
 func TestMechanisms(t *testing.T) {
 	all, err := ParseMechanisms(MechanismNames())
 	require.NoError(t, err)
-	require.Equal(t, 2*ReturnTimes-1, all, "each constant has a name")
+	require.Equal(t, 2*BrittleTargets-1, all, "each constant has a name")
 	two, err := ParseMechanisms([]string{"urgency", "others-entries"})
 	require.NoError(t, err)
 	require.Equal(t, Urgency|OthersEntries, two)
--- a/route/peers.go
+++ b/route/peers.go
@@ -20,6 +20,10 @@
 	Fills    []Fill
 	// Limits are the rate limits that targets announced.
 	Limits []LimitUpdate
+	// Brittle are the targets that announced that they are brittle, and Arrivals the demand for their
+	// pools.
+	Brittle  []BrittleUpdate
+	Arrivals []PoolArrivals
 	// Silent are targets that recently did not respond.
 	Silent []UnresponsiveUpdate
 	// Hot are the most requested prompt parts.
@@ -119,6 +123,11 @@
 		for i, w := range s.Limits {
 			s.Limits[i] = w.withoutUsage()
 		}
+		s.Arrivals = nil
+		s.Brittle = slices.Clone(s.Brittle)
+		for i := range s.Brittle {
+			s.Brittle[i].Rejected = 0
+		}
 	}
 	return s
 }
@@ -211,6 +220,7 @@
 	out.Rates, dropped = rates.updates()
 	out.RatesDropped += dropped
 	out.Pools = joinPoolDemands(states)
+	out.Brittle = joinBrittle(states)
 	return out
 }
 
@@ -228,6 +238,7 @@
 	s.Rollouts = b.Rollouts(now)
 	s.Notices = b.noticeUpdates(now)
 	s.Pools = b.poolDemands(now)
+	s.Brittle, s.Arrivals = b.brittleUpdates(now), b.poolArrivals(now)
 	s.Hot = b.hot.report(now)
 	if !b.disabled.Has(JointAdmission) {
 		s.Prefills, s.PrefillReporters = b.prefillDemands(now), 1
@@ -295,6 +306,7 @@
 	b.expireFills(now)
 	b.mergeOrgDemands(now, states)
 	b.mergeLimits(now, states)
+	b.mergeBrittle(now, states)
 	b.mergePrefillDemands(now, states)
 	b.mergePoolDemands(now, states)
 	return b.dispatch(now)
@@ -316,6 +328,7 @@
 			continue
 		}
 		s.Loads, s.Fills, s.Leaving, s.Limits, s.Rates = nil, nil, nil, nil, nil
+		s.Brittle, s.Arrivals = nil, nil
 		b.peers[id] = s
 	}
 }
--- a/route/place.go
+++ b/route/place.go
@@ -117,8 +117,12 @@
 		if !inTime && !r.lateAllowed || r.idleOnly && c.wait > 0 {
 			continue
 		}
+		room, soon := b.brittleRoom(now, c.target, p, r)
+		if !room && !soon {
+			continue
+		}
 		least = min(least, c.cost)
-		if memory && b.hasCapacity(c.target, p) {
+		if memory && room && b.hasCapacity(c.target, p) {
 			cs[free], cs[i] = cs[i], cs[free]
 			free++
 		}
--- a/route/request.go
+++ b/route/request.go
@@ -402,6 +402,8 @@
 	// attempt was sent. crowded is set if all slots of the target were in use then.
 	ahead   float64
 	crowded bool
+	// risky is set if the router had no place at the target, which is brittle.
+	risky bool
 	// predicted is the predicted time from sending to the first token.
 	predicted time.Duration
 	// heldTokens is the longest prefix that the target was known to hold at placement, and
--- a/route/resend.go
+++ b/route/resend.go
@@ -103,7 +103,8 @@
 // a request that waits for it.
 func (b *Board) takesParked(now time.Time, t *target, r *request) bool {
 	p := b.pools[r.Pool]
-	return b.hasCapacity(t, p) && (b.disabled.Has(MemoryBound) || t.hasMemory(now, p, r))
+	room, _ := b.brittleRoom(now, t, p, r)
+	return room && b.hasCapacity(t, p) && (b.disabled.Has(MemoryBound) || t.hasMemory(now, p, r))
 }
 
 // parkedText describes to operators why a request that waited for an incarnation was not sent.
--- a/route/target.go
+++ b/route/target.go
@@ -136,6 +136,8 @@
 	backoffUntil time.Time
 	// limit is the latest rate limit that it announced.
 	limit targetLimit
+	// brittle is what is known of its brittleness.
+	brittle brittleness
 	// usedAt is when a request last used the target or considered it.
 	usedAt time.Time
 	// round and candidate are scratch space of one placement.
--- a/route/target_hints.go
+++ b/route/target_hints.go
@@ -12,6 +12,7 @@
 	// Draining is set if the target is draining.
 	Draining bool
 	Limit    LimitHint
+	Brittle  BrittleHint
 	// Backoff is how long the target, which rejected a request, wants no further requests from this
 	// router.
 	Backoff time.Duration
@@ -41,6 +42,7 @@
 			b.setDraining(t, "its own answer")
 		}
 		b.applyLimitHint(now, t, sent, hints.Limit)
+		b.applyBrittleHint(now, t, sent, hints.Brittle)
 		b.applyBackoff(now, t, hints.Backoff)
 		b.applyWeightsHint(now, t, hints)
 	}
@@ -50,14 +52,15 @@
 type unlistedHints struct {
 	incarnation  Incarnation
 	limit        targetLimit
+	brittle      brittleness
 	backoffUntil time.Time
 }
 
 // retainHints keeps the hints of a target that leaves the list. Entries also expire while the store
 // is unavailable.
 func (b *Board) retainHints(t *target) {
-	if t.limit.seq > 0 || !t.backoffUntil.IsZero() {
-		b.unlisted[t.addr] = unlistedHints{t.incarnation, t.limit, t.backoffUntil}
+	if t.limit.seq > 0 || t.brittle.seq > 0 || !t.backoffUntil.IsZero() {
+		b.unlisted[t.addr] = unlistedHints{t.incarnation, t.limit, t.brittle, t.backoffUntil}
 	}
 }
 
@@ -65,7 +68,7 @@
 // incarnation has its address.
 func (b *Board) restoreHints(t *target) {
 	if hints, ok := b.unlisted[t.addr]; ok && hints.incarnation.Same(t.incarnation) {
-		t.limit, t.backoffUntil = hints.limit, hints.backoffUntil
+		t.limit, t.brittle, t.backoffUntil = hints.limit, hints.brittle, hints.backoffUntil
 	}
 	delete(b.unlisted, t.addr)
 }
@@ -143,20 +146,25 @@
 }
 
 // noTargetReason describes why a request found no target, including how many targets announced a
-// limit or back off.
+// limit, back off or are brittle.
 func (p *pool) noTargetReason(now time.Time) string {
-	limits, backoffs := 0, 0
+	limits, backoffs, brittle := 0, 0, 0
 	for _, t := range p.members {
 		switch {
 		case t.backingOff(now):
 			backoffs++
 		case t.limit.named:
 			limits++
+		case t.brittle.named:
+			brittle++
 		}
 	}
 	text := "no target had room in time"
 	if limits+backoffs > 0 {
 		text += fmt.Sprintf("; of %d targets %d name a limit and %d rest", len(p.members), limits, backoffs)
 	}
+	if brittle > 0 {
+		text += fmt.Sprintf("; %d of %d targets are brittle", brittle, len(p.members))
+	}
 	return text
 }
