--- a/node/metrics.go
+++ b/node/metrics.go
@@ -151,6 +151,7 @@
 	n.metrics.NewGauge("pathhead_targets", func() float64 { return float64(n.list.count()) })
 	for word, match := range map[string]func(v route.TargetView) bool{
 		"limit":   func(v route.TargetView) bool { return v.Limit != nil },
+		"brittle": func(v route.TargetView) bool { return v.Brittle != nil },
 		"leaving": func(v route.TargetView) bool { return v.Leaving },
 		"rest":    func(v route.TargetView) bool { return v.Rests > 0 },
 	} {
--- a/node/peers.go
+++ b/node/peers.go
@@ -110,7 +110,9 @@
 		}
 		loaded = append(loaded, e.Payload.State.Loaded...)
 	}
+	var position route.Position
 	if large {
+		position = route.PositionAmong(n.relays.names(), n.settings().Name)
 		others := n.relays.othersState()
 		states[allOthers] = others
 		loaded = append(loaded, others.Loaded...)
@@ -129,6 +131,7 @@
 		}
 		b.SetHeldTargets(held)
 		b.SetOrderedTargets(ordered)
+		b.SetPosition(position)
 		return append(out, b.MergePeers(now, states, nodes)...)
 	})
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,6 +184,18 @@
 	return out
 }
 
+// names returns the names of all known nodes, sorted.
+func (r *relays) names() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, m := range r.roster.Members(r.n.now()) {
+		out = append(out, m.ID)
+	}
+	slices.Sort(out)
+	return out
+}
+
 // othersState returns the merged state of all other nodes.
 func (r *relays) othersState() route.PeerState {
 	r.mu.Lock()
