--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -67,6 +67,7 @@
 	AttemptResent   Code = 319
 	PoolCutOff      Code = 320
 	PoolReached     Code = 321
+	TargetBrittle   Code = 322
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -176,6 +177,7 @@
 	{AttemptResent, "attempt-resent", slog.LevelInfo, "A request goes once more to the same target, which had refused it over its weights or its incarnation; the detail has what is expected now, and whether the request waits until the list names the incarnation."},
 	{PoolCutOff, "pool-cut-off", slog.LevelWarn, "No target of a pool responds to this process while other nodes reach them, so its requests are handed over; the detail has the pool."},
 	{PoolReached, "pool-reached", slog.LevelInfo, "A pool from which this process was cut off is reached again, or by no other node either; the detail has the pool and how long the cut lasted."},
+	{TargetBrittle, "target-brittle", slog.LevelInfo, "A target announced in its answers how many requests per second it can reject before it fails, changed that or no longer announces it; the detail has the number and its source. Nodes divide its slots among themselves meanwhile."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process uses a new revision of the configuration."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which makes it confirmed."},
--- a/route/mechanism.go
+++ b/route/mechanism.go
@@ -93,6 +93,8 @@
 	ReturnTimes
 	// HandingOver hands requests over to other routers while this one is cut off from the targets.
 	HandingOver
+	// BrittleTargets divides the slots of targets that announced that they are brittle.
+	BrittleTargets
 )
 
 // mechanismNames are the names in settings, in the order of the constants.
@@ -102,6 +104,7 @@
 	"pool-rate", "await-best", "placed-words", "holder-homes", "recent-words", "pairs", "least-loaded",
 	"others-entries", "limit-account", "capacity", "aim-admission", "resend-same-target", "weights-notices", "urgent-room",
 	"joint-admission", "predicted-patience", "bounded-price", "spread-choices", "joint-shares", "return-times", "handing-over",
+	"brittle-targets",
 }
 
 // MechanismNames returns the names of all mechanisms.
