route, node: several targets that crash together are no cut

A third of 20 engines crashes at once, three refused connections in a row counted as a cut of this router's own link, and for the moment until another engine answered its notices were withheld, so that each of the other nodes lost requests to the same engines.

Unless all targets of a pool are dark, none other may have answered for 0.3 s before the pool counts as unreachable. Once cut, it stays so until an answer.

--- a/node/handoff_fleet_test.go
+++ b/node/handoff_fleet_test.go
@@ -95,15 +95,23 @@
 	require.NoError(t, err)
 	req.Host = cutoffHost
 	platformtest.RequestInfo{ID: "gone", Key: cutoffKey, Timeout: callTime, Model: cutoffModel, Parts: "a1:50,b1:50", PromptTokens: 100, AnswerTokens: 20}.Set(req.Header)
-	resp, err := cut.client.Do(req)
-	require.NoError(t, err)
-	defer resp.Body.Close()
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	for _, r := range f.engines {
+		// The target works until the request is cancelled.
+		r.SetScript(func(*http.Request) platformtest.Fault { return platformtest.Unresponsive })
+	}
+	left := make(chan error, 1)
+	go func() {
+		resp, err := cut.client.Do(req)
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		left <- err
+	}()
+	require.Eventually(t, func() bool { return len(f.log.RunsOf("gone")) == 1 }, cutoffWait, cutoffTick, "the target does not run it")
 	cancel()
-	require.Eventually(t, func() bool {
-		runs := f.log.RunsOf("gone")
-		return len(runs) == 1 && runs[0].CallerGone
-	}, time.Second, cutoffTick, "the target still works")
+	require.ErrorIs(t, <-left, context.Canceled)
+	require.Eventually(t, func() bool { return f.log.RunsOf("gone")[0].CallerGone }, time.Second, cutoffTick, "the target still works")
+	require.Len(t, f.log.RunsOf("gone"), 1)
 }
 
 // Guards against a request that a target receives with the internal headers or the caller's key, or
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -81,7 +81,7 @@
 	if oversized := b.oversizedRefusal(p, r); oversized != nil {
 		return oversized
 	}
-	if refusal := b.cutOffRefusal(p, r); refusal != nil {
+	if refusal := b.cutOffRefusal(now, p, r); refusal != nil {
 		return refusal
 	}
 	if !b.cutOff(now, p) {
--- a/route/handoff.go
+++ b/route/handoff.go
@@ -20,6 +20,9 @@
 	minDarkTargets = 3
 	// darkWindow is the time over which these failures count together.
 	darkWindow = 4 * time.Second
+	// darkConfirmTime is how long no target must have answered then, unless all have failed: several
+	// targets may crash together, and another one answers within that time.
+	darkConfirmTime = 300 * time.Millisecond
 	// linkProbeInterval is the interval at which the targets of a pool that is cut off are probed. It
 	// doubles up to maxLinkProbeInterval each time that the pool is cut off again within
 	// relapseWindow, since targets may accept connections and yet not answer.
@@ -184,24 +187,29 @@
 // mayGetWork reports whether the list says that the target takes new work.
 func (t *target) mayGetWork() bool { return t.listed && !t.draining && !t.listedDraining }
 
-// unreachable reports whether no target of the pool responds to this router: either as many as
-// needed failed in a row, or all are marked as failing.
-func (p *pool) unreachable() bool {
+// unreachable reports whether no target of the pool responds to this router: all failed in a row or are
+// marked as failing, or as many as needed failed and for a while no other answered.
+func (p *pool) unreachable(now time.Time) bool {
 	members, dark, failing := 0, 0, true
+	first := now
 	for _, t := range p.members {
 		if !t.mayGetWork() {
 			continue
 		}
 		members++
 		failing = failing && t.failing
-		if _, ok := p.link.dark[t.addr]; ok {
+		if since, ok := p.link.dark[t.addr]; ok {
 			dark++
+			if since.Before(first) {
+				first = since
+			}
 		}
 		if len(p.link.dark) == 0 && !failing {
 			return false
 		}
 	}
-	return members > 0 && (failing || dark >= min(minDarkTargets, members))
+	confirmed := !p.link.cutAt.IsZero() || now.Sub(first) >= darkConfirmTime
+	return members > 0 && (failing || dark == members || dark >= minDarkTargets && confirmed)
 }
 
 // cutOffFrom reports whether this router is cut off from a pool of the target.
@@ -213,7 +221,7 @@
 // one reaches it.
 func (b *Board) updateLink(now time.Time, p *pool) {
 	l := &p.link
-	cut := p.unreachable() && b.reachedByPeers(p)
+	cut := p.unreachable(now) && b.reachedByPeers(p)
 	switch {
 	case cut && l.cutAt.IsZero():
 		l.cutAt = now
@@ -246,10 +254,10 @@
 func (h HandoffPeer) reaches(p *pool) bool { return !slices.Contains(h.CutOff, p.compiled.Name) }
 
 // unreachablePools returns the pools of which no target responds to this router, for its peers.
-func (b *Board) unreachablePools() []string {
+func (b *Board) unreachablePools(now time.Time) []string {
 	var out []string
 	for name, p := range b.pools {
-		if p.unreachable() {
+		if p.unreachable(now) {
 			out = append(out, name)
 		}
 	}
@@ -445,8 +453,8 @@
 }
 
 // cutOffRefusal returns a refusal of a request from another router if this one is cut off too.
-func (b *Board) cutOffRefusal(p *pool, r *request) *Refusal {
-	if !r.HandedOver || !p.unreachable() {
+func (b *Board) cutOffRefusal(now time.Time, p *pool, r *request) *Refusal {
+	if !r.HandedOver || !p.unreachable(now) {
 		return nil
 	}
 	return &Refusal{Cause: CauseNoTarget, RetryAfter: b.minRetryAfter, Detail: "this node is cut off from the targets as well"}
--- a/route/handoff_test.go
+++ b/route/handoff_test.go
@@ -74,6 +74,7 @@
 		if a.Via.IsValid() {
 			return a
 		}
+		w.now = w.now.Add(darkConfirmTime / 2)
 		w.fail(a, way)
 		if len(w.inFlight) == 0 {
 			a = w.ask()
@@ -101,6 +102,12 @@
 		"all refused":                    {4, reaching, func(w *linkWorld) { w.cutOff("refused") }, true},
 		"the only target is silent":      {1, reaching, func(w *linkWorld) { w.cutOff("silent") }, true},
 		"many targets, a few are silent": {60, reaching, func(w *linkWorld) { w.cutOff("silent") }, true},
+		"a few of many crash at once": {20, reaching, func(w *linkWorld) {
+			for range minDarkTargets {
+				w.fail(w.ask(), "refused")
+				w.drop()
+			}
+		}, false},
 		"no other router": {4, nil, func(w *linkWorld) {
 			for range 4 {
 				w.fail(w.ask(), "silent")
--- a/route/peers.go
+++ b/route/peers.go
@@ -237,7 +237,7 @@
 	}
 	s.Rates, s.RatesDropped = b.rateUpdates(now)
 	s.Silent = b.unresponsiveTargets(now)
-	s.CutOff = b.unreachablePools()
+	s.CutOff = b.unreachablePools(now)
 	s.Rollouts = b.Rollouts(now)
 	s.Notices = b.noticeUpdates(now)
 	s.Pools = b.poolDemands(now)
