route, node: one function for the ends of a request that must not be sent again

The reasons not to send a request again stood in retryOrRefuse and in retryHandoff, and the second spent a retry that had been taken already when a silent attempt was given up. finalFailure serves both. The timer that probes a silent target is passed to its callback through a channel: before, the callback could read the variable while it was set.

--- a/node/forward.go
+++ b/node/forward.go
@@ -302,15 +302,17 @@
 // probeWhileSilent probes the target of an attempt whenever it has sent nothing for a while, until the
 // returned function is called.
 func (f *forwarding) probeWhileSilent(ctx context.Context, target netip.AddrPort) (stop func() bool) {
-	var probe *time.Timer
-	probe = time.AfterFunc(probeSilence, func() {
+	started := make(chan *time.Timer, 1)
+	f.probe = time.AfterFunc(probeSilence, func() {
 		f.n.probeSilent(target)
+		probe := <-started
+		started <- probe
 		if ctx.Err() == nil {
 			probe.Reset(probeInterval)
 		}
 	})
-	f.probe = probe
-	return probe.Stop
+	started <- f.probe
+	return f.probe.Stop
 }
 
 // delayProbe lets the target of the attempt send nothing for as long again. A node that an attempt goes
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -232,19 +232,30 @@
 	}
 }
 
-// retryOrRefuse queues a failed request for another attempt, or refuses it if it must not be
-// retried.
-func (b *Board) retryOrRefuse(now time.Time, r *request, a *attempt, o Outcome) []Action {
-	r.tried[a.Target] = true
+// finalFailure returns why a request must not be sent again after a failed attempt; ok is false if it
+// may.
+func (b *Board) finalFailure(now time.Time, r *request, o Outcome) (cause Cause, detail string, ok bool) {
 	switch {
 	case !r.Repeatable && r.verdict != NotRun:
-		return b.refuse(now, r, CauseBroken, "the call may not be repeated; "+o.Detail)
+		return CauseBroken, "the call may not be repeated; " + o.Detail, true
 	case r.delivered && !r.Resumable:
-		return b.refuse(now, r, CauseBroken, "part of the answer was delivered and it cannot be resumed; "+o.Detail)
+		return CauseBroken, "part of the answer was delivered and it cannot be resumed; " + o.Detail, true
 	case b.crashes.holds(now, r.Print):
-		return b.refuse(now, r, CauseCrashes, b.heldRefusal(now, r).Detail)
+		return CauseCrashes, b.heldRefusal(now, r).Detail, true
 	case !now.Before(r.Deadline):
-		return b.refuse(now, r, CauseDeadline, "the request's time is over")
+		return CauseDeadline, "the request's time is over", true
+	}
+	return cause, "", false
+}
+
+// retryOrRefuse queues a failed request for another attempt, or refuses it if it must not be
+// retried.
+func (b *Board) retryOrRefuse(now time.Time, r *request, a *attempt, o Outcome) []Action {
+	r.tried[a.Target] = true
+	why, detail, final := b.finalFailure(now, r, o)
+	switch {
+	case final:
+		return b.refuse(now, r, why, detail)
 	case b.mayResend(now, r, a, o):
 		return b.resend(now, r, a)
 	case r.delivered && (o.Kind == OutcomeRefused || o.Kind == OutcomeUnsent) && !b.disabled.Has(Retrying):
--- a/route/handoff.go
+++ b/route/handoff.go
@@ -414,20 +414,15 @@
 
 // retryHandoff queues a request again that another router did not complete, or refuses it.
 func (b *Board) retryHandoff(now time.Time, r *request, a *attempt, o Outcome, cause Cause, tries int) []Action {
+	why, detail, final := b.finalFailure(now, r, o)
 	switch {
-	case !r.Repeatable && r.verdict != NotRun:
-		return b.refuse(now, r, CauseBroken, "the call may not be repeated; "+o.Detail)
-	case r.delivered && !r.Resumable:
-		return b.refuse(now, r, CauseBroken, "part of the answer was delivered and it cannot be resumed; "+o.Detail)
-	case b.crashes.holds(now, r.Print):
-		return b.refuse(now, r, CauseCrashes, b.heldRefusal(now, r).Detail)
-	case !now.Before(r.Deadline):
-		return b.refuse(now, r, CauseDeadline, "the request's time is over")
+	case final:
+		return b.refuse(now, r, why, detail)
 	case !cause.concernsRouter():
 		return b.refuseAsPeer(now, r, cause, o)
 	case r.countedSends() >= r.maxAllowedTries() || b.disabled.Has(Retrying):
 		return b.refuse(now, r, CauseRetries, "tried too often; "+o.Detail)
-	case tries > 0 && !b.spendRetry(now, &b.pools[r.Pool].retries):
+	case tries > 0 && !r.retryPaid && !b.spendRetry(now, &b.pools[r.Pool].retries):
 		return b.refuse(now, r, CauseRetries, "the pool's retry budget is used up; "+o.Detail)
 	case r.handoffs >= maxHandoffs:
 		return b.refuse(now, r, CauseNoTarget, "cut off from the targets, and no other node took the request; "+o.Detail)
@@ -437,6 +432,7 @@
 		code = event.RequestResumed
 	}
 	b.emit(event.Event{Code: code, Request: r.ID, Attempt: a.ID, Org: r.Org})
+	r.retryPaid = false
 	r.queueDeadline = b.retryQueueDeadline(now, r)
 	b.enqueue(now, r)
 	return nil
