--- a/node/cutoff_link_test.go
+++ b/internal/cutoff/link_test.go
@@ -1,4 +1,4 @@
-package node_test
+package cutoff
 
 import (
 	"context"
--- a/route/admission_fleet_test.go
+++ b/route/admission_fleet_test.go
@@ -445,6 +445,7 @@
 // Prompts whose answers would be late are refused instead of being sent while the engines are
 // overloaded, so these have no backlog when the overload ends.
 func TestAdmission(t *testing.T) {
+	t.Parallel()
 	for name, play := range admitScenarios() {
 		for _, n := range largeFleets(false, 1, 8) {
 			t.Run(fmt.Sprintf("%s/%d routers", name, n), func(t *testing.T) { checkAdmission(t, n, play) })
@@ -454,6 +455,7 @@
 
 // TestAdmissionLarge is TestAdmission for 84 routers of which half of the engines go.
 func TestAdmissionLarge(t *testing.T) {
+	t.Parallel()
 	checkAdmission(t, 84, admitScenarios()["half of the engines go"])
 }
 
--- a/route/capacity_test.go
+++ b/route/capacity_test.go
@@ -83,6 +83,7 @@
 // slow at moments, under rising load. The chosen way has to tell engines apart that differ by the
 // factor from which homes go by capacity.
 func TestRateEstimates(t *testing.T) {
+	t.Parallel()
 	for name, load := range map[string]float64{"light": 0.3, "busy": 0.6, "overload": 0.9} {
 		t.Run(name, func(t *testing.T) {
 			speeds := make([]float64, 12)
@@ -211,6 +212,7 @@
 // router of the middle play assumes a rate that is nearer to the new one than to the earlier one.
 // Alone they don't.
 func TestRatesShared(t *testing.T) {
+	t.Parallel()
 	const (
 		plays  = 9
 		change = 4
--- a/route/handoff_fuzz_test.go
+++ b/route/handoff_fuzz_test.go
@@ -83,6 +83,7 @@
 // TestHandoffFuzz drives a router whose link fails and heals, and whose peers come, go and fail, and
 // checks that no request runs or is sent more often than it may be.
 func TestHandoffFuzz(t *testing.T) {
+	t.Parallel()
 	all := []HandoffPeer{{Addr: peerA}, {Addr: peerB}, {Addr: peerC, CutOff: []string{"s"}}}
 	rapid.Check(t, func(rt *rapid.T) {
 		m := &handoffModel{
--- a/route/limit_fleet_test.go
+++ b/route/limit_fleet_test.go
@@ -338,6 +338,7 @@
 // A limit holds in every window over all routers together, whatever happens to them while an
 // organisation asks for several times its limit.
 func TestLimitBound(t *testing.T) {
+	t.Parallel()
 	for name, play := range limitScenarios() {
 		for _, n := range []int{1, 8, 90, 390} {
 			for _, rate := range limitRates(n) {
@@ -350,6 +351,7 @@
 // Seeds for which routers restarted during a surge exceeded the bound by up to one percent, because
 // they assumed that nothing had been used before.
 func TestLimitBoundAgain(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"all restart during the surge", "one after the other restarts"} {
 		for _, seed := range []uint64{5, 6, 7} {
 			checkLimit(t, limitScenarios()[name], 90, 300_000, seed)
@@ -401,6 +403,7 @@
 // An organisation that asks for four fifths of its limit on average is admitted as by a single
 // bucket, however its callers are spread over the routers.
 func TestLimitBelow(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 8, 90, 390} {
 		for _, rate := range limitRates(n) {
 			t.Run(fmt.Sprintf("%d routers/%.0f", n, rate), func(t *testing.T) {
@@ -419,6 +422,7 @@
 // share that it refuses of what a single bucket would admit at 0.56 of the limit. The shared bucket
 // stays within the bound and refuses almost nothing.
 func TestLimitStrategies(t *testing.T) {
+	t.Parallel()
 	const routers = 90
 	strategies := map[string]func(rate float64) *limitFleet{
 		"shared bucket": func(rate float64) *limitFleet { return newLimitFleet(t, routers, rate, 1) },
--- a/route/limit_priority_test.go
+++ b/route/limit_priority_test.go
@@ -86,6 +86,7 @@
 // A limit holds with urgent requests as it does without, whether the urgent requests alone exceed
 // it or not.
 func TestLimitBoundUrgent(t *testing.T) {
+	t.Parallel()
 	splits := map[string]func(cost float64) int{"short prompts urgent": shortIsUrgent, "half urgent": oddIsUrgent}
 	for split, priorityOf := range splits {
 		for name, play := range limitScenarios() {
--- a/route/pool_fleet_test.go
+++ b/route/pool_fleet_test.go
@@ -541,6 +541,7 @@
 
 // TestPoolSharesHotPrompt checks the shares while many requests want the engines that hold one part.
 func TestPoolSharesHotPrompt(t *testing.T) {
+	t.Parallel()
 	for _, routers := range largeFleets(false, 8) {
 		hotPromptSurge().play(t, routers).checkShares()
 	}
--- a/route/reprobe_test.go
+++ b/route/reprobe_test.go
@@ -175,6 +175,7 @@
 // A router that is cut off from all targets of the largest fleet opens a bounded number of
 // connections, and probes each of them in turn.
 func TestProbesBounded(t *testing.T) {
+	t.Parallel()
 	const targets = 750
 	p := newProbedBoard(t, targets)
 	p.accepts = noTarget
@@ -214,6 +215,7 @@
 // A target that accepts connections and never answers costs fewer and fewer requests, and is used
 // as before once it answers.
 func TestAcceptsNeverAnswers(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		engines int
 		begins  bool
@@ -279,6 +281,7 @@
 // The probes of all nodes of a large fleet do not arrive together, neither while a target is out of
 // reach nor when it recovers.
 func TestProbesOfManyRouters(t *testing.T) {
+	t.Parallel()
 	const routers = 390
 	perStep := make(map[time.Time]int)
 	recovered := make(map[time.Time]int)
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -327,6 +327,7 @@
 // Routers that cannot yet know the demand at the others must not each treat the limit as unused,
 // however many routers there are.
 func TestTargetLimitSurge(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 4, 8, 12, 90, 390} {
 		for _, limit := range testTargetLimits(n) {
 			t.Run(fmt.Sprintf("%d routers/%g", n, limit), func(t *testing.T) { surge(t, n, limit) })
@@ -424,6 +425,7 @@
 // many at once, under any load. A restarted router that has not received the limit yet cannot
 // enforce it; what it sends until then does not count.
 func TestTargetLimitFuzz(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(rt, "routers")
 		limit := rapid.Float64Range(0.2, 8).Draw(rt, "limit")
@@ -467,6 +469,7 @@
 // no router can use what another leaves unused. With one router per target only the demand at that
 // router is used.
 func TestTargetLimitStrategies(t *testing.T) {
+	t.Parallel()
 	strategies := map[string]func(f *targetLimitFleet){
 		"shared bucket": func(*targetLimitFleet) {},
 		"equal shares":  func(f *targetLimitFleet) { f.opts = []Option{WithoutMechanisms(LimitAccount)} },
