--- a/route/admission_choice_test.go
+++ b/route/admission_choice_test.go
@@ -14,6 +14,7 @@
 // TestUrgentOrderEnds checks that the order by priority ends when the configuration drops the aims,
 // and when the backlog ends while no request arrives.
 func TestUrgentOrderEnds(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct{ urgentAim time.Duration }{
 		"aims dropped":   {},
 		"backlog worked": {urgentAim: time.Second},
@@ -32,6 +33,7 @@
 // TestLessUrgentScanned checks that less urgent requests are tried although more urgent ones of many
 // organisations, or of their own, wait for capacity.
 func TestLessUrgentScanned(t *testing.T) {
+	t.Parallel()
 	q := newFairQueue()
 	q.urgentFirst = true
 	queued := func(org string, priority int) *request {
@@ -59,6 +61,7 @@
 // that has nothing to compute, here one that generates as many answers as it may, and is not sent to
 // a busy one.
 func TestLateGoesToIdleEngine(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 2, WithoutMechanisms(JointAdmission))
 	p := f.b.pools["e"]
 	p.compiled.Window = 2
@@ -81,6 +84,7 @@
 // TestSpreadKeepsPreferences checks that requests are not spread to targets that the best one was
 // preferred to: with recent failures, at a distance, or that were tried before.
 func TestSpreadKeepsPreferences(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 4)
 	r := &request{Request: f.request("a", Part{"p", 1000}), tried: map[netip.AddrPort]bool{testAddr(3): true}}
 	for range 100 {
@@ -96,6 +100,7 @@
 
 // TestSaturationTold checks that events and refusals state the bounds that are used.
 func TestSaturationTold(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	p := f.b.pools["e"]
 	p.urgentAim = 400 * time.Millisecond
--- a/route/admission_reports_test.go
+++ b/route/admission_reports_test.go
@@ -12,6 +12,7 @@
 // TestNewTargetHasNoWait checks that a target whose loads no peer has reported yet is not taken for
 // busy where peers announce their sends.
 func TestNewTargetHasNoWait(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	f.b.AddPeerSends(f.now, nil)
 	f.b.announcedAt = f.now
@@ -23,6 +24,7 @@
 // TestPrefillDemandExpires checks that demand for prefill that other routers reported counts only
 // for a while, also if no reports are merged any more.
 func TestPrefillDemandExpires(t *testing.T) {
+	t.Parallel()
 	f := newPoolFleet(t, 2, hogAndSmall())
 	b := f.boards[0]
 	p := b.pools["e"]
@@ -42,6 +44,7 @@
 // TestPrefillReporters checks that a router that cannot report its demand for prefill is assumed to
 // have as much as those that do, and one that has none is not.
 func TestPrefillReporters(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		silent PeerState
 		want   float64
@@ -63,6 +66,7 @@
 
 // TestPrefillDemandsBounded checks that merged demands keep the largest pools and their bound.
 func TestPrefillDemandsBounded(t *testing.T) {
+	t.Parallel()
 	var states []PeerState
 	for i := range 3 * maxPrefillDemands {
 		states = append(states, PeerState{Prefills: []PrefillDemand{{Pool: fmt.Sprint("p", i), Other: float64(100 + i)}}})
@@ -75,6 +79,7 @@
 // TestUndefinedProbability checks that a limit does not admit a request whose probability of
 // admission cannot be computed.
 func TestUndefinedProbability(t *testing.T) {
+	t.Parallel()
 	s := newSharedBucket(epoch)
 	s.others.asked = math.NaN()
 	require.False(t, s.tryTake(epoch, grant{rate: 1, burst: 1}, 10, 0.5, false))
--- a/route/admission_test.go
+++ b/route/admission_test.go
@@ -10,6 +10,7 @@
 // TestAdmissionOfOneRequest checks what becomes of a request that arrives while an engine computes
 // a prompt of 400 ms, and of one that takes longer than its aim at an idle engine.
 func TestAdmissionOfOneRequest(t *testing.T) {
+	t.Parallel()
 	const sent, refused = "sent", "refused"
 	cases := map[string]struct {
 		aim     time.Duration
@@ -56,6 +57,7 @@
 // TestBegunAnswerNotRefused checks that a request whose answer has begun is continued although it
 // will be late.
 func TestBegunAnswerNotRefused(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 2)
 	r := f.requestWithAim(300*time.Millisecond, Part{"own", 1000})
 	r.Resumable, r.Repeatable, r.MaxTries = true, true, 3
@@ -73,6 +75,7 @@
 // TestUrgentRoom checks that a less urgent prompt is not sent behind another one where an urgent
 // one would then be late, while an urgent one is.
 func TestUrgentRoom(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		aim  time.Duration
 		off  Mechanisms
@@ -97,6 +100,7 @@
 
 // TestForecasts checks the correction of predictions.
 func TestForecasts(t *testing.T) {
+	t.Parallel()
 	var f forecasts
 	now := epoch
 	observe := func(n int, ratio float64) {
@@ -122,6 +126,7 @@
 // TestBoundedPrice checks that a long queue raises the price of prefill only up to the requests
 // that can still be delayed within the aim.
 func TestBoundedPrice(t *testing.T) {
+	t.Parallel()
 	price := func(off Mechanisms, aim time.Duration) float64 {
 		f := newPartsBoard(t, 1, WithoutMechanisms(off))
 		p := f.b.pools["e"]
@@ -137,6 +142,7 @@
 // TestSpread checks that routers that know the same loads choose different targets, of those that
 // have as much of the prompt cached as the best one.
 func TestSpread(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 8)
 	r := &request{Request: f.request("a", Part{"p", 1000})}
 	chosen := make(map[*target]int)
--- a/route/board_test.go
+++ b/route/board_test.go
@@ -15,6 +15,7 @@
 // TestBoardFuzz drives a board with all kinds of events in any order, including late, repeated
 // and reordered ones, and checks its guarantees against what the fake targets observed.
 func TestBoardFuzz(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newWorld(rt, 3, 2, testSetup{rate: 50, inFlight: 8, trust: true})
 		number := func(label string, most int) int { return rapid.IntRange(0, most).Draw(rt, label) }
@@ -166,6 +167,7 @@
 }
 
 func TestBoardVerdict(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		trust      bool
 		repeatable bool
@@ -209,6 +211,7 @@
 }
 
 func TestBoardResume(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		resumable bool
 		weights   string
@@ -252,6 +255,7 @@
 }
 
 func TestBoardRestartDropsCacheEntries(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 0, testSetup{})
 	text := strings.Repeat("x", 4000)
 	w.request("b", text, false, true)
@@ -272,6 +276,7 @@
 }
 
 func TestBoardColdRequestsFollowFirst(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 0, testSetup{window: 16})
 	text := strings.Repeat("y", 8000)
 	for range 6 {
@@ -287,6 +292,7 @@
 }
 
 func TestBoardHotPrefixSpreads(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 0, testSetup{window: 2})
 	text := strings.Repeat("y", 2000)
 	for range 6 {
@@ -304,6 +310,7 @@
 }
 
 func TestBoardDrainingFromPeer(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 0, testSetup{})
 	draining := w.targets[0]
 	w.execute(w.board.MergePeers(w.now, map[string]PeerState{
@@ -330,6 +337,7 @@
 }
 
 func TestBoardListIncarnation(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		reportAfterMark bool
 		leaving         bool
@@ -359,6 +367,7 @@
 }
 
 func TestBoardRefusesWhatWasCheckedUnderAnotherRevision(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 1, 0, testSetup{})
 	w.execute(w.board.Arrive(w.now, Request{ID: "r", Revision: 7, Org: "b", Pool: "e"}))
 	refuse := w.ends["r"][0].(Refuse)
@@ -367,6 +376,7 @@
 }
 
 func TestBoardQueueMovesWhenTargetDrains(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 0, testSetup{window: 1})
 	for range 4 {
 		w.request("b", "z", false, true)
--- a/route/capacity_test.go
+++ b/route/capacity_test.go
@@ -147,6 +147,7 @@
 // TestRateChanges checks that a lasting change of an engine's speed is known within two seconds in
 // both directions, and that a slow moment or a single outlier does not count as one.
 func TestRateChanges(t *testing.T) {
+	t.Parallel()
 	const near = 0.25 * engineSpeed
 	for name, c := range map[string]struct {
 		change func(h *rateHistory)
@@ -171,6 +172,7 @@
 // TestRateOfShortPrompts checks that the latency that each request has does not count as slowness of
 // an engine that gets short prompts only.
 func TestRateOfShortPrompts(t *testing.T) {
+	t.Parallel()
 	h := newRateHistory(t, 1)
 	for range 300 {
 		h.observe(200+h.rng.IntN(800), engineSpeed)
@@ -181,6 +183,7 @@
 // TestPoolRateIsMedian checks that an engine without observations counts as fast as the middle one
 // of its pool, whichever answered last.
 func TestPoolRateIsMedian(t *testing.T) {
+	t.Parallel()
 	h := newRateHistory(t, 4)
 	for i, speed := range []float64{60_000, 59_000, 10_000} {
 		h.engine = h.b.targets[testAddr(i)]
@@ -270,6 +273,7 @@
 
 // TestRateUpdatesMerge checks that rates merge by the weights of their observations, in any grouping.
 func TestRateUpdatesMerge(t *testing.T) {
+	t.Parallel()
 	state := func(rate, weight float64) PeerState {
 		return PeerState{Rates: []RateUpdate{newRateUpdate(7, weightedRate{rate, weight})}}
 	}
@@ -286,6 +290,7 @@
 // leaves out, and takes less than a tenth of a node's 10 KB/s of control traffic per report, of
 // which it sends four a second; and that with changing observations each target has its turn.
 func TestRateUpdatesBounded(t *testing.T) {
+	t.Parallel()
 	const targets, maxBytes = 150, 1000
 	rng := rand.New(rand.NewPCG(1, 1))
 	seen := make(map[uint32]bool)
@@ -312,6 +317,7 @@
 // TestExpectedFirstTokenOfPool checks that how long a request may be queued goes by the middle of the
 // usable targets, for pools whose first target is much slower than the others.
 func TestExpectedFirstTokenOfPool(t *testing.T) {
+	t.Parallel()
 	const tokens = 5000
 	f := newPartsBoard(t, 3)
 	for i, rate := range []float64{1000, 50_000, 50_000} {
@@ -332,6 +338,7 @@
 
 // TestLatencyUnknown checks that the fixed latency is zero before it can be told from the lengths.
 func TestLatencyUnknown(t *testing.T) {
+	t.Parallel()
 	for name, observed := range map[string]int{"none": 0, "one": 1, "several of one length": 5} {
 		t.Run(name, func(t *testing.T) {
 			var l fixedLatency
@@ -345,6 +352,7 @@
 
 // TestReportedRateNotFinite checks that a rate that is no number leaves the learned one in force.
 func TestReportedRateNotFinite(t *testing.T) {
+	t.Parallel()
 	for name, rate := range map[string]float64{"not a number": math.NaN(), "infinite": math.Inf(1), "negative": math.Inf(-1)} {
 		t.Run(name, func(t *testing.T) {
 			h := newRateHistory(t, 1)
@@ -360,6 +368,7 @@
 // TestPoolRateInterval checks that the many first tokens of a busy pool make it compute its rate
 // once per poolRateInterval.
 func TestPoolRateInterval(t *testing.T) {
+	t.Parallel()
 	h := newRateHistory(t, 4)
 	p := h.engine.pools[0]
 	begin, computed := h.now, map[time.Time]bool{}
--- a/route/crash_join_test.go
+++ b/route/crash_join_test.go
@@ -12,6 +12,7 @@
 // Processes that have exchanged all their facts agree on the crashes of each request, whatever they
 // observe, clear and receive, in any order and with any repetition.
 func TestCrashJoinFuzz(t *testing.T) {
+	t.Parallel()
 	snap := testSetup{trust: true}.snapshot(t)
 	rapid.Check(t, func(t *rapid.T) {
 		const processes = 3
--- a/route/crash_sim_test.go
+++ b/route/crash_sim_test.go
@@ -396,6 +396,7 @@
 // by copies already in flight, whatever the size of the fleet and the timing of the copies. Other
 // requests are not held.
 func TestCrashFleetGuilty(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		boards int
 		lag    time.Duration
@@ -442,6 +443,7 @@
 
 // Crashes and broken connections with other causes do not lead to any request being held.
 func TestCrashFleetInnocent(t *testing.T) {
+	t.Parallel()
 	for name, inject := range map[string]func(f *crashFleet, at time.Duration){
 		"many targets crash at once": func(f *crashFleet, at time.Duration) {
 			if every(at, time.Second, 2*time.Second) {
--- a/route/crash_test.go
+++ b/route/crash_test.go
@@ -92,6 +92,7 @@
 // verdict that it did not run and the time to retry, while other requests proceed. After the hold,
 // one more crash holds it for twice as long.
 func TestCrashHeld(t *testing.T) {
+	t.Parallel()
 	w := newCrashWorld(t, 3)
 	other := FingerprintOf("a", "POST", "h", "/", []byte("guilty"))
 	w.crashRepeatedly(t, guiltyPrint, 2)
@@ -123,6 +124,7 @@
 // Copies that wait when the third target crashes are refused at once, and one that ran at that
 // target is not sent again.
 func TestCrashHeldWhileWaiting(t *testing.T) {
+	t.Parallel()
 	w := newCrashWorld(t, 1)
 	w.crashRepeatedly(t, guiltyPrint, 2)
 	last, sent := w.arrive(t, guiltyPrint)
@@ -141,6 +143,7 @@
 // Only crashes of a target that ran the request count, and several observations of one crash count
 // once.
 func TestCrashCounts(t *testing.T) {
+	t.Parallel()
 	broken := func(w *world, a Attempt) Outcome {
 		return Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Closed: true}
 	}
@@ -228,6 +231,7 @@
 // A request that is answered anywhere is cleared, as are crashes of a target that turns out to be
 // alive.
 func TestCrashCleared(t *testing.T) {
+	t.Parallel()
 	w := newCrashWorld(t, 3)
 	under, sent := w.arrive(t, guiltyPrint)
 	require.True(t, sent)
@@ -263,6 +267,7 @@
 
 // A request that was answered here before is not suspected for the next crash, once.
 func TestCrashAnsweredBefore(t *testing.T) {
+	t.Parallel()
 	w := newCrashWorld(t, 3)
 	a, _ := w.arrive(t, guiltyPrint)
 	w.execute(w.board.Ended(w.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeDone}))
@@ -279,6 +284,7 @@
 // Held requests stay held however many other requests run at crashing targets, and the state that
 // is kept and shared is bounded.
 func TestCrashBounds(t *testing.T) {
+	t.Parallel()
 	w := newCrashWorld(t, 3)
 	w.crashRepeatedly(t, guiltyPrint, 3)
 	limit := w.board.crashes.MaxRequests
@@ -308,6 +314,7 @@
 
 // Malformed updates are ignored.
 func TestCrashUpdatesMalformed(t *testing.T) {
+	t.Parallel()
 	w := newCrashWorld(t, 1)
 	good := CrashKey{guiltyPrint, TargetKey{testAddr(1), "i"}}
 	long := CrashKey{guiltyPrint, TargetKey{testAddr(1), Incarnation(make([]byte, maxIncarnationLen+1))}}
@@ -319,6 +326,7 @@
 
 // An operator may release a request, and the other processes are informed.
 func TestCrashReleased(t *testing.T) {
+	t.Parallel()
 	seen := 0
 	w := newCrashWorld(t, 3)
 	w.board.crashes.onChange = func() { seen++ }
@@ -333,6 +341,7 @@
 
 // All processes report targets that crashed under a request at the same time in the same order.
 func TestSimultaneousCrashes(t *testing.T) {
+	t.Parallel()
 	for range 20 {
 		s := suspectRequest{crashes: make(map[TargetKey]crash)}
 		for i := range 6 {
--- a/route/distance_test.go
+++ b/route/distance_test.go
@@ -18,6 +18,7 @@
 // TestDistancePlaces checks that, of engines with equal cache contents, the one in the router's
 // failure domain is chosen unless its extra load costs more than the transferred bytes.
 func TestDistancePlaces(t *testing.T) {
+	t.Parallel()
 	for i := range 8 {
 		f := newFillBoard(t, 4)
 		WithZone("near")(f.b)
@@ -34,6 +35,7 @@
 // TestDistanceFetches checks that a fetch uses a source in the engine's own failure domain if
 // that holds as much, and is predicted to take twice as long from another domain.
 func TestDistanceFetches(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 3)
 	f.setZones("x", "y", "x")
 	c := newPartsChain("salt", append(shared, own))
--- a/route/fair_share_test.go
+++ b/route/fair_share_test.go
@@ -32,6 +32,7 @@
 // TestFairShares checks that shares never exceed the demands or the capacity, use all of it, and
 // give every demand its fair share or what it asks for.
 func TestFairShares(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		demands := drawDemands(t)
 		capacity := rapid.Float64Range(0, 5000).Draw(t, "capacity")
@@ -67,6 +68,7 @@
 
 // TestFairSharesWeight checks that a larger weight never reduces a share.
 func TestFairSharesWeight(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		demands := drawDemands(t)
 		capacity := rapid.Float64Range(0, 5000).Draw(t, "capacity")
@@ -79,6 +81,7 @@
 
 // TestFairSharesOrder checks that the order of the demands does not matter.
 func TestFairSharesOrder(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		demands := drawDemands(t)
 		capacity := rapid.Float64Range(0, 5000).Draw(t, "capacity")
--- a/route/feed_test.go
+++ b/route/feed_test.go
@@ -10,6 +10,7 @@
 // TestFeed checks that a reader that follows a feed from any version has its current values,
 // even if it falls so far behind that changes were discarded.
 func TestFeed(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		f := NewFeed[int](func(a, b int) bool { return a == b })
 		want := make(map[int]int)
@@ -46,6 +47,7 @@
 }
 
 func TestFeedIsBounded(t *testing.T) {
+	t.Parallel()
 	f := NewFeed[int](func(a, b int) bool { return a == b })
 	for i := range 10 * maxFeedLog {
 		f.Set(i%100, i)
--- a/route/fill_test.go
+++ b/route/fill_test.go
@@ -10,6 +10,7 @@
 // TestPlacementReport checks that a request with a long prefill is reported immediately, with
 // the router's whole load at its target, and that one with a short prefill is not.
 func TestPlacementReport(t *testing.T) {
+	t.Parallel()
 	var reports []PlacementReport
 	f := newPartsBoard(t, 1, WithPlaced(func(p PlacementReport) { reports = append(reports, p) }))
 	f.b.pools["e"].compiled.CacheReaders = 1
@@ -52,6 +53,7 @@
 // TestAwaitsPendingFill checks that a request waits while its shared parts are computed for
 // another request, and is sent as soon as they are ready.
 func TestAwaitsPendingFill(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 3)
 	first := f.place(f.requestWithAim(time.Second, append(shared, own)...))
 	second := f.requestWithAim(time.Second, append(shared, Part{"own2", 500})...)
@@ -67,6 +69,7 @@
 // TestAwaitsPendingFillWithinAim checks that a request does not wait for a pending fill if only
 // computing the parts again lets its answer begin in time.
 func TestAwaitsPendingFillWithinAim(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 3)
 	f.place(f.requestWithAim(time.Second, append(shared, Part{"long", 10_000})...))
 	require.NotNil(t, f.place(f.requestWithAim(200*time.Millisecond, append(shared, own)...)))
@@ -75,6 +78,7 @@
 // TestAwaitsOverdueFill checks that a request does not wait for a fill that takes more than
 // twice as long as predicted, or that has failed.
 func TestAwaitsOverdueFill(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(f *partsBoard, first *Attempt) []Action{
 		"overdue": func(f *partsBoard, _ *Attempt) []Action {
 			f.now = f.now.Add(400 * time.Millisecond)
@@ -98,6 +102,7 @@
 // TestAwaitsPeerFill checks that a request waits for a pending fill that a peer reported until
 // its expected end.
 func TestAwaitsPeerFill(t *testing.T) {
+	t.Parallel()
 	f, peer := newFillBoard(t, 3), newFillBoard(t, 3)
 	var reports []PlacementReport
 	WithPlaced(func(p PlacementReport) { reports = append(reports, p) })(peer.b)
@@ -114,6 +119,7 @@
 // TestAwaitsCanceledFill checks that a request whose caller disconnected while it waited for a
 // pending fill is not sent.
 func TestAwaitsCanceledFill(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 3)
 	first := f.place(f.requestWithAim(time.Second, append(shared, own)...))
 	second := f.requestWithAim(time.Second, append(shared, Part{"own2", 500})...)
--- a/route/fingerprint_test.go
+++ b/route/fingerprint_test.go
@@ -11,6 +11,7 @@
 // TestFingerprint checks that copies of a request have the same fingerprint and different
 // requests have different ones, including requests whose concatenated fields are equal.
 func TestFingerprint(t *testing.T) {
+	t.Parallel()
 	of := FingerprintOf("org", "POST", "host", "/path", []byte("body"))
 	require.Equal(t, of, FingerprintOf("org", "POST", "host", "/path", []byte("body")))
 	require.True(t, of.Known())
--- a/route/give_up_test.go
+++ b/route/give_up_test.go
@@ -10,6 +10,7 @@
 // TestGiveUp guards against answers that end because their target fell silent: an attempt is given
 // up only if another target can take its request now, and then its retry is taken from the budget.
 func TestGiveUp(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		prepare func(f *partsBoard, r *Request)
 		begun   bool
@@ -54,6 +55,7 @@
 // stalled attempts only those are cancelled whose requests can go elsewhere, and those at an
 // incarnation that has ended, which cannot answer.
 func TestStalledAttempts(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		repeatable, sound bool
 		successor         Incarnation
@@ -89,6 +91,7 @@
 // that ends at a machine which stopped responding, or was replaced, counts as one that may have crashed
 // it, however it ends.
 func TestSilentCrash(t *testing.T) {
+	t.Parallel()
 	for name, end := range map[string]func(f *partsBoard, a *Attempt){
 		"given up": func(f *partsBoard, a *Attempt) {
 			f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken})
@@ -120,6 +123,7 @@
 // TestUnresponsiveAnswered guards against a target that is marked although it answered while a
 // connection to it was tried.
 func TestUnresponsiveAnswered(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	a := f.place(f.request("a", own))
 	since := f.now
--- a/route/handoff_test.go
+++ b/route/handoff_test.go
@@ -89,6 +89,7 @@
 // Guards against requests that wait and are refused at a router that is cut off from all targets, and
 // against handing over where the targets are at fault.
 func TestLinkDetection(t *testing.T) {
+	t.Parallel()
 	reaching := []HandoffPeer{{Addr: peerA}, {Addr: peerB}}
 	for name, c := range map[string]struct {
 		services int
@@ -175,6 +176,7 @@
 
 // Guards against targets that stay failing, and so a herd at the others, once a cut heals.
 func TestLinkHeals(t *testing.T) {
+	t.Parallel()
 	for _, way := range []string{"silent", "refused"} {
 		t.Run(way, func(t *testing.T) {
 			w := newLinkWorld(t, 4, HandoffPeer{Addr: peerA})
@@ -198,6 +200,7 @@
 
 // A router that accepts connections and answers nothing is probed ever more rarely.
 func TestLinkRelapse(t *testing.T) {
+	t.Parallel()
 	w := newLinkWorld(t, 4, HandoffPeer{Addr: peerA})
 	for i, want := range []time.Duration{linkProbeInterval, 2 * linkProbeInterval, 4 * linkProbeInterval} {
 		w.cutOff("silent")
@@ -215,6 +218,7 @@
 
 // Guards against a request that runs twice or too often, or goes on from router to router.
 func TestHandoffOutcomes(t *testing.T) {
+	t.Parallel()
 	refusal := func(cause Cause, v Verdict, tries int) *HandoffRefusal {
 		return &HandoffRefusal{Cause: cause, Verdict: v, Tries: tries, RetryAfter: 700 * time.Millisecond}
 	}
@@ -277,6 +281,7 @@
 // Guards against a second hop: a router that is cut off too refuses a request of another one at once,
 // and never hands it over.
 func TestHandedOverEndsHere(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		cut     bool
 		refused bool
@@ -307,6 +312,7 @@
 
 // Guards against a router whose own link is at fault that spoils what others know of the targets.
 func TestCutOffTellsNothing(t *testing.T) {
+	t.Parallel()
 	var notices []TargetNotice
 	w := newLinkWorld(t, 40, HandoffPeer{Addr: peerA})
 	WithTargetNotices("r", func(n TargetNotice) { notices = append(notices, n) })(w.board)
@@ -322,6 +328,7 @@
 
 // Guards against all requests of a cut-off router going to one other router.
 func TestHandoffSpreads(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		requests int
 		near     int
--- a/route/homes_test.go
+++ b/route/homes_test.go
@@ -24,6 +24,7 @@
 // TestWeightedRankMoves checks that a change of one target's weight moves keys only to that target if
 // it grew, and only away from it if it shrank.
 func TestWeightedRankMoves(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		step := rapid.IntRange(1, 16)
 		weights := make([]float64, rapid.IntRange(2, 40).Draw(rt, "targets"))
@@ -48,6 +49,7 @@
 
 // TestWeightedRankShares checks that targets are the first choice in proportion to their weights.
 func TestWeightedRankShares(t *testing.T) {
+	t.Parallel()
 	const keys = 100_000
 	weights := []float64{0.5, 1, 1, 1.25, 4}
 	counts := make([]float64, len(weights))
@@ -64,6 +66,7 @@
 // TestHomeWeight checks that the weight of a target follows a lasting difference of its capacity, and
 // neither noise nor a slow moment.
 func TestHomeWeight(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		capacity, noise, slowMoment float64
 		want                        float64
--- a/route/incarnation_test.go
+++ b/route/incarnation_test.go
@@ -12,6 +12,7 @@
 
 // An incarnation returns its id and start time whichever characters the id contains.
 func TestIncarnationFuzz(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		id := rapid.StringMatching(`[a-z@0-9-]{1,12}`).Draw(rt, "id")
 		start := time.UnixMilli(rapid.Int64Range(-1e13, 1e13).Draw(rt, "start")).UTC()
@@ -28,6 +29,7 @@
 }
 
 func TestIncarnationSame(t *testing.T) {
+	t.Parallel()
 	at := func(s int64) time.Time { return time.Unix(s, 0) }
 	cases := map[string]struct {
 		a, b Incarnation
@@ -57,6 +59,7 @@
 // the earlier start is discarded, whatever start time its clock reports, and late information about
 // that start has no effect.
 func TestTargetRestart(t *testing.T) {
+	t.Parallel()
 	first, again := incarnationAt(500), incarnationAt(400)
 	setup := func(t *testing.T) (*partsBoard, *target) {
 		p := newPartsBoard(t, 1)
@@ -161,6 +164,7 @@
 // Cache events of another start than the listed one are ignored, whichever of the two is later, and
 // the target's believed cache contents are no longer used.
 func TestEventsOfOtherIncarnation(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1, WithEventHandler(func(event.Event) {}))
 	p.restart(incarnationAt(500), "1", false)
 	held := []PartChange{{"salt", "aa", 3000}}
@@ -180,6 +184,7 @@
 // A new start known only from an answer is sent to by the state of the earlier one until it reports
 // itself, because a router that polls rarely has no other information.
 func TestTargetRestartBeforeReport(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1)
 	p.restart(incarnationAt(500), "2", false)
 	target := p.b.targets[testAddr(0)]
--- a/route/limit_charge_test.go
+++ b/route/limit_charge_test.go
@@ -10,6 +10,7 @@
 // A request's charge is refunded if the request ran nowhere, and counts once if it ran, even with a
 // retry.
 func TestLimitRefunded(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		end   func(w *world, a Attempt)
 		costs float64
@@ -55,6 +56,7 @@
 // A router's usage report counts for peerUsageMaxAge, and no longer if it is merged with others
 // after that.
 func TestLimitUpdatesAge(t *testing.T) {
+	t.Parallel()
 	s := PeerState{Counted: 3, Speaks: 3, Demands: []Demand{{Org: "a", Tokens: 5}}}
 	require.Equal(t, s, s.Aged(peerUsageMaxAge))
 	old := s.Aged(peerUsageMaxAge + time.Millisecond)
--- a/route/limit_fleet_test.go
+++ b/route/limit_fleet_test.go
@@ -389,6 +389,7 @@
 
 // A lowered limit holds from one window after all routers know it.
 func TestLimitLowered(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 8, 90} {
 		f := newLimitFleet(t, n, 1_210_000, 1)
 		f.play(9*time.Second, 0.56)
--- a/route/limit_priority_test.go
+++ b/route/limit_priority_test.go
@@ -39,6 +39,7 @@
 // routers they reach, and the others get what is left. Of the smallest limit a long prompt takes
 // two seconds of the rate at once, so there the urgent are only served far more often.
 func TestLimitUrgentFirst(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 8, 90} {
 		for _, rate := range limitRates(n) {
 			t.Run(fmt.Sprintf("%d routers/%.0f", n, rate), func(t *testing.T) {
@@ -60,6 +61,7 @@
 // The urgent requests alone exceed the limit four times. They get nearly all of it, and the others
 // keep their least share.
 func TestLimitUrgentBeyond(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 8, 90} {
 		f := newLimitFleet(t, n, 300_000, 4)
 		f.priorityOf = oddIsUrgent
--- a/route/limit_restart_test.go
+++ b/route/limit_restart_test.go
@@ -68,6 +68,7 @@
 // An organisation's limit holds over all routers and in any window, however often they restart. A
 // new process does not know what its predecessor admitted, so it must not start with a burst.
 func TestLimitOverRestarts(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(w *limitRestarts){
 		"none restarts": func(w *limitRestarts) { w.advance(2 * limitWindow) },
 		"all restart once": func(w *limitRestarts) {
--- a/route/limit_test.go
+++ b/route/limit_test.go
@@ -72,6 +72,7 @@
 }
 
 func TestLimitOverRouters(t *testing.T) {
+	t.Parallel()
 	const limit = 400
 	even := func(int) float64 { return 1 }
 	skewed := func(i int) float64 { return float64(1 + 20*(i%2)) }
@@ -111,6 +112,7 @@
 
 // TestLimitDemandMoves checks the overshoot while all demand moves from router to router.
 func TestLimitDemandMoves(t *testing.T) {
+	t.Parallel()
 	const limit, seconds = 400, 20
 	rng := rand.New(rand.NewPCG(1, 1))
 	w := newLimitWorld(t, 8, limit)
@@ -128,6 +130,7 @@
 // TestFairness lets one organisation offer ten times its previous load, and checks that the other
 // is served as before and that no capacity stays idle.
 func TestFairness(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 2, 0, testSetup{window: 4})
 	served := make(map[string]int)
 	const rounds = 400
@@ -153,6 +156,7 @@
 }
 
 func TestRetryBudget(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 3, 0, testSetup{window: 16})
 	const requests = 500
 	for range requests {
--- a/route/local_failure_test.go
+++ b/route/local_failure_test.go
@@ -9,6 +9,7 @@
 // A burst of answers that this node has no memory for is not blamed on the targets that sent them,
 // and uses up neither attempts nor the retry budget.
 func TestLocalFailureBlamesNoTarget(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct{ local, delivered bool }{
 		"the node's shortage":                     {true, false},
 		"the node's shortage, part was delivered": {true, true},
--- a/route/mechanism_test.go
+++ b/route/mechanism_test.go
@@ -7,6 +7,7 @@
 )
 
 func TestMechanisms(t *testing.T) {
+	t.Parallel()
 	all, err := ParseMechanisms(MechanismNames())
 	require.NoError(t, err)
 	require.Equal(t, 2*BrittleTargets-1, all, "each constant has a name")
--- a/route/parts_test.go
+++ b/route/parts_test.go
@@ -127,6 +127,7 @@
 // TestPartsFollowEvents checks that a request is sent to the engine whose events report its
 // parts, until an event reports their eviction.
 func TestPartsFollowEvents(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 4)
 	first := p.place(p.request("a", append(shared, own)...))
 	require.NotNil(t, first)
@@ -152,6 +153,7 @@
 // TestPartsFetch checks that another engine fetches the parts of a busy holder, under the same
 // salt.
 func TestPartsFetch(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	salt := p.request("a", shared...).saltOf("1")
 	p.reportParts(testAddr(0), salt, shared...)
@@ -175,6 +177,7 @@
 // TestPartsStore checks that parts that no engine holds are fetched from the store, that newly
 // computed parts are saved to it, and that the use of its link is bounded.
 func TestPartsStore(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	salt := p.request("a", shared...).saltOf("1")
 	p.b.PartChanges(p.now, storeTestAddr, time.Time{}, true, nil)
@@ -210,6 +213,7 @@
 // each prompt is saved to one of them and fetched from the one that holds it. The engines' own
 // caches hold their contents for only a few seconds, so most shared parts are computed again.
 func TestPartsTwoStores(t *testing.T) {
+	t.Parallel()
 	second := testAddr(998)
 	p := newPartsBoard(t, 2)
 	seen := []ListedTarget{{Addr: storeTestAddr, Labels: map[string]string{"s": "k"}}, {Addr: second, Labels: map[string]string{"s": "k"}}}
@@ -265,6 +269,7 @@
 // shared. If engines compute far more than the store can hold, it then serves more requests
 // with the same capacity than if every prompt were saved in turn.
 func TestSavesPreferSharedParts(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1)
 	shares, room := 0, 0
 	const every = 100 * time.Millisecond
@@ -290,6 +295,7 @@
 // TestPartsMemory checks that running requests leave three tenths of an engine's memory for
 // shared parts.
 func TestPartsMemory(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		p := newPartsBoard(rt, 2)
 		held := make(map[netip.AddrPort]int)
@@ -311,6 +317,7 @@
 // TestStaleWeights checks that older weights are used freely at first, then at a penalty, and
 // not at all beyond the limit, which counts from the first announcement that replaced them.
 func TestStaleWeights(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	p.announceWeights("2")
 	p.report(1, "2")
@@ -333,6 +340,7 @@
 // and may therefore belong to another pool, receives no requests until the incarnation is
 // reported.
 func TestUnknownIncarnationAtAddress(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1, WithReusedAddresses())
 	a := p.place(p.request("a", Part{"x", 10}))
 	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeRefused, Incarnation: "new"})
@@ -351,6 +359,7 @@
 // TestSilentTarget checks that an unresponsive target is avoided immediately and used again
 // after its next response.
 func TestSilentTarget(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	a := p.place(p.request("a", Part{"x", 10}))
 	p.b.Ended(p.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
@@ -368,6 +377,7 @@
 // TestUnsentIsNoAttempt checks that, with a limit on attempts, an attempt of which no byte was
 // sent does not count, and one that was sent does.
 func TestUnsentIsNoAttempt(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	p.b.snap.Config.Requests.RetryReserve = 50
 	p.b.snap.Config.Requests.RetryWindow = policy.Duration(10 * time.Second)
@@ -385,6 +395,7 @@
 // TestAssumedHolder checks that, without cache events, routers that know nothing of each other
 // send a prompt to the same engine, and that other engines fetch its shared parts from there.
 func TestAssumedHolder(t *testing.T) {
+	t.Parallel()
 	one, two := newPartsBoard(t, 6), newPartsBoard(t, 6, WithSeed(7))
 	a := one.place(one.request("a", append(shared, own)...))
 	require.Equal(t, a.Target, two.place(two.request("b", append(shared, Part{"x", 700})...)).Target)
@@ -398,6 +409,7 @@
 // TestLargePoolSpill checks that a request that spills in a large pool is sent to the engine
 // that was found for it. Another random sample of engines may contain none with capacity.
 func TestLargePoolSpill(t *testing.T) {
+	t.Parallel()
 	const engines = 60
 	p := newPartsBoard(t, engines)
 	full := PeerState{}
--- a/route/peer_sends_test.go
+++ b/route/peer_sends_test.go
@@ -10,6 +10,7 @@
 // TestPeerSends checks that a peer's request counts at its target as soon as it is reported, minus
 // what the target has read since, and only until the loads reported over relays include it.
 func TestPeerSends(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 2)
 	busy, other := f.b.targets[testAddr(0)], f.b.targets[testAddr(1)]
 	f.b.AddPeerSends(f.now, []SentRequest{{busy.key().Hash(), 10_000}, {12345, 10_000}})
@@ -24,6 +25,7 @@
 // TestHolders checks that a router which asks another one for the holders of a prompt's shared
 // parts places the prompt as if it had sent the previous one itself.
 func TestHolders(t *testing.T) {
+	t.Parallel()
 	home, f := newFillBoard(t, 4), newFillBoard(t, 4)
 	var reports []PlacementReport
 	WithPlaced(func(p PlacementReport) { reports = append(reports, p) })(home.b)
@@ -50,6 +52,7 @@
 
 // TestHoldersAsked checks that no router is asked about a prompt that shares little.
 func TestHoldersAsked(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	cases := map[string][]Part{
 		"its own part alone": {own},
--- a/route/pool_demand_test.go
+++ b/route/pool_demand_test.go
@@ -13,6 +13,7 @@
 // TestPoolDemandsBounded checks that the demands in a state and in merged states are bounded, that
 // the largest are listed by name, and that nothing is lost from their sum.
 func TestPoolDemandsBounded(t *testing.T) {
+	t.Parallel()
 	var states []PeerState
 	asked := 0.0
 	for router := range 20 {
@@ -45,6 +46,7 @@
 
 // TestPoolDemandExpires checks that what other routers reported counts only for a while.
 func TestPoolDemandExpires(t *testing.T) {
+	t.Parallel()
 	f := newPoolFleet(t, 2, hogAndSmall())
 	b := f.boards[0]
 	j := &b.pools["e"].joint
@@ -59,6 +61,7 @@
 
 // TestPoolCalm checks that nothing is refused below the capacity.
 func TestPoolCalm(t *testing.T) {
+	t.Parallel()
 	for _, routers := range largeFleets(false, 1, 8) {
 		f := newPoolFleet(t, routers, hogAndSmall())
 		f.play(8*time.Second, func(poolOrg) float64 { return 1 })
@@ -73,6 +76,7 @@
 // TestPoolSaturationEnds checks that a pool is no longer saturated, and nothing refused, once a
 // surge is over and its backlog gone.
 func TestPoolSaturationEnds(t *testing.T) {
+	t.Parallel()
 	for _, routers := range largeFleets(false, 1, 8) {
 		f := newPoolFleet(t, routers, hogAndSmall())
 		f.play(4*time.Second, hogTimes)
@@ -94,6 +98,7 @@
 
 // TestPoolWithoutAim checks that a pool whose routes state no aim is not divided jointly.
 func TestPoolWithoutAim(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	require.Empty(t, f.b.PoolStatuses(f.now))
 	f.place(f.request("a", own))
--- a/route/pool_fleet_test.go
+++ b/route/pool_fleet_test.go
@@ -524,6 +524,7 @@
 
 // TestPoolShares checks that a saturated pool is divided fairly over all routers.
 func TestPoolShares(t *testing.T) {
+	t.Parallel()
 	for name, s := range poolScenarios() {
 		for _, routers := range largeFleets(name == "one organisation surges", 1, 8) {
 			t.Run(fmt.Sprintf("%s/%d routers", name, routers), func(t *testing.T) {
@@ -570,6 +571,7 @@
 // TestPoolSharesWays compares joint shares with a queue of each router on the same scenarios, in
 // which the queues leave the urgent requests to chance and answer most of them too late.
 func TestPoolSharesWays(t *testing.T) {
+	t.Parallel()
 	for name, s := range poolScenarios() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/route/rate_test.go
+++ b/route/rate_test.go
@@ -10,6 +10,7 @@
 // TestRateOfPool checks that an engine without an observed prefill is assumed to be as fast as
 // the others of its pool, and that its own observed rate takes precedence.
 func TestRateOfPool(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 2)
 	first, second := f.b.targets[testAddr(0)], f.b.targets[testAddr(1)]
 	first.report.PrefillRate, second.report.PrefillRate = 0, 0
--- a/route/reprobe_test.go
+++ b/route/reprobe_test.go
@@ -101,6 +101,7 @@
 // A target that was given up while this router could not reach it is used again soon after it can,
 // whatever marked it as failing. It was refused requests for as long as the process ran.
 func TestFailingTargetUsedAgain(t *testing.T) {
+	t.Parallel()
 	for name, mark := range map[string]func(p *probedBoard){
 		"silence": func(p *probedBoard) { p.b.markUnresponsive(p.now, p.b.targets[testAddr(0)]) },
 		"consecutive failures": func(p *probedBoard) {
@@ -136,6 +137,7 @@
 // The first probe comes soon after the mark, and a target that stays out of reach is probed less
 // and less often, but never given up.
 func TestProbeWaits(t *testing.T) {
+	t.Parallel()
 	p := newProbedBoard(t, 1)
 	p.accepts = noTarget
 	p.b.markUnresponsive(p.now, p.b.targets[testAddr(0)])
@@ -152,6 +154,7 @@
 
 // Only targets that could get requests are probed: each probe has a price.
 func TestProbesOnlyUseful(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		change  func(p *probedBoard)
 		perStep int
@@ -198,6 +201,7 @@
 // After a loss of the path to all targets, the first target that recovers is not alone with all
 // requests for as long as the waits of the others last.
 func TestProbesAdvanceTogether(t *testing.T) {
+	t.Parallel()
 	const targets = 9
 	p := newProbedBoard(t, targets)
 	p.run(time.Second, 4)
@@ -249,6 +253,7 @@
 // Requests that had been sent before the path was lost do not count against a target that accepted
 // a connection since.
 func TestEarlierLossesDoNotCount(t *testing.T) {
+	t.Parallel()
 	p := newProbedBoard(t, 1)
 	first, second := p.place(p.request("a", own)), p.place(p.request("a", own))
 	require.NotNil(t, second)
@@ -267,6 +272,7 @@
 
 // A probe that began after peers found a target unresponsive, and succeeded, counts.
 func TestReachedAfterPeers(t *testing.T) {
+	t.Parallel()
 	p := newProbedBoard(t, 1)
 	p.b.markUnresponsive(p.now, p.b.targets[testAddr(0)])
 	p.now = p.now.Add(time.Millisecond)
--- a/route/retry_after_test.go
+++ b/route/retry_after_test.go
@@ -11,6 +11,7 @@
 // previous process returned: after a restart it computes the next one from its current queue,
 // and treats a caller that returns earlier or later like any other.
 func TestRetryAfterAcrossRestart(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 0, 1, testSetup{})
 	ask := func(b *Board, id string) []Action {
 		return b.Arrive(w.now, Request{
--- a/route/retry_restart_test.go
+++ b/route/retry_restart_test.go
@@ -143,6 +143,7 @@
 // TestRetryBoundRestarts checks that the retries of all routers in any window stay within the
 // bound, whichever routers restart, are suspended or are lost, and however often.
 func TestRetryBoundRestarts(t *testing.T) {
+	t.Parallel()
 	cases := map[string]func(w *retrySim){
 		"nobody restarts": func(w *retrySim) { w.run(2 * retryWindow) },
 		"all once": func(w *retrySim) {
@@ -223,6 +224,7 @@
 // from its start, as if it had been running before, and stays within the bound over four starts
 // in one window.
 func TestRetryBoundSoleRouter(t *testing.T) {
+	t.Parallel()
 	const starts = 4
 	now := epoch
 	spent := 0
--- a/route/retry_test.go
+++ b/route/retry_test.go
@@ -23,6 +23,7 @@
 // requests plus this router's share of the reserve, even if a restart loses the count of
 // retries.
 func TestRetryBound(t *testing.T) {
+	t.Parallel()
 	const routers = 5
 	now := time.Unix(1000, 0)
 	b := newRetryBoard(routers)
@@ -55,6 +56,7 @@
 
 // TestWindow checks that counted events leave the window as time passes.
 func TestWindow(t *testing.T) {
+	t.Parallel()
 	var w window
 	now := time.Unix(1000, 0)
 	for range 10 {
@@ -69,6 +71,7 @@
 // TestWindowTimeOfDay checks that the count depends only on the time between events: setting
 // the wall clock neither empties the window nor stops it.
 func TestWindowTimeOfDay(t *testing.T) {
+	t.Parallel()
 	const over = 10 * time.Second
 	counts := func(start time.Time) (out []int) {
 		var w window
@@ -88,6 +91,7 @@
 // TestWindowLength checks that a change of the window's length keeps the counted events until
 // the new length has passed.
 func TestWindowLength(t *testing.T) {
+	t.Parallel()
 	now := time.Unix(1000, 0)
 	var w window
 	for range 5 {
@@ -103,6 +107,7 @@
 // TestWindowedMax checks that a lower number of routers takes effect only after no higher one
 // was seen for a window, since the routers that disappeared may have spent their share in it.
 func TestWindowedMax(t *testing.T) {
+	t.Parallel()
 	const window = 10 * time.Second
 	now := time.Unix(1000, 0)
 	c := windowedMax{value: 1}
@@ -125,6 +130,7 @@
 // TestRetryBoundLargeFleet checks that routers whose share of the reserve is less than one
 // retry still spend it in total.
 func TestRetryBoundLargeFleet(t *testing.T) {
+	t.Parallel()
 	const routers = 400
 	now := time.Unix(1000, 0)
 	total := 0
--- a/route/returns_test.go
+++ b/route/returns_test.go
@@ -26,6 +26,7 @@
 // TestRetryAfterSpread checks that the callers of one surge are told to return at different times,
 // each within the third of their time for which they honour it.
 func TestRetryAfterSpread(t *testing.T) {
+	t.Parallel()
 	f, p := saturatedPool(t)
 	earliest, latest := poolPatience, time.Duration(0)
 	for range 200 {
@@ -40,6 +41,7 @@
 // TestReturnKeepsPlace checks that a request that returns when it was told to goes before those that
 // arrived meanwhile, once, and that one that returns earlier, later or after a restart does not.
 func TestReturnKeepsPlace(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		after   func(told time.Duration) time.Duration
 		restart bool
--- a/route/shared_test.go
+++ b/route/shared_test.go
@@ -12,6 +12,7 @@
 // events, places requests as if it read the events itself. Parts at the end of a prompt are not
 // sent.
 func TestPartsRelayed(t *testing.T) {
+	t.Parallel()
 	reader, other := newPartsBoard(t, 3), newPartsBoard(t, 3)
 	r := other.request("a", append(shared, own)...)
 	salt := r.Salt("1").String()
@@ -49,6 +50,7 @@
 
 // Merged states contain the same information as the separate ones.
 func TestJoin(t *testing.T) {
+	t.Parallel()
 	m := TargetKey{testAddr(1), "x"}
 	joined := JoinStates([]PeerState{
 		{Loads: []Load{{m, 1, 20, 300}}, Counted: 1, Demands: []Demand{{"a", 1, 0.5, 100, 50, 4, 400, 1, 10}}, Revision: 3},
@@ -62,6 +64,7 @@
 // A part requested far more often than one engine should serve is spread over several engines,
 // whichever routers its requests arrive at. Other parts keep one home.
 func TestHotPartSpreads(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 40)
 	placed := func(last string) map[string]int {
 		places := make(map[string]int)
@@ -88,6 +91,7 @@
 // A prompt with a long part of its own runs where it does not displace the only copy of cached
 // parts, and fetches its shared parts. A short one runs where its shared parts are held.
 func TestPartsDisplaced(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	r := p.request("a", append(shared, own)...)
 	salt := r.Salt("1").String()
@@ -126,6 +130,7 @@
 // A target that several peers found unresponsive gets nothing until it responds again, unless it
 // answers this router. A report by a single peer is attributed to that peer's own path.
 func TestUnresponsiveByPeers(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	mark := TargetKey{testAddr(0), "0"}
 	report := func(routers int) {
@@ -153,6 +158,7 @@
 // A key of a shared part is removed once no target holds it. New weights give every part a new key,
 // so keys would otherwise accumulate.
 func TestSharedKeysForgotten(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1)
 	a := p.place(p.request("a", append(shared, own)...))
 	p.reportParts(testAddr(0), a.Salt, shared...)
@@ -164,6 +170,7 @@
 // Each id is returned once per reader, in batches of a bounded size, whichever router saw it. A
 // relay does not report ids again that it received from another relay.
 func TestSharedSince(t *testing.T) {
+	t.Parallel()
 	now := time.Unix(100, 0)
 	own, relay := NewBoard(), NewBoard()
 	const seen = maxReported + 10
--- a/route/silent_test.go
+++ b/route/silent_test.go
@@ -11,6 +11,7 @@
 // became unresponsive is used again at once, and that peers are not informed that it is
 // unresponsive.
 func TestUnresponsiveReached(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	a := f.place(f.request("a", own))
 	f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
@@ -26,6 +27,7 @@
 // TestUnresponsiveReachedLate checks that a new connection does not bring back a target that peers
 // found unresponsive later.
 func TestUnresponsiveReachedLate(t *testing.T) {
+	t.Parallel()
 	f := newPartsBoard(t, 1)
 	a := f.place(f.request("a", own))
 	f.b.Ended(f.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken, Silent: true})
--- a/route/stream_test.go
+++ b/route/stream_test.go
@@ -28,6 +28,7 @@
 // delivered text is always a prefix of the correct one, and is all of it if the stream is
 // complete.
 func TestStreamFuzz(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		texts := rapid.IntRange(0, 12).Draw(rt, "texts")
 		chunks := wholeStream("a", texts)
@@ -84,6 +85,7 @@
 }
 
 func TestStream(t *testing.T) {
+	t.Parallel()
 	good := wholeStream("a", 3)
 	cases := map[string]struct {
 		chunks  []Chunk
--- a/route/target_brittle_fleet_test.go
+++ b/route/target_brittle_fleet_test.go
@@ -373,6 +373,7 @@
 // them more than they have room for: they fall no more often than 2 + a tenth of their number, and at
 // least 0.8 of what they can serve is served.
 func TestBrittleTargets(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		routers, targets, bearable, queue int
 		seeds                             uint64
@@ -399,6 +400,7 @@
 
 // Without the division of their slots, the targets fall more often than allowed.
 func TestBrittleTargetsUndivided(t *testing.T) {
+	t.Parallel()
 	for routers, targets := range map[int]int{6: 20, 84: 40} {
 		for _, queue := range []int{2, 0} {
 			t.Run(fmt.Sprintf("%d routers, queue %d", routers, queue), func(t *testing.T) {
@@ -415,6 +417,7 @@
 // With fewer slots than routers, no router is left without any answer for half a minute, and the
 // targets do not fall.
 func TestBrittleTargetsFewSlots(t *testing.T) {
+	t.Parallel()
 	for _, bearable := range []int{1, 3} {
 		t.Run(fmt.Sprint(bearable), func(t *testing.T) {
 			t.Parallel()
@@ -437,6 +440,7 @@
 
 // Restarts of routers during a surge, one or a third of them at once, let few targets fall.
 func TestBrittleTargetsRestart(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct{ routers, targets, every int }{
 		"one of 6":      {6, 20, 6},
 		"a third of 6":  {6, 20, 3},
@@ -460,6 +464,7 @@
 
 // Routers that hear no others during a surge keep to a part of the slots, and let few targets fall.
 func TestBrittleTargetsCutOff(t *testing.T) {
+	t.Parallel()
 	for routers, targets := range map[int]int{6: 20, 84: 40} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
@@ -480,6 +485,7 @@
 // A target that no longer announces that it is brittle gets as many requests as before, once one
 // router knows it. An older answer changes nothing.
 func TestBrittleEnds(t *testing.T) {
+	t.Parallel()
 	f := newBrittleFleet(t, 6, 4, 1)
 	f.bearable = 3
 	f.play(4*time.Second, 0.5*f.capacity())
@@ -506,6 +512,7 @@
 // The places of routers that agree on each other are as many as the slots, in each fleet and at each
 // time, and a slot that a target lacks takes one place from one router.
 func TestBrittlePlaces(t *testing.T) {
+	t.Parallel()
 	for _, routers := range []int{1, 6, 84, 390} {
 		boards := make([]*Board, routers)
 		for i := range boards {
--- a/route/target_brittle_test.go
+++ b/route/target_brittle_test.go
@@ -23,6 +23,7 @@
 
 // The places at a brittle target follow what it is known to take.
 func TestBrittleRoom(t *testing.T) {
+	t.Parallel()
 	room := func(b *Board, now time.Time, t *target) int {
 		n := 0
 		for ; n < 10; n++ {
@@ -89,6 +90,7 @@
 // Guards against a target that falls again as soon as it is back: routers that know nothing of its new
 // incarnation all send to it, though it is as brittle as the others of its service.
 func TestBrittleAssumed(t *testing.T) {
+	t.Parallel()
 	b, first := brittleBoard(t, 8)
 	p, other := b.pools["s"], b.targets[testAddr(1)]
 	brittle := func(now time.Time, t *target) bool {
@@ -110,6 +112,7 @@
 
 // What is known of a brittle target survives its absence from the list, as of the same incarnation.
 func TestBrittleSurvivesList(t *testing.T) {
+	t.Parallel()
 	b, _ := brittleBoard(t, 8)
 	b.SetTargets(epoch, nil)
 	b.SetTargets(epoch, []ListedTarget{{Addr: testAddr(0), Labels: map[string]string{"s": "s"}, Incarnation: "i"}})
@@ -121,6 +124,7 @@
 
 // Updates about one incarnation merge to the newest, or the most careful one, with all rejections.
 func TestBrittleUpdateJoined(t *testing.T) {
+	t.Parallel()
 	named := BrittleUpdate{Seq: 2, Named: true, MaxRejected: 4}
 	for name, c := range map[string]struct{ a, b, want BrittleUpdate }{
 		"newer":              {named, BrittleUpdate{Seq: 3}, BrittleUpdate{Seq: 3}},
--- a/route/target_hints_test.go
+++ b/route/target_hints_test.go
@@ -33,6 +33,7 @@
 // A draining hint in an answer holds until the incarnation that gave it ends, whatever else is
 // reported about it.
 func TestDrainingHintKept(t *testing.T) {
+	t.Parallel()
 	draining := TargetHints{Draining: true}
 	of := func(i Incarnation) TargetKey { return TargetKey{testAddr(0), i} }
 	for name, c := range map[string]struct {
@@ -98,6 +99,7 @@
 // get its requests. If all targets back off, a request is refused at once with the time until the
 // first accepts one again.
 func TestBackoffHintKept(t *testing.T) {
+	t.Parallel()
 	b := newHintBoard(t, 2)
 	first, second := TargetKey{testAddr(0), "x"}, TargetKey{testAddr(1), "x"}
 	at := func(s float64) time.Time { return epoch.Add(seconds(s)) }
@@ -141,6 +143,7 @@
 // happens when its entry expires while the store is unavailable. They do not apply to another
 // target at its address.
 func TestHintsSurviveList(t *testing.T) {
+	t.Parallel()
 	at := func(s float64) time.Time { return epoch.Add(seconds(s)) }
 	for name, c := range map[string]struct {
 		back  Incarnation
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -292,6 +292,7 @@
 // routers together, however few requests per second that is for each router, and nearly as much if
 // the demand exceeds it.
 func TestTargetLimitBound(t *testing.T) {
+	t.Parallel()
 	for name, play := range targetLimitScenarios() {
 		for _, n := range []int{1, 8, 90, 390} {
 			for _, limit := range testTargetLimits(n) {
@@ -341,6 +342,7 @@
 
 // At least four fifths of a target's limit are used while the demand exceeds it.
 func TestTargetLimitUsed(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{1, 8, 90, 390} {
 		for _, limit := range testTargetLimits(n) {
 			t.Run(fmt.Sprintf("%d routers/%g", n, limit), func(t *testing.T) {
@@ -361,6 +363,7 @@
 // A raised, lowered or removed limit is known to all routers once one of them received it. An
 // answer to a request that was sent before the limit became known does not remove it.
 func TestTargetLimitChanges(t *testing.T) {
+	t.Parallel()
 	f := newTargetLimitFleet(t, 8, 4, 3)
 	knows := func(limit float64) {
 		t.Helper()
@@ -390,6 +393,7 @@
 
 // A limit ends with the incarnation that announced it.
 func TestTargetLimitEndsWithIncarnation(t *testing.T) {
+	t.Parallel()
 	f := newTargetLimitFleet(t, 1, 4, 4)
 	b := f.boards[0]
 	b.ApplyHints(f.now, TargetKey{testAddr(0), "i"}, f.now, TargetHints{Limit: LimitHint{Named: true, PerSecond: 2}})
@@ -404,6 +408,7 @@
 // The repeated checks give none of them a further chance, and the usage is the same as with a
 // single check.
 func TestTargetLimitAlone(t *testing.T) {
+	t.Parallel()
 	for _, limit := range []float64{2, 10} {
 		f := newTargetLimitFleet(t, 3, 1, 5)
 		f.setLimit(limit)
--- a/route/target_notices_test.go
+++ b/route/target_notices_test.go
@@ -85,6 +85,7 @@
 // An engine has loaded new weights, and the list and the lease holder are late to say so. The
 // routers send it a request each: without notices and a second send each of them loses it.
 func TestWeightsChangedUnseen(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		off  Mechanisms
 		lost int
@@ -109,6 +110,7 @@
 // A router that is cut off does not know that newer weights were named. It expects the next ones of
 // an engine that refuses the newest that it knows, which no other router is told.
 func TestWeightsChangedCutOff(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		off    Mechanisms
 		has    string
@@ -133,6 +135,7 @@
 // An engine crashes and another one starts at its address before the list says so. Without notices
 // each router loses a request to learn it; with them one does.
 func TestSuccessorUnseen(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		off  Mechanisms
 		lost int
@@ -154,6 +157,7 @@
 // While the list still names the engine that was succeeded, its late heartbeats do not bring it
 // back. The successor gets requests once the list names it.
 func TestSuccessorOutlivesOldEntry(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 2, 1, 0)
 	f.lost(t, engineWith("new", "1"))
 	for _, p := range f.routers {
@@ -169,6 +173,7 @@
 // A request that another incarnation refused waits for the list to name that one and then goes
 // there, since no other engine has received it. It is refused when its aim has passed.
 func TestResendToSuccessor(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		listed bool
 		aim    time.Duration
@@ -221,6 +226,7 @@
 
 // The second send is an arrival at the pool's targets, so it draws on the retry budget.
 func TestResendBudget(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 1, 1, 0)
 	p := f.routers[0]
 	refused, sent := 0, 0
@@ -238,6 +244,7 @@
 // report from before its end changes nothing, and a later one does. A router alone may have lost its
 // path to the engine.
 func TestEndedTarget(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 4, 4, 0)
 	f.pass(2 * answerValidTime)
 	usable := func() (n int) {
@@ -267,6 +274,7 @@
 // One router finds connections to an engine refused, and the others learn it over several ways and
 // again later. It stays one router's observation.
 func TestEndedTargetOneRouter(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 3, 4, 0)
 	f.pass(2 * answerValidTime)
 	for range 4 {
@@ -286,6 +294,7 @@
 // Routers to which most targets refuse connections have lost their own path, and do not make the
 // others give the targets up. Nor does a target that answered the others in the meantime.
 func TestEndedTargetsOwnPath(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 3, 10, 0)
 	f.pass(2 * answerValidTime)
 	other := f.routers[2]
@@ -311,6 +320,7 @@
 // order. It gets nothing for as long as the lease holder takes to see that. A full engine is not
 // taken for one.
 func TestLoadingTarget(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		newest string
 		// peers is the number of requests of other routers at the engine, which has four slots.
@@ -349,6 +359,7 @@
 
 // Answers state the weights that they ran under. A later answer on another connection may be older.
 func TestWeightsHint(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		hints []string
 		want  string
@@ -374,6 +385,7 @@
 
 // Relays join the notices of many routers into a bounded list of the newest.
 func TestNoticesJoined(t *testing.T) {
+	t.Parallel()
 	var states []PeerState
 	for router := range 20 {
 		var s PeerState
@@ -393,6 +405,7 @@
 
 // A refusal's detail names what was expected, what was found and how old the knowledge was.
 func TestRefusalDetail(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		o    Outcome
 		want string
@@ -429,6 +442,7 @@
 // last state again and again, in a small fleet its own and in a large one that of a relay, and give
 // the engine requests again once the time since the observation has passed.
 func TestLoadingNoticeAges(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		join func(PeerState) PeerState
 		// delay is how long a state is under way at each merge, which its age does not contain.
@@ -464,6 +478,7 @@
 // An engine that was taken for loading gets requests as soon as it is known to have the weights of
 // the order, and a late notice from before changes nothing.
 func TestLoadingEnds(t *testing.T) {
+	t.Parallel()
 	key := TargetKey{testAddr(0), "0"}
 	for name, c := range map[string]struct {
 		learn func(p *partsBoard)
@@ -499,6 +514,7 @@
 // is refused as well. The other routers are told no guess, only what the engine states or what was
 // named.
 func TestGuessedWeightsNotTold(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		stated, named string
 		told          []string
@@ -528,6 +544,7 @@
 // An engine that refuses a request over its weights, and states those that were expected, is not
 // assumed to have the next ones: it gets nothing until its next report.
 func TestStatedWeightsNotGuessed(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 1, 1, 0)
 	p := f.routers[0]
 	a := p.place(p.request("a", Part{"x", 10}))
@@ -541,6 +558,7 @@
 // An engine was replaced twice while a request was under way, and the list named the first
 // replacement meanwhile. The other routers, which know that one, are told what succeeded it.
 func TestSecondSuccessor(t *testing.T) {
+	t.Parallel()
 	f := newRefusalFleet(t, 2, 1, 0)
 	a := f.routers[0].place(f.routers[0].request("a", Part{"x", 10}))
 	f.pass(time.Second)
@@ -556,6 +574,7 @@
 // Requests that wait for a successor are sent there as it has capacity and memory, and one that is
 // not sent in time says what held it.
 func TestParkedRequests(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		change func(p *partsBoard, engine *target)
 		sent   int
--- a/route/target_restart_test.go
+++ b/route/target_restart_test.go
@@ -29,6 +29,7 @@
 // source reports it first: the list, the target's own entry or a peer. This holds even if the list
 // later says ready, or if the entry was gone in between.
 func TestLeavingOverRestart(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 0, 1, testSetup{})
 	f := w.targets[0]
 	mark := TargetKey{f.addr, Incarnation(f.id())}
@@ -103,6 +104,7 @@
 // only under the incarnation in the list entry, so that the other target refuses and is excluded as
 // before. A peer that names another incarnation changes nothing.
 func TestUnconfirmedAfterRestart(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 0, 1, testSetup{trust: true})
 	f := w.targets[0]
 	b := restartedBoard(t, w, WithReusedAddresses())
--- a/route/target_test.go
+++ b/route/target_test.go
@@ -9,6 +9,7 @@
 
 // The aim at a target is that of the routes to its own pools.
 func TestAimAt(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		aims []time.Duration
 		want time.Duration
--- a/route/wait_test.go
+++ b/route/wait_test.go
@@ -31,6 +31,7 @@
 // TestWaitsWhileInTime checks that a request is queued as long as its answer can begin in time,
 // judged by recent answers, and is refused immediately after that.
 func TestWaitsWhileInTime(t *testing.T) {
+	t.Parallel()
 	f := fullBoard(t)
 	// Recent answers took four times as long as the prefill of their unshared part alone.
 	f.b.pools["e"].firstTokens.add(400*time.Millisecond, 100*time.Millisecond)
@@ -49,6 +50,7 @@
 // implies that there will be no capacity for it in time, and that the refusal states when there
 // will be.
 func TestRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	f := fullBoard(t)
 	require.Empty(t, refusals(f.b.Arrive(f.now, f.requestWithAim(time.Second, Part{"own", 8000}))))
 	f.now = f.now.Add(500 * time.Millisecond)
@@ -62,6 +64,7 @@
 // TestFirstTokenStats checks that the averages follow new values, and that the excess over the
 // minimum is never negative.
 func TestFirstTokenStats(t *testing.T) {
+	t.Parallel()
 	var f firstTokenStats
 	require.Zero(t, f.excess())
 	f.add(50*time.Millisecond, 100*time.Millisecond)
@@ -75,6 +78,7 @@
 // TestExpectedFirstTokenAdds checks that a long prompt is expected to wait as long as a short one
 // does, and not by the same multiple of its own prefill.
 func TestExpectedFirstTokenAdds(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 1)
 	p := f.b.pools["e"]
 	p.firstTokens.add(60*time.Millisecond, 10*time.Millisecond)
@@ -86,6 +90,7 @@
 // interrupted stays queued while no target is available, unlike a request that can no longer be
 // answered in time.
 func TestStartedAnswerKeepsWaiting(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 1)
 	started := f.requestWithAim(300*time.Millisecond, own)
 	started.Resumable, started.Repeatable, started.MaxTries = true, true, 3
@@ -109,6 +114,7 @@
 // most 5 percentage points less often than others of their organisation, and that the others
 // are served at least a quarter as often as the average.
 func TestUrgentFirst(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			served := runOverload(t, rand.New(rand.NewPCG(seed, 1)))
@@ -159,6 +165,7 @@
 // TestAwaitingFillNotCountedAsQueue checks that requests that wait for a pending fill, and not
 // for capacity, cause no refusal of others, whatever the earlier throughput was.
 func TestAwaitingFillNotCountedAsQueue(t *testing.T) {
+	t.Parallel()
 	f := newFillBoard(t, 3)
 	f.place(f.requestWithAim(time.Second, append(shared, own)...))
 	for i := range 3 {
@@ -173,6 +180,7 @@
 // TestThroughputFromFirstWait checks that requests sent long before the queue formed do not
 // count towards the throughput.
 func TestThroughputFromFirstWait(t *testing.T) {
+	t.Parallel()
 	f := fullBoard(t)
 	f.b.pools["e"].throughput.add(f.now, 1000)
 	f.now = f.now.Add(30 * time.Second)
--- a/route/weights_test.go
+++ b/route/weights_test.go
@@ -13,6 +13,7 @@
 // An event records once that a target's weights are no longer used, with the time since newer ones
 // were named.
 func TestOutdatedNoted(t *testing.T) {
+	t.Parallel()
 	var notes []event.Event
 	p := newPartsBoard(t, 1, WithEventHandler(func(e event.Event) {
 		if e.Code == event.TargetOutdated {
@@ -35,6 +36,7 @@
 // been named, whichever process knows it. If none knows it, a process uses them for a short time
 // after its start.
 func TestWeightsAge(t *testing.T) {
+	t.Parallel()
 	at := func(s float64) time.Time { return epoch.Add(time.Duration(s * float64(time.Second))) }
 	span := func(weights string, first, last float64) NewestSpan {
 		return NewestSpan{Model: "m", Weights: weights, First: at(first), Last: at(last)}
@@ -84,6 +86,7 @@
 
 // An update between processes preserves the span, up to the uncertainty of the transit time.
 func TestNewestUpdate(t *testing.T) {
+	t.Parallel()
 	now := epoch.Add(time.Minute)
 	for name, s := range map[string]NewestSpan{
 		"both known": {Model: "m", Weights: "2", First: epoch, Last: epoch.Add(3 * time.Second)},
@@ -104,6 +107,7 @@
 // weights are never used beyond the limit after the first naming that replaced them, except for the
 // time allowed after a process start.
 func TestWeightsAgeFuzz(t *testing.T) {
+	t.Parallel()
 	const limit, unknown = 9 * time.Second, 3 * time.Second
 	rapid.Check(t, func(rt *rapid.T) {
 		var (
@@ -172,6 +176,7 @@
 // An older report about an incarnation's weights does not override a newer one, and a target that
 // refuses because of its weights is believed.
 func TestWeightsUpdates(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1)
 	mark := TargetKey{testAddr(0), "0"}
 	p.announceWeights("2")
@@ -196,6 +201,7 @@
 // A target that refused because of its weights need not have the newest. The assumed weights do not
 // count as observed, so the target is still updated, and they yield to its own reports.
 func TestAssumedWeights(t *testing.T) {
+	t.Parallel()
 	for name, play := range map[string]func(p *partsBoard){
 		"it reports weights in between": func(p *partsBoard) { p.report(0, "2") },
 		"it refuses the assumed weights": func(p *partsBoard) {
@@ -237,6 +243,7 @@
 // A request that waits at a target is withdrawn before it would begin on weights that are too old,
 // and nothing is sent to a target where it would wait that long.
 func TestWeightsWithdrawn(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 2)
 	p.announceWeights("2")
 	p.report(1, "2")
@@ -266,6 +273,7 @@
 // weights then take precedence over late reports of the earlier weights, but not over the target's
 // own report of newer ones. The observed weights are not changed by the assumption.
 func TestRefusedWeights(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		reports    []string
 		want, seen string
@@ -301,6 +309,7 @@
 // A prompt that takes longer to read than the time left for requests to begin is not sent to the
 // target, because it would be withdrawn while it is read and then sent to another target.
 func TestWeightsTooLateForOwnPrompt(t *testing.T) {
+	t.Parallel()
 	p := newPartsBoard(t, 1)
 	p.announceWeights("2")
 	p.now = p.now.Add(9*time.Second - 10*time.Millisecond)
