transport, node: how a stream without a length ended

Callers saw streams that were broken off and looked complete. Nothing in the logs or metrics of a node told how the target framed such an answer, how it ended or what was left over, so that the hypotheses on the incident could not be told apart.

transport.Response says whether the end of the connection is the only mark of the end; pathhead_unframed_streams_total counts such streams by whether they ended inside an event, and the event stream-ended-inside names request and target. No logic changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -47,6 +47,7 @@
 	AnswerCut         Code = 229
 	HandlerPanicked   Code = 230
 	RequestHandedOver Code = 231
+	StreamEndedInside Code = 232
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -157,6 +158,7 @@
 	{AnswerCut, "answer-cut", slog.LevelWarn, "The connection of a caller was closed without a complete answer; the detail has the reason, for how long at most a target had sent nothing, and how long ago the configuration was adopted."},
 	{HandlerPanicked, "handler-panicked", slog.LevelError, "A programming error ended the handling of a request, whose connection was closed; the detail has the error and the stack."},
 	{RequestHandedOver, "request-handed-over", slog.LevelInfo, "A request was handed over to another node, since this one is cut off from its pool; the target is that node's address."},
+	{StreamEndedInside, "stream-ended-inside", slog.LevelWarn, "A target closed the connection of a stream that has neither a length nor chunks, and part of an event is left over; the detail has its size."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was discovered."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target has a new incarnation; the state known of the previous one was discarded."},
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -91,6 +92,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_answers_cut_total{reason=%q}", string(reason))).Inc()
 }
 
+// unframed counts a stream that had neither a length nor chunks and ended with its connection.
+func (c counters) unframed(insideEvent bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_unframed_streams_total{inside_event=%q}", strconv.FormatBool(insideEvent))).Inc()
+}
+
 // fetched counts a fetch of the configuration from another node by result.
 func (c counters) fetched(end string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_config_fetches_total{end=%q}", end)).Inc()
--- a/node/stream.go
+++ b/node/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/zeebo/errs/v2"
 
+	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/route"
 	"github.com/pathhead/pathhead/transport"
 )
@@ -53,6 +55,7 @@
 		buffered = append(buffered, buf[:n]...)
 		complete := completeEvents(buffered)
 		if errors.Is(err, io.EOF) {
+			f.recordEnd(a, resp, len(buffered)-complete)
 			complete = len(buffered)
 		}
 		if first && complete > 0 {
@@ -90,6 +93,21 @@
 	}
 }
 
+// recordEnd records how a stream without length or chunks ended: with what was left over after its
+// last complete event.
+func (f *forwarding) recordEnd(a route.Attempt, resp *transport.Response, leftOver int) {
+	if !resp.Unframed {
+		return
+	}
+	f.n.counters.unframed(leftOver > 0)
+	if leftOver > 0 {
+		f.n.events.Record(event.Event{
+			Code: event.StreamEndedInside, Request: f.v.info.ID, Attempt: a.ID, Target: a.Target.String(),
+			Detail: fmt.Sprintf("%d bytes of an event are left over", leftOver),
+		})
+	}
+}
+
 // completeEvents returns the length of the complete events at the beginning of data.
 func completeEvents(data []byte) int {
 	end := bytes.LastIndex(data, eventEnd)
--- a/transport/send.go
+++ b/transport/send.go
@@ -41,7 +41,10 @@
 	Header http.Header
 	// Size is the stated length of the body, -1 if there is none.
 	Size int64
-	Body io.ReadCloser
+	// Unframed is set if the body has neither a length nor chunks (RFC 9112, section 6.3). Its end is
+	// the end of the connection then, which a target that crashes may close in order as well.
+	Unframed bool
+	Body     io.ReadCloser
 }
 
 // maxForeignAnswers is the number of answers to other requests that are skipped before
@@ -179,8 +182,11 @@
 		case resp.StatusCode < 200:
 			continue
 		case req.Matches == nil || req.Matches(resp.Header):
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Size: resp.ContentLength, Body: &body{exchange: x, resp: resp}}, nil
-		case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+			return &Response{
+				Status: resp.StatusCode, Header: resp.Header, Size: resp.ContentLength,
+				Unframed: unframed(resp) && req.Method != http.MethodHead, Body: &body{exchange: x, resp: resp},
+			}, nil
+		case unframed(resp):
 			return nil, errForeignAnswer.Errorf("answer to another request is delimited by the end of the connection")
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -190,6 +196,11 @@
 	return nil, errForeignAnswer.Errorf("none of %d answers matches the request", maxForeignAnswers)
 }
 
+// unframed reports whether the end of the connection is the end of an answer's body, if it has one.
+func unframed(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 var errForeignAnswer = errs.Tag("answers to other requests")
 
 // classifyError converts an error on the connection. After a timeout, unlike a cancellation
@@ -231,8 +242,7 @@
 	if x.done {
 		return
 	}
-	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
-	if !x.written.Load() || x.fresh || resp.Close || unframed || !x.stop() {
+	if !x.written.Load() || x.fresh || resp.Close || unframed(resp) || !x.stop() {
 		x.abort()
 		return
 	}
