node: a stream without a length that ends inside an event was broken off

Cause: a stream that has neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that crashes in order where nothing unread is left. At the end of the body the stream loop sent whatever was left in its buffer as if it were an event and called the answer complete. The class: an end of input taken for the end of an answer, where nothing in the answer marks it.

What is left over now decides: a field of an event, or a part of a line, means that the stream was broken off, which ends the attempt as broken by its target, so that the stream resumes elsewhere or the caller's connection is closed without its end mark. Blank lines and whole comments belong to no event. A blank line may end with a carriage return now; such streams had been held back until their end, and would have counted as broken off.

An answer with a length or chunks that ends in order keeps its end: its target marked it.

--- a/node/stream.go
+++ b/node/stream.go
@@ -18,8 +18,12 @@
 
 func setLength(h http.Header, n int) { h.Set("Content-Length", strconv.Itoa(n)) }
 
-// eventEnd terminates an event of a stream.
-var eventEnd = []byte("\n\n")
+// eventEnds are the ends of an event of a stream: a blank line, which may end with a carriage return.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// errInsideEvent means that a stream without a length or chunks was broken off: its connection was closed
+// inside an event.
+var errInsideEvent = errs.Tag("the stream ended inside an event")
 
 // Sizes of the buffers of a stream, in bytes.
 const (
@@ -55,8 +59,9 @@
 		buffered = append(buffered, buf[:n]...)
 		complete := completeEvents(buffered)
 		if errors.Is(err, io.EOF) {
-			f.recordEnd(a, resp, len(buffered)-complete)
-			complete = len(buffered)
+			if err = f.checkEnd(a, resp, buffered[complete:], err); errors.Is(err, io.EOF) {
+				complete = len(buffered)
+			}
 		}
 		if first && complete > 0 {
 			// The header may arrive long before; only the first event shows that prefill is done.
@@ -93,28 +98,49 @@
 	}
 }
 
-// recordEnd records how a stream without length or chunks ended: with what was left over after its
-// last complete event.
-func (f *forwarding) recordEnd(a route.Attempt, resp *transport.Response, leftOver int) {
+// checkEnd checks the end of a stream by what is left over after its last complete event. It returns
+// io.EOF, or another error if the stream was broken off.
+func (f *forwarding) checkEnd(a route.Attempt, resp *transport.Response, leftOver []byte, eof error) error {
 	if !resp.Unframed {
-		return
+		return eof
 	}
-	f.n.counters.unframed(leftOver > 0)
-	if leftOver > 0 {
-		f.n.events.Record(event.Event{
-			Code: event.StreamEndedInside, Request: f.v.info.ID, Attempt: a.ID, Target: a.Target.String(),
-			Detail: fmt.Sprintf("%d bytes of an event are left over", leftOver),
-		})
+	inside := insideEvent(leftOver)
+	f.n.counters.unframed(inside)
+	if !inside {
+		return eof
 	}
+	f.n.events.Record(event.Event{
+		Code: event.StreamEndedInside, Request: f.v.info.ID, Attempt: a.ID, Target: a.Target.String(),
+		Detail: fmt.Sprintf("%d bytes of an event are left over", len(leftOver)),
+	})
+	return errInsideEvent.Wrap(io.ErrUnexpectedEOF)
 }
 
 // completeEvents returns the length of the complete events at the beginning of data.
 func completeEvents(data []byte) int {
-	end := bytes.LastIndex(data, eventEnd)
-	if end < 0 {
-		return 0
+	end := 0
+	for _, mark := range eventEnds {
+		if i := bytes.LastIndex(data, mark); i >= 0 {
+			end = max(end, i+len(mark))
+		}
+	}
+	return end
+}
+
+// insideEvent reports whether a stream that ends with data, after its last complete event, ends inside an
+// event or a line. Blank lines and comments belong to no event.
+func insideEvent(data []byte) bool {
+	return hasField(data) || len(data) > 0 && data[len(data)-1] != '\n'
+}
+
+// hasField reports whether data has a line that is a field of an event.
+func hasField(data []byte) bool {
+	for line := range bytes.Lines(data) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			return true
+		}
 	}
-	return end + len(eventEnd)
+	return false
 }
 
 // Bounds of a pause after which a stream is resumed elsewhere.
