node, platform: a stream without a length that ends before its first event is not complete

Callers saw an empty stream as a complete one where an engine without length or chunks ended after its head.

Cause: the same end of the connection that is taken for the end of the answer, with nothing in the buffer. A stream that a caller asked for whole has an event; one that is taken up after an event may have none left. Nodes read from the request now after which event the caller takes a stream up, which also replaces the case distinction on which last event an attempt states.

TestPlatformUnframedWithoutEvent, TestUnframedStreamEnds and TestUnframedStreamCutAnywhere failed before and pass.

--- a/node/forward.go
+++ b/node/forward.go
@@ -32,7 +32,7 @@
 	// fallback is a complete error response of a target, sent if no other target does better.
 	fallback *bufferedAnswer
 	// started is set once part of the answer was sent to the caller; lastEvent is the id of the
-	// last event sent.
+	// last event that the caller has.
 	started   bool
 	lastEvent string
 	// done is set once the whole answer was sent.
@@ -60,8 +60,8 @@
 
 // forward forwards an admitted request and sends the answer.
 func (n *Node) forward(v *callerRequest) {
-	f := &forwarding{n: n, v: v, req: n.request(v), head: callerHeader(v.r.Header)}
-	if v.handed != nil {
+	f := &forwarding{n: n, v: v, req: n.request(v), head: callerHeader(v.r.Header), lastEvent: v.info.LastEvent}
+	if v.handed != nil && v.handed.lastEvent != "" {
 		f.lastEvent = v.handed.lastEvent
 	}
 	n.recordAges(n.now())
@@ -360,9 +360,7 @@
 func (f *forwarding) call(a route.Attempt, now time.Time) transport.Request {
 	h := f.head.Clone()
 	s := AttemptInfo{Attempt: a, Org: f.req.Org, Remaining: f.req.Deadline.Sub(now), Priority: f.req.Priority}
-	if a.Resume || f.v.handed != nil {
-		s.LastEvent = f.lastEvent
-	}
+	s.LastEvent = f.lastEvent
 	f.n.protocol.Header(h, s)
 	id := f.v.info.ID
 	return transport.Request{
--- a/node/ports.go
+++ b/node/ports.go
@@ -28,6 +28,9 @@
 	LengthHint int
 	// Tokens is the number of tokens charged to limits; zero if unknown.
 	Tokens int
+	// LastEvent is the id of the event after which the caller takes a stream up; empty if it asks for a
+	// whole one.
+	LastEvent string
 }
 
 // promptTokens returns the length of the prompt, or 0 for a request to a plain service.
--- a/node/stream.go
+++ b/node/stream.go
@@ -21,9 +21,11 @@
 // eventEnds are the ends of an event of a stream: a blank line, which may end with a carriage return.
 var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
-// errInsideEvent means that a stream without a length or chunks was broken off: its connection was closed
-// inside an event.
-var errInsideEvent = errs.Tag("the stream ended inside an event")
+// The ways in which a stream without a length or chunks shows that it was broken off.
+var (
+	errInsideEvent = errs.Tag("the stream ended inside an event")
+	errNoEvent     = errs.Tag("the stream ended before its first event")
+)
 
 // Sizes of the buffers of a stream, in bytes.
 const (
@@ -43,6 +45,8 @@
 		buf      = make([]byte, streamBuffer)
 		gap      = f.maxGap(a)
 		first    = true
+		// hasEvent is set once an event arrived, not only comments.
+		hasEvent bool
 		// counted is the part of buffered that is reserved.
 		counted = commonEvents
 	)
@@ -58,8 +62,9 @@
 		}
 		buffered = append(buffered, buf[:n]...)
 		complete := completeEvents(buffered)
+		hasEvent = hasEvent || hasField(buffered[:complete])
 		if errors.Is(err, io.EOF) {
-			if err = f.checkEnd(a, resp, buffered[complete:], err); errors.Is(err, io.EOF) {
+			if err = f.checkEnd(a, resp, hasEvent, buffered[complete:], err); errors.Is(err, io.EOF) {
 				complete = len(buffered)
 			}
 		}
@@ -98,15 +103,19 @@
 	}
 }
 
-// checkEnd checks the end of a stream by what is left over after its last complete event. It returns
-// io.EOF, or another error if the stream was broken off.
-func (f *forwarding) checkEnd(a route.Attempt, resp *transport.Response, leftOver []byte, eof error) error {
+// checkEnd checks the end of a stream by whether it has an event and what is left over after its last
+// complete one. It returns io.EOF, or another error if the stream was broken off. Of a stream that the
+// caller has in part, nothing may be left to send.
+func (f *forwarding) checkEnd(a route.Attempt, resp *transport.Response, hasEvent bool, leftOver []byte, eof error) error {
 	if !resp.Unframed {
 		return eof
 	}
 	inside := insideEvent(leftOver)
 	f.n.counters.unframed(inside)
-	if !inside {
+	switch {
+	case !inside && !hasEvent && f.lastEvent == "":
+		return errNoEvent.Wrap(io.ErrUnexpectedEOF)
+	case !inside:
 		return eof
 	}
 	f.n.events.Record(event.Event{
