transport: an answer without a length is not complete if its target refuses connections

Cause: as with streams that end inside an event, the end of a connection counts as the end of the answer, and a crash brings it about in order. Nothing in the answer tells the two apart. What tells them apart is the listener, which ends with the process: at the end of an answer that nothing else delimits, the pool opens the connection that it needs next anyhow, and the answer is broken off if the target refuses it. That is one place for the stream loop, the buffered answer, the answer that is passed through and the product's own router.

Cost: a round trip to the target at the end of such an answer (its events have been sent on before), and no connection more, since the one that opens replaces the one that ended. Not seen: a target whose listener outlives the process that answered, as behind a proxy. A target that stops in a planned way, closes its listener first and ends such an answer after that counts as broken off; a resumable stream then gets an empty rest from another target.

Failed try: aborting the exchange only after the check left the ended connection in the count of open ones, so that a target at its limit of connections could not be checked.

--- a/transport/send.go
+++ b/transport/send.go
@@ -182,10 +182,8 @@
 		case resp.StatusCode < 200:
 			continue
 		case req.Matches == nil || req.Matches(resp.Header):
-			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Size: resp.ContentLength,
-				Unframed: unframed(resp) && req.Method != http.MethodHead, Body: &body{exchange: x, resp: resp},
-			}, nil
+			b := &body{exchange: x, resp: resp, unframed: unframed(resp) && req.Method != http.MethodHead}
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Size: resp.ContentLength, Unframed: b.unframed, Body: b}, nil
 		case unframed(resp):
 			return nil, errForeignAnswer.Errorf("answer to another request is delimited by the end of the connection")
 		}
@@ -268,16 +266,33 @@
 	return defaultIdleTime
 }
 
+// errTargetEnded means that the target of an answer without length or chunks ended with its connection.
+var errTargetEnded = errs.Tag("the target closed the connection and accepts no other")
+
+// targetEnded reports whether the target refuses connections. A process that crashes closes its
+// connections as in order and its listener with them. A connection that opens serves the next request.
+func (x *exchange) targetEnded() bool {
+	return ConnectionRefused(x.conn.pool.CheckReachable(x.ctx, x.conn.target))
+}
+
 // body is an answer's body; reading it to its end returns the connection to the pool.
 type body struct {
 	exchange *exchange
 	resp     *http.Response
+	// unframed is that of the [Response].
+	unframed bool
 }
 
 // Read implements [io.Reader].
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
 	switch {
+	case errors.Is(err, io.EOF) && b.unframed:
+		// The connection ends with the answer.
+		b.exchange.abort()
+		if b.exchange.targetEnded() {
+			err = errTargetEnded.Errorf("target %s: %w", b.exchange.conn.target, io.ErrUnexpectedEOF)
+		}
 	case errors.Is(err, io.EOF):
 		b.exchange.finish(b.resp)
 	case err != nil:
--- /dev/null
+++ b/transport/unframed_test.go
@@ -0,0 +1,67 @@
+package transport
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The end of a connection is the end of an answer without length or chunks only while the target accepts
+// connections: one that crashed closes its connections in order too.
+func TestUnframedAnswerOfEndedTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, head string
+		ended, whole bool
+		// opened is the number of connections that the pool opens.
+		opened int
+	}{
+		"the target goes on":           {http.MethodPost, "", false, true, 2},
+		"it has ended":                 {http.MethodPost, "", true, false, 1},
+		"it has ended after a length":  {http.MethodPost, "Content-Length: 4\r\n", true, true, 1},
+		"it has ended, without a body": {http.MethodHead, "", true, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				read(r)
+				if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+c.head+"\r\n"); err != nil {
+					return
+				}
+				if c.ended {
+					l.Close()
+				}
+				if c.method != http.MethodHead {
+					_, _ = io.WriteString(conn, "part")
+				}
+			}()
+			opened := 0
+			p := NewPool(WithOpened(func() { opened++ }))
+			defer p.Close()
+			req := request(l.Addr().(*net.TCPAddr).AddrPort(), "1", "b")
+			req.Method = c.method
+			got, err := get(t, p, req)
+			require.Equal(t, c.opened, opened)
+			if !c.whole {
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				require.True(t, ClosedByTarget(err))
+				return
+			}
+			require.NoError(t, err)
+			if c.method != http.MethodHead {
+				require.Equal(t, "part", got)
+			}
+		})
+	}
+}
