node: a stream that is broken off resets the connection of a caller of HTTP/1.0

Callers of HTTP/1.0 saw a stream that was broken off as a complete one: HTTP/1.0 knows no chunks, and net/http closes the connection in order when a handler gives up, which is how such a stream ends. The connection is reset now; what the kernel has not delivered to the caller is lost with it, and the answer was incomplete.

Callers of HTTP/1.1 get chunks or a length, whatever they ask for with Connection, and nodes that hand requests over speak HTTP/1.1.

--- a/node/conns.go
+++ b/node/conns.go
@@ -131,6 +131,18 @@
 	return nil
 }
 
+// resetOnClose makes the connection of a request end with a reset when it is closed.
+func resetOnClose(r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return
+	}
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		// An error means that the connection has ended.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // callerStalled reports whether the connection of a request was given up because its caller stalled.
 func callerStalled(r *http.Request) bool {
 	conn, ok := r.Context().Value(connKey{}).(*callerConn)
