node: the two plays of TestFleetRefusals run side by side, and measuring messages costs less

The two plays, with the mechanisms and without, share nothing: they run side by side now, each in its own bubble. Sizes are measured on one stream for each kind of message. Load, bound and site stay as they were.

--- a/node/fleet_refusals_test.go
+++ b/node/fleet_refusals_test.go
@@ -106,38 +106,21 @@
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
-			play := func(without route.Mechanisms) (out *simRefusals) {
-				synctest.Test(t, func(t *testing.T) {
-					c.site.without = without
-					f := newSimFleet(t, c.site)
-					f.refusals = new(simRefusals)
-					f.store.listLag, f.store.reportLag, f.store.lateOrder = simHeartbeat, 300*time.Millisecond, 2
-					f.settle()
-					defer f.end()
-					for i, left := len(f.nodes)-1, c.cutOff; left > 0; i-- {
-						if !f.nodes[i].relays.isRelay() {
-							f.net.cutOff(f.nodes[i].settings().Peers.Addr())
-							f.storeClients[i].down.Store(true)
-							left--
-						}
-					}
-					f.store.nameWeights("2")
-					time.Sleep(1500 * time.Millisecond)
-					for third := range 3 {
-						for i := third; i < c.site.engines; i += 3 {
-							f.store.crash(i)
-						}
-						time.Sleep(2500 * time.Millisecond)
-					}
-					f.refusals.mu.Lock()
-					defer f.refusals.mu.Unlock()
-					out = f.refusals
-					_, sent := f.sizes.of("recent")
-					t.Logf("without %q: %s; %d bytes of notices and recent requests", without, out, sent)
-				})
-				return out
-			}
-			before, after := play(both), play(0)
+			// The two plays share nothing and run side by side.
+			var before, after *simRefusals
+			t.Run("plays", func(t *testing.T) {
+				for name, p := range map[string]struct {
+					without route.Mechanisms
+					out     **simRefusals
+				}{"without the mechanisms": {both, &before}, "with them": {0, &after}} {
+					t.Run(name, func(t *testing.T) {
+						t.Parallel()
+						*p.out = playRefusals(t, c.site, c.cutOff, p.without)
+					})
+				}
+			})
+			require.NotNil(t, before)
+			require.NotNil(t, after)
 			require.Less(t, float64(after.lost), c.lost*float64(before.lost))
 			if c.cutOff == 0 {
 				require.Less(t, after.down, before.down, "connections to engines that have ended")
@@ -146,3 +129,36 @@
 		})
 	}
 }
+
+// playRefusals plays new weights and the crash of every engine without some mechanisms.
+func playRefusals(t *testing.T, site simSite, cutOff int, without route.Mechanisms) (out *simRefusals) {
+	synctest.Test(t, func(t *testing.T) {
+		site.without = without
+		f := newSimFleet(t, site)
+		f.refusals = new(simRefusals)
+		f.store.listLag, f.store.reportLag, f.store.lateOrder = simHeartbeat, 300*time.Millisecond, 2
+		f.settle()
+		defer f.end()
+		for i, left := len(f.nodes)-1, cutOff; left > 0; i-- {
+			if !f.nodes[i].relays.isRelay() {
+				f.net.cutOff(f.nodes[i].settings().Peers.Addr())
+				f.storeClients[i].down.Store(true)
+				left--
+			}
+		}
+		f.store.nameWeights("2")
+		time.Sleep(1500 * time.Millisecond)
+		for third := range 3 {
+			for i := third; i < site.engines; i += 3 {
+				f.store.crash(i)
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+		f.refusals.mu.Lock()
+		defer f.refusals.mu.Unlock()
+		out = f.refusals
+		_, sent := f.sizes.of("recent")
+		t.Logf("without %q: %s; %d bytes of notices and recent requests", without, out, sent)
+	})
+	return out
+}
--- a/node/fleet_sizes_test.go
+++ b/node/fleet_sizes_test.go
@@ -16,21 +16,28 @@
 
 // simSizes are the encoded sizes of messages by content.
 type simSizes struct {
-	mu      sync.Mutex
-	bytes   map[string]int64
-	count   map[string]int64
-	largest map[string]int64
+	mu       sync.Mutex
+	bytes    map[string]int64
+	count    map[string]int64
+	largest  map[string]int64
+	encoders map[string]*sizeEncoder
 	// members counts the members named in answers to followers, in full or as changes.
 	members atomic.Int64
 }
 
 func (s *simSizes) add(what string, v any) {
-	n := encodedSize(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.bytes == nil {
 		s.bytes, s.count, s.largest = make(map[string]int64), make(map[string]int64), make(map[string]int64)
+		s.encoders = make(map[string]*sizeEncoder)
 	}
+	enc := s.encoders[what]
+	if enc == nil {
+		enc = newSizeEncoder(v)
+		s.encoders[what] = enc
+	}
+	n := enc.size(v)
 	s.bytes[what] += n
 	s.count[what]++
 	s.largest[what] = max(s.largest[what], n)
@@ -132,16 +139,25 @@
 	return out
 }
 
-// encodedSize returns the size of a value on a gob stream that has already sent its type.
-func encodedSize(v any) int64 {
-	var b bytes.Buffer
-	enc := gob.NewEncoder(&b)
-	if err := enc.Encode(v); err != nil {
-		panic(err)
-	}
-	first := b.Len()
-	if err := enc.Encode(v); err != nil {
+// sizeEncoder measures values of one type on a gob stream that has already sent the type. With a stream
+// for each value, most of the time would go into describing types.
+type sizeEncoder struct {
+	out bytes.Buffer
+	enc *gob.Encoder
+}
+
+func newSizeEncoder(v any) *sizeEncoder {
+	e := new(sizeEncoder)
+	e.enc = gob.NewEncoder(&e.out)
+	e.size(v)
+	return e
+}
+
+// size returns the encoded size of a value.
+func (e *sizeEncoder) size(v any) int64 {
+	e.out.Reset()
+	if err := e.enc.Encode(v); err != nil {
 		panic(err)
 	}
-	return int64(b.Len() - first)
+	return int64(e.out.Len())
 }
