transport: the listener of a target that was killed may outlive a connection

Callers saw answers without a length or chunks as complete ones although their target had been killed.

Cause: at the end of such an answer the pool opens one connection, and only a refused one counted as the end of the target. The kernel closes the sockets of a process that was killed one after another, and the listener, its first one, among the last: for some milliseconds a connection still opens and is reset, or is reset while it opens. Both were taken for a target that goes on.

Change: a connection that opens must stay open for 10 ms, and after a reset another one is opened, three at most, so that a target which resets connections beyond its limit still counts as one that goes on. The end of a complete answer of this kind comes 10 ms later; its parts have been sent on before where it is a stream.

TestUnframedAnswerOfEndingTarget failed before in two of its three cases and passes, 10 times; package transport passes with the race detector.

--- a/transport/send.go
+++ b/transport/send.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs/v2"
@@ -269,10 +270,43 @@
 // errTargetEnded means that the target of an answer without length or chunks ended with its connection.
 var errTargetEnded = errs.Tag("the target closed the connection and accepts no other")
 
+// Bounds of the check whether a target ended.
+const (
+	// endLag is how long the listener of a process that was killed may outlive one of its connections: the
+	// kernel closes them one after another. The ends of complete answers wait for it too.
+	endLag = 10 * time.Millisecond
+	// endChecks is the maximum number of connections that are opened. The reset of one shows that the
+	// listener is being closed, or that a target has too many connections; the next one tells which.
+	endChecks = 3
+)
+
 // targetEnded reports whether the target refuses connections. A process that crashes closes its
-// connections as in order and its listener with them. A connection that opens serves the next request.
+// connections as in order and its listener with them, sometimes a moment later: a connection that opens
+// meanwhile is reset. One that stays open serves the next request.
 func (x *exchange) targetEnded() bool {
-	return ConnectionRefused(x.conn.pool.CheckReachable(x.ctx, x.conn.target))
+	for range endChecks {
+		c, err := x.conn.pool.dial(x.ctx, x.conn.target)
+		switch {
+		case err != nil && !errors.Is(err, syscall.ECONNRESET):
+			return ConnectionRefused(err)
+		case err != nil:
+			continue
+		case c.staysOpen(endLag):
+			c.release(defaultIdleTime)
+			return false
+		}
+		c.discard()
+	}
+	return false
+}
+
+// staysOpen reports whether a new connection is open and has received nothing after d.
+func (c *conn) staysOpen(d time.Duration) bool {
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := c.r.Peek(1)
+	return isTimeout(err) && c.SetReadDeadline(time.Time{}) == nil
 }
 
 // body is an answer's body; reading it to its end returns the connection to the pool.
--- a/transport/unframed_test.go
+++ b/transport/unframed_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -65,3 +71,60 @@
 		})
 	}
 }
+
+// The kernel closes the connections of a process that was killed before its listener: for a moment, a
+// connection still opens and is reset, or is reset while it opens.
+func TestUnframedAnswerOfEndingTarget(t *testing.T) {
+	reset := func(context.Context, netip.AddrPort) (net.Conn, error) {
+		return nil, os.NewSyscallError("connect", syscall.ECONNRESET)
+	}
+	for name, c := range map[string]struct {
+		// lag is how long the listener outlives the connection.
+		lag time.Duration
+		// second opens the second connection instead of the kernel.
+		second DialFunc
+		whole  bool
+	}{
+		"a connection opens and is reset": {time.Millisecond, nil, false},
+		"one is reset while it opens":     {0, reset, false},
+		"a target at its limit resets it": {-1, reset, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer l.Close()
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				read(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
+				if c.lag == 0 {
+					l.Close()
+				}
+				conn.Close()
+				if c.lag > 0 {
+					time.Sleep(c.lag)
+					l.Close()
+				}
+			}()
+			var dials atomic.Int32
+			p := NewPool(WithDial(func(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
+				if dials.Add(1) == 2 && c.second != nil {
+					return c.second(ctx, target)
+				}
+				var d net.Dialer
+				return d.DialContext(ctx, "tcp", target.String())
+			}))
+			defer p.Close()
+			got, err := get(t, p, request(l.Addr().(*net.TCPAddr).AddrPort(), "1", "b"))
+			if !c.whole {
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "part", got)
+		})
+	}
+}
