route, node, peer, platform: a stream goes on only at the release that began it

Cause: nothing held a stream to a release. A stream that broke was placed again at any target of the pool, within one answer and when its caller took it up; the id in Resumes was passed on unread. The class: state of a stream that is needed later, and that lives nowhere.

What is not known is refused as not run. The splits are one row in the store beside the lease, which every node reads as it starts, and travel in gossip while a pool has several releases; with one release there is no row and no byte. Streams begin under a new split two seconds after it was written and a second after a node learned of it, so that those who take streams up know it by then. Slots move only if they have to. A release that the list no longer has is refused at once; an answer under way whose release has no room is broken off after 1.5 s. The release goes along with requests that are handed over. Roll-outs set the shares of the splits.

--- a/node/forward.go
+++ b/node/forward.go
@@ -65,6 +65,11 @@
 		f.lastEvent = v.handed.lastEvent
 	}
 	n.recordAges(n.now())
+	if refusal := n.pinRelease(v, &f.req); refusal != nil {
+		n.refundCharge(v)
+		n.refuse(v, *refusal)
+		return
+	}
 	n.queryHolders(v.r.Context(), f.req)
 	c := dispatch.NewCallWithID(v.info.ID)
 	refusal := n.Serve(v.r.Context(), f.req, c, func(ctx context.Context, a route.Attempt) route.Outcome {
--- a/node/handoff.go
+++ b/node/handoff.go
@@ -31,6 +31,9 @@
 	handoffSent = "Pathhead-Handoff-Sent"
 	// handoffLastEvent is the id of the last event that the caller received.
 	handoffLastEvent = "Pathhead-Handoff-Last-Event"
+	// handoffRelease is the release at which the answer has to run, after releaseMark; it is not set if
+	// any release may run it.
+	handoffRelease = "Pathhead-Handoff-Release"
 	// handoffResult tells whether a response is the answer of a target or a refusal.
 	handoffResult = "Pathhead-Handoff-Result"
 	// handoffCause, handoffVerdict, handoffRetryAfter and handoffDetail describe a refusal; the time
@@ -41,6 +44,9 @@
 	handoffDetail     = "Pathhead-Handoff-Detail"
 )
 
+// releaseMark stands before a release, whose name may be empty.
+const releaseMark = "="
+
 // Values of handoffResult.
 const (
 	resultAnswer  = "answer"
@@ -48,7 +54,7 @@
 )
 
 var handoffHeaders = []string{
-	handoffRevision, handoffTries, handoffWaited, handoffSent, handoffLastEvent, handoffResult, handoffCause, handoffVerdict,
+	handoffRevision, handoffTries, handoffWaited, handoffSent, handoffLastEvent, handoffRelease, handoffResult, handoffCause, handoffVerdict,
 	handoffRetryAfter, handoffDetail,
 }
 
@@ -111,6 +117,9 @@
 	if a.Resume && f.lastEvent != "" {
 		h.Set(handoffLastEvent, f.lastEvent)
 	}
+	if f.req.Pin.Set {
+		h.Set(handoffRelease, releaseMark+f.req.Pin.Release)
+	}
 	id := f.v.info.ID
 	return transport.Request{
 		Target: a.Via, Method: f.v.r.Method, URI: f.v.uri, Host: f.v.r.Host, Header: h, Body: f.v.body,
--- a/node/handoff_server.go
+++ b/node/handoff_server.go
@@ -36,6 +36,8 @@
 	waited    time.Duration
 	sent      bool
 	lastEvent string
+	// release is the release that the request is pinned to, if any.
+	release route.ReleasePin
 }
 
 // parseHandedRequest reads the headers of the node that hands a request over.
@@ -52,10 +54,14 @@
 	if err != nil || waited < 0 || waited > maxHandoffWait.Microseconds() {
 		return nil, errs.Errorf("%q is no time in microseconds", h.Get(handoffWaited))
 	}
-	return &handedRequest{
+	out := &handedRequest{
 		revision: revision, tries: tries, waited: time.Duration(waited) * time.Microsecond,
 		sent: h.Get(handoffSent) != "", lastEvent: h.Get(handoffLastEvent),
-	}, nil
+	}
+	if release, ok := strings.CutPrefix(h.Get(handoffRelease), releaseMark); ok {
+		out.release = route.PinTo(release)
+	}
+	return out, nil
 }
 
 // handoffServer serves the requests that other nodes hand over, on connections that arrive at the
--- a/node/list_reserve.go
+++ b/node/list_reserve.go
@@ -98,14 +98,30 @@
 	return len(l.reserves[pool])
 }
 
+// Releases implements [route.TargetIndex].
+func (l *targetList) Releases(pool string) map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.reserves[pool]) == 0 {
+		return nil
+	}
+	out := make(map[string]int)
+	for _, t := range l.reserves[pool] {
+		if !t.Seen.Leaving {
+			out[t.Seen.Release]++
+		}
+	}
+	return out
+}
+
 // Best implements [route.TargetIndex].
-func (l *targetList) Best(pool string, k int, rank func(hash uint64) uint64) []*route.Entry {
+func (l *targetList) Best(pool string, k int, pin route.ReleasePin, rank func(hash uint64) uint64) []*route.Entry {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	best := make([]*route.Entry, 0, k)
 	ranks := make([]uint64, 0, k)
 	for _, t := range l.reserves[pool] {
-		if t.Seen.Leaving {
+		if t.Seen.Leaving || pin.Set && t.Seen.Release != pin.Release {
 			continue
 		}
 		r := rank(t.hash)
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,7 @@
 	weights        *weightsUpdater
 	relays         *relays
 	rollouts       *rollouts
+	releases       *releases
 	// smallFleet is the maximum number of nodes that all talk to each other.
 	smallFleet int
 	// metricsAddr is the address of the metrics server; it is invalid if there is none.
@@ -246,6 +247,7 @@
 	n.weights = newWeightsUpdater(n)
 	n.relays = newRelays(n)
 	n.rollouts = &rollouts{n: n, recorded: make(map[string]RolloutStatus)}
+	n.releases = newReleases(n)
 	n.gauges()
 	return n, nil
 }
@@ -325,7 +327,7 @@
 	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: n.startDetail()})
 	// The loops outlive ctx because requests in flight need them while draining.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop, n.reprobeLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.releases.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop, n.reprobeLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickInterval) })
--- a/node/peers.go
+++ b/node/peers.go
@@ -67,6 +67,7 @@
 		State:    state,
 
 		TakesHandoffs: !n.disabled.Has(route.HandingOver),
+		KeepsReleases: true,
 	}
 }
 
--- a/node/ports.go
+++ b/node/ports.go
@@ -31,6 +31,8 @@
 	// LastEvent is the id of the event after which the caller takes a stream up; empty if it asks for a
 	// whole one.
 	LastEvent string
+	// Resumes is the id of the request that brought the first event of the stream that is taken up.
+	Resumes string
 }
 
 // promptTokens returns the length of the prompt, or 0 for a request to a plain service.
--- /dev/null
+++ b/node/releases.go
@@ -0,0 +1,371 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/pathhead/pathhead/fleet"
+	"github.com/pathhead/pathhead/peer"
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// A stream goes on only at the release of its target's software that began it. The board knows the splits
+// by which the release follows from a request's id. The nodes keep the splits in a row of the store and
+// gossip them, and each remembers the streams that it began.
+
+// Intervals and timeouts of the splits.
+const (
+	// releaseInterval is the time between two checks of the splits while a pool has several releases.
+	releaseInterval = 500 * time.Millisecond
+	// takeOverTime is how long a change is left to the node that is chosen for it.
+	takeOverTime = 3 * time.Second
+	// streamQueryTime bounds the queries to other nodes for the release of a stream; they are some
+	// milliseconds away, and the caller waits.
+	streamQueryTime = 150 * time.Millisecond
+	// undividedRetry is the Retry-After of a new stream in a pool that is not divided yet.
+	undividedRetry = 400 * time.Millisecond
+)
+
+// releaseSource is what told a node the release of a stream.
+type releaseSource string
+
+// Sources of the release of a stream that a caller takes up.
+const (
+	releaseBySplit  releaseSource = "split"
+	releaseByMemory releaseSource = "memory"
+	releaseByPeer   releaseSource = "peer"
+	releaseUnknown  releaseSource = "unknown"
+)
+
+// releases keeps the splits of the pools.
+type releases struct {
+	n     *Node
+	begun *streamMemory
+
+	mu sync.Mutex
+	// readAt is when the row was last read or written.
+	readAt time.Time
+	// neededSince is when a change of a pool's splits was first needed.
+	neededSince map[string]time.Time
+}
+
+func newReleases(n *Node) *releases {
+	return &releases{n: n, begun: newStreamMemory(), neededSince: make(map[string]time.Time)}
+}
+
+// loop keeps the splits until ctx ends. It does nothing while all pools have one release.
+func (s *releases) loop(ctx context.Context) {
+	every := idleInterval
+	for pause(ctx, s.n.jitter(every)) {
+		if every = idleInterval; !s.round(ctx) {
+			continue
+		}
+		every = releaseInterval
+	}
+}
+
+// round changes the splits that have to change, and reports whether a pool has several releases.
+func (s *releases) round(ctx context.Context) bool {
+	pools := s.several()
+	if len(pools) == 0 {
+		return false
+	}
+	due := false
+	for _, pool := range pools {
+		due = s.due(pool) || due
+	}
+	switch {
+	case s.n.stopping.Load() || s.n.relays.followsRelay():
+	case due:
+		if err := s.write(ctx); err != nil && ctx.Err() == nil {
+			s.n.log.Debug("recording the splits of releases failed", "error", err)
+		}
+	case s.n.isolated():
+		row, err := s.read(ctx)
+		switch {
+		case err == nil && len(row.Data) > 0:
+			s.apply(row)
+		case err != nil && ctx.Err() == nil:
+			s.n.log.Debug("reading the splits of releases failed", "error", err)
+		}
+	}
+	return true
+}
+
+// several returns the pools with several releases, without splits that are no longer needed.
+func (s *releases) several() []string {
+	n := s.n
+	n.Lock()
+	defer n.Unlock()
+	b := n.Board()
+	pools := b.SeveralReleases()
+	for _, pool := range pools {
+		b.ForgetOldSplits(n.now(), pool, streamLife(b.Snapshot()))
+	}
+	return pools
+}
+
+// due reports whether this node is to change the splits of a pool now. One node is chosen by rendezvous
+// hashing; the others take over if it does not act.
+func (s *releases) due(pool string) bool {
+	n := s.n
+	n.Lock()
+	_, needed := n.Board().NextReleases(n.now(), pool, streamLife(n.Board().Snapshot()))
+	n.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !needed {
+		delete(s.neededSince, pool)
+		return false
+	}
+	since, ok := s.neededSince[pool]
+	if !ok {
+		since = n.now()
+		s.neededSince[pool] = since
+	}
+	members := n.relays.known()
+	if members == nil {
+		members = n.gossipMembers()
+	}
+	owner, ok := fleet.RendezvousOwner(members, xxh3.HashString(pool))
+	return !ok || owner.ID == n.settings().Name || n.now.Since(since) >= takeOverTime
+}
+
+// streamLife returns how long a stream may last, over all tries of its caller.
+func streamLife(snap *policy.Snapshot) time.Duration {
+	life := time.Duration(0)
+	if snap == nil {
+		return defaultTimeout
+	}
+	for _, rt := range snap.Config.Routes {
+		if !rt.Resumable {
+			continue
+		}
+		timeout := time.Duration(rt.Timeout)
+		if timeout == 0 {
+			timeout = defaultTimeout
+		}
+		life = max(life, timeout)
+	}
+	return life
+}
+
+// late reports whether a split may have taken effect that this node does not know: it has read
+// nothing for the given time, and hears at most half of the other nodes.
+func (s *releases) late(pool string, limit time.Duration) bool {
+	n := s.n
+	if !n.isolated() {
+		return false
+	}
+	now := n.now()
+	if n.list.age(now) > limit {
+		return true
+	}
+	n.Lock()
+	several := n.Board().HasSeveralReleases(pool)
+	n.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return several && now.Sub(s.readAt) > limit
+}
+
+// pinRelease restricts a request whose answer may be taken up by its caller to one release. It returns a
+// refusal if that is not known.
+func (n *Node) pinRelease(v *callerRequest, req *route.Request) *route.Refusal {
+	if !req.Streams || !v.route.Resumable {
+		return nil
+	}
+	req.Continues = v.info.LastEvent != "" || v.info.Resumes != ""
+	if v.handed != nil && v.handed.release.Set {
+		req.Pin = v.handed.release
+		return nil
+	}
+	if req.Continues {
+		return n.releases.pinContinuation(v, req)
+	}
+	return n.releases.pinNew(v, req)
+}
+
+// pinNew pins a new stream to the release of its id.
+func (s *releases) pinNew(v *callerRequest, req *route.Request) *route.Refusal {
+	n := s.n
+	n.Lock()
+	release, ok := n.Board().NewStreamRelease(n.now(), req.Pool, v.info.ID)
+	several := n.Board().HasSeveralReleases(req.Pool)
+	n.Unlock()
+	switch {
+	case !ok && !several:
+		return nil
+	case !ok:
+		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: undividedRetry, Detail: "the streams of the pool are not divided among its releases yet"}
+	case several && s.late(req.Pool, route.LateSplitTime):
+		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: fencedRetry, Detail: "the releases of the pool are not known lately"}
+	}
+	req.Pin = route.PinTo(release)
+	s.begun.add(n.now(), v.info.ID, release)
+	return nil
+}
+
+// pinContinuation pins a stream that its caller takes up to the release that began it.
+func (s *releases) pinContinuation(v *callerRequest, req *route.Request) *route.Refusal {
+	release, by, doubt := s.releaseOf(v.r.Context(), req.Pool, v.info.Resumes)
+	s.n.counters.takenUp(by)
+	if by == releaseUnknown {
+		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: undividedRetry, Detail: "the release that began the stream is not known: " + doubt}
+	}
+	req.Pin = route.PinTo(release)
+	s.begun.add(s.n.now(), v.info.Resumes, release)
+	return nil
+}
+
+// releaseOf returns the release that began the stream of a request, and why it is not known. A node that has
+// just started waits for what it reads first.
+func (s *releases) releaseOf(ctx context.Context, pool, id string) (release string, by releaseSource, doubt string) {
+	n := s.n
+	for waited := time.Duration(0); ; waited += startPoll {
+		if release, ok := s.begun.get(id); ok {
+			return release, releaseByMemory, ""
+		}
+		if release, doubt = s.bySplit(pool, id); doubt == "" {
+			return release, releaseBySplit, ""
+		}
+		if waited >= startWait || n.now.Since(n.startedAt) > startTime || !pause(ctx, startPoll) {
+			break
+		}
+	}
+	if id == "" {
+		return "", releaseUnknown, doubt
+	}
+	release, by = s.ask(ctx, id)
+	return release, by, doubt
+}
+
+// Times of a node that has just started. Within startTime after its start, a stream that is taken up waits
+// up to startWait for the list and the row.
+const (
+	startTime = 3 * time.Second
+	startWait = 400 * time.Millisecond
+	startPoll = 20 * time.Millisecond
+)
+
+// bySplit returns the release of a stream by the list and the splits. Doubt is not empty if it may have
+// begun at another one, and says why.
+func (s *releases) bySplit(pool, id string) (release, doubt string) {
+	n := s.n
+	n.Lock()
+	several := n.Board().HasSeveralReleases(pool)
+	candidates, known := n.Board().StreamReleases(n.now(), pool, id, streamLife(n.Board().Snapshot()))
+	n.Unlock()
+	switch {
+	case !s.started():
+		return "", "this node has just started"
+	case s.late(pool, route.SplitLead):
+		return "", "this node is cut off from the store and the other nodes"
+	case !known:
+		return "", "the splits of the pool do not reach back far enough"
+	case len(candidates) != 1:
+		return "", "its slot moved between " + strings.Join(candidates, ", ")
+	case several && id == "":
+		return "", "the request does not name it"
+	case several && !n.othersKeepReleases():
+		return "", "nodes of an earlier release of this program are running"
+	}
+	return candidates[0], ""
+}
+
+// started reports whether this node has read the row since it started, or learns what others know.
+func (s *releases) started() bool {
+	s.mu.Lock()
+	read := !s.readAt.IsZero()
+	s.mu.Unlock()
+	return read || s.n.relays.relayResponds()
+}
+
+// othersKeepReleases reports whether all other nodes that are known begin streams by the splits.
+func (n *Node) othersKeepReleases() bool {
+	for _, e := range n.gossip.Live() {
+		if !e.Payload.KeepsReleases {
+			return false
+		}
+	}
+	return true
+}
+
+// ask asks the other nodes of a small fleet for the release that began a stream. Answers that differ tell
+// nothing.
+func (s *releases) ask(ctx context.Context, id string) (release string, by releaseSource) {
+	n := s.n
+	if _, large := n.relays.size(); large {
+		return "", releaseUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, streamQueryTime)
+	defer cancel()
+	peers := n.gossip.Live()
+	answers := make(chan peer.StreamAnswer, len(peers))
+	for _, e := range peers {
+		go func() {
+			// A node that does not answer knows nothing.
+			a, _ := n.peers.Stream(ctx, e.Addr, peer.StreamQuery{ID: id})
+			answers <- a
+		}()
+	}
+	by = releaseUnknown
+	for range peers {
+		switch a := <-answers; {
+		case !a.Known:
+		case by == releaseByPeer && a.Release != release:
+			return "", releaseUnknown
+		default:
+			release, by = a.Release, releaseByPeer
+		}
+	}
+	return release, by
+}
+
+// Stream implements [peer.StreamHandler].
+func (n *Node) Stream(q peer.StreamQuery) peer.StreamAnswer {
+	release, ok := n.releases.begun.get(q.ID)
+	return peer.StreamAnswer{Known: ok, Release: release}
+}
+
+// maxStreamsKept bounds the remembered streams in each of two generations.
+const maxStreamsKept = 2048
+
+// streamMemory holds the releases of the streams that this node began or took up, in two generations.
+type streamMemory struct {
+	mu           sync.Mutex
+	recent, past map[string]string
+	// begun is when the recent generation began.
+	begun time.Time
+}
+
+func newStreamMemory() *streamMemory { return &streamMemory{recent: make(map[string]string)} }
+
+// generationTime is the longest duration of a generation; the streams of two are remembered.
+const generationTime = 30 * time.Second
+
+func (m *streamMemory) add(now time.Time, id, release string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.recent) >= maxStreamsKept || now.Sub(m.begun) >= generationTime {
+		m.past, m.recent, m.begun = m.recent, make(map[string]string), now
+	}
+	m.recent[id] = release
+}
+
+func (m *streamMemory) get(id string) (release string, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if release, ok = m.recent[id]; ok {
+		return release, true
+	}
+	release, ok = m.past[id]
+	return release, ok
+}
+
+var _ peer.StreamHandler = (*Node)(nil)
--- a/node/weights_updater.go
+++ b/node/weights_updater.go
@@ -328,11 +328,12 @@
 	if held, ok := rowOf(rows, heldRequestsRow); ok {
 		d.n.applyHeldRecord(held)
 	}
+	d.n.releases.applyRead(rows)
 	return true
 }
 
 // leaseRowLimit is the maximum number of rows in the lease's partition; one call reads them all.
-const leaseRowLimit = 4
+const leaseRowLimit = 6
 
 // rowOf returns the row with a sort key.
 func rowOf(rows []fleet.Row, sort string) (fleet.Row, bool) {
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -37,6 +37,8 @@
 	State route.PeerState
 	// TakesHandoffs is set if the process serves requests that others hand over.
 	TakesHandoffs bool
+	// KeepsReleases is set if the process begins streams by the splits of releases.
+	KeepsReleases bool
 }
 
 // Entry is the gossip entry of one process.
@@ -113,6 +115,34 @@
 	return invoke[HoldersAnswer](ctx, p, addr, "Holders", &q)
 }
 
+// StreamQuery requests the release at which the stream of a request began.
+type StreamQuery struct{ ID string }
+
+// StreamAnswer is the answer to a [StreamQuery]. Known is set if the process began that stream or took it
+// up.
+type StreamAnswer struct {
+	Known   bool
+	Release string
+}
+
+// StreamHandler answers queries for the releases of streams; a [Handler] may implement it.
+type StreamHandler interface {
+	Stream(q StreamQuery) StreamAnswer
+}
+
+// Stream answers a query for the release of a stream.
+func (s peerService) Stream(in *StreamQuery, out *StreamAnswer) error {
+	if h, ok := s.handler.(StreamHandler); ok {
+		*out = h.Stream(*in)
+	}
+	return nil
+}
+
+// Stream requests the release of a stream from the process at addr.
+func (p *Client) Stream(ctx context.Context, addr netip.AddrPort, q StreamQuery) (StreamAnswer, error) {
+	return invoke[StreamAnswer](ctx, p, addr, "Stream", &q)
+}
+
 // peerName is the service's name in net/rpc.
 const peerName = "Peer"
 
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -171,6 +171,9 @@
 		if r.retryOwed && !b.retryAvailable(now, &p.retries) {
 			continue
 		}
+		if p.releaseGone(r) {
+			return b.refuse(now, r, CauseNoTarget, "no target of release "+r.Pin.Release+" is left, at which the answer has to run")
+		}
 		r.awaitingFill = false
 		c, extra, admission := b.chooseAdmitted(now, p, r)
 		if c == nil {
@@ -239,7 +242,7 @@
 		b.spendRetry(now, &p.retries)
 	}
 	a := &attempt{
-		target: c.target, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age,
+		target: c.target, release: c.target.release, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age,
 		predicted: c.timeToFirstToken(r),
 	}
 	a.Attempt = Attempt{
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -66,8 +66,18 @@
 	}
 	a.progress = now
 	a.target.answeredAt = now
+	r.continueBy = time.Time{}
+	r.noteDelivered(a)
+}
+
+// noteDelivered records that the caller has a part of the answer, which goes on only at the release that
+// began it.
+func (r *request) noteDelivered(a *attempt) {
 	r.delivered = true
 	r.weights = a.Weights
+	if !r.Pin.Set && !a.Via.IsValid() {
+		r.Pin = PinTo(a.release)
+	}
 }
 
 func (b *Board) current(requestID, attemptID string) (*request, *attempt) {
@@ -90,8 +100,7 @@
 	b.detachAttempt(now, r, a)
 	b.observeLink(now, a, o)
 	if o.Delivered {
-		r.delivered = true
-		r.weights = a.Weights
+		r.noteDelivered(a)
 	}
 	a.target.sends.add(now, 1)
 	if o.Kind == OutcomeUnsent {
@@ -294,10 +303,28 @@
 	delay := min(minContinueDelay<<min(r.continuations, 8), maxContinueDelay)
 	r.continuations++
 	r.notBefore = now.Add(delay/2 + time.Duration(b.rng.Int64N(int64(delay))))
-	r.queueDeadline = r.Deadline
+	r.queueDeadline = b.continueDeadline(now, r)
 	b.enqueue(now, r)
 }
 
+// releasePatience is how long an answer that has begun waits for a target of its release, where the pool
+// has several. Callers abandon a stream that is silent for two seconds.
+const releasePatience = 1500 * time.Millisecond
+
+// continueDeadline returns until when an answer that has begun waits for a target that continues it.
+func (b *Board) continueDeadline(now time.Time, r *request) time.Time {
+	if !r.Pin.Set || !b.HasSeveralReleases(r.Pool) {
+		return r.Deadline
+	}
+	if r.continueBy.IsZero() {
+		r.continueBy = now.Add(releasePatience)
+	}
+	if r.continueBy.Before(r.Deadline) {
+		return r.continueBy
+	}
+	return r.Deadline
+}
+
 // countedTries returns the number of attempts that count towards the request's limit. If the
 // request states a limit, attempts of which no byte was sent and further ones at the same target do
 // not count, until maxTries is reached.
--- a/route/board.go
+++ b/route/board.go
@@ -170,6 +170,8 @@
 	releases   map[string]bool
 	newest     string
 	newestFrom time.Time
+	// streams is what is known of the releases at which streams begin.
+	streams releaseState
 }
 
 // Option configures a [Board].
@@ -290,6 +292,7 @@
 	clear(b.serving)
 	b.adoptPools(now)
 	b.assignPools()
+	b.observeReleases()
 	for _, t := range b.targets {
 		if !t.horizon.learned {
 			t.horizon = newHorizon(b.baseHorizon())
--- a/route/peers.go
+++ b/route/peers.go
@@ -38,6 +38,8 @@
 	Loaded []WeightsUpdate
 	// Rollouts are the roll-outs of pools.
 	Rollouts []RolloutUpdate
+	// Releases are the splits of pools whose targets are of several releases.
+	Releases []ReleaseUpdate
 	// Notices are what this router recently learned about targets.
 	Notices []TargetNotice
 	// Ordered are the targets that did not answer an order of a pool's lease holder and may carry it
@@ -114,6 +116,10 @@
 // for noticeTTL.
 func (s PeerState) Aged(age time.Duration) PeerState {
 	s.Notices = agedNotices(s.Notices, age)
+	s.Releases = slices.Clone(s.Releases)
+	for i, u := range s.Releases {
+		s.Releases[i] = u.aged(age)
+	}
 	if age > rateMaxAge {
 		s.Rates, s.RatesDropped = nil, 0
 	}
@@ -169,6 +175,7 @@
 	silent := make(map[TargetKey]int)
 	limits := make(map[TargetKey]LimitUpdate)
 	rollouts := make(map[string]RolloutUpdate)
+	releases := make(map[string]ReleaseUpdate)
 	rates := make(rateSums)
 	for _, s := range states {
 		rates.add(s.Rates)
@@ -179,6 +186,9 @@
 		for _, u := range s.Rollouts {
 			rollouts[u.Order.Pool] = rollouts[u.Order.Pool].joined(u)
 		}
+		for _, u := range s.Releases {
+			releases[u.Pool] = u.joined(releases[u.Pool])
+		}
 		out.Shared = append(out.Shared, s.Shared...)
 		for _, w := range s.Silent {
 			silent[w.Target] += w.Routers
@@ -210,6 +220,7 @@
 	out.Loaded = slices.Collect(maps.Keys(loaded))
 	out.Limits = slices.Collect(maps.Values(limits))
 	out.Rollouts = slices.Collect(maps.Values(rollouts))
+	out.Releases = slices.Collect(maps.Values(releases))
 	for m, n := range silent {
 		out.Silent = append(out.Silent, UnresponsiveUpdate{m, n})
 	}
@@ -239,6 +250,7 @@
 	s.Silent = b.unresponsiveTargets(now)
 	s.CutOff = b.unreachablePools(now)
 	s.Rollouts = b.Rollouts(now)
+	s.Releases = b.releaseUpdates(now)
 	s.Notices = b.noticeUpdates(now)
 	s.Pools = b.poolDemands(now)
 	s.Brittle, s.Arrivals = b.brittleUpdates(now), b.poolArrivals(now)
@@ -306,6 +318,7 @@
 	b.mergeUnresponsive(now, states)
 	b.mergeNotices(now, states)
 	b.mergeRollouts(now, states)
+	b.mergeReleases(now, states)
 	b.expireFills(now)
 	b.mergeOrgDemands(now, states)
 	b.mergeLimits(now, states)
--- a/route/place.go
+++ b/route/place.go
@@ -75,6 +75,9 @@
 // candidate has capacity.
 func (b *Board) choose(now time.Time, p *pool, r *request) (best *candidate, extra time.Duration) {
 	r.outlook = outlook{}
+	if b.pinHolds(p, r) {
+		return nil, 0
+	}
 	for _, r.side = range b.releaseSides(now, p, r) {
 		if best, extra = b.chooseOnSide(now, p, r); best != nil {
 			break
@@ -255,7 +258,7 @@
 func (b *Board) serviceCandidates(cs []candidate, now time.Time, p *pool, r *request) []candidate {
 	b.loadTargets(now, p, r)
 	for _, t := range p.members {
-		if t.usable() && !t.backingOff(now) && b.onSide(now, p, r.side, t) {
+		if t.usable() && r.Pin.allows(t) && !t.backingOff(now) && b.onSide(now, p, r.side, t) {
 			cs = append(cs, candidate{target: t, rank: b.rng.Uint64(), penalty: b.failurePenalty(now, t) + b.serviceDistanceCost(t, r)})
 		}
 	}
--- a/route/request.go
+++ b/route/request.go
@@ -64,6 +64,10 @@
 	ResumeAnywhere bool
 	// Resumable allows resuming an interrupted answer at another target.
 	Resumable bool
+	// Pin restricts the request to targets of one release, Continues is set if the caller has a part of
+	// the answer already.
+	Pin       ReleasePin
+	Continues bool
 	// HandedOver is set if another router handed the request over, which has charged it to limits.
 	// Waited is how long that router had it, and Sent is set if a target has received it before.
 	HandedOver bool
@@ -314,8 +318,10 @@
 	retryPaid bool
 	// retryOwed is set if the next attempt takes a retry from the budget when it is sent.
 	retryOwed bool
-	// continuations counts the refused attempts to continue the answer.
+	// continuations counts the refused attempts to continue the answer. continueBy is until when its
+	// release is waited for since the last part that reached the caller; zero if no attempt ended since.
 	continuations int
+	continueBy    time.Time
 	parked        Incarnation
 	parkedAt      netip.AddrPort
 	tried         map[netip.AddrPort]bool
@@ -431,6 +437,8 @@
 	Attempt
 	target *target
 	sent   time.Time
+	// release is the release of the target when the attempt was sent.
+	release string
 	// uncached is the number of prompt tokens that the target was expected to prefill.
 	uncached int
 	// ahead is the number of tokens that the target had to prefill first, as known when the
--- a/route/resend.go
+++ b/route/resend.go
@@ -46,7 +46,7 @@
 // are too old or it is at its limit.
 func (b *Board) resendCandidate(now time.Time, r *request, t *target) (c candidate, ok bool) {
 	weights, ok := t.serves(r.Model.Name, r.Adapter)
-	if !ok || b.weightsUseOf(now, r.Model.Name, weights) == useNever || t.backingOff(now) || !b.withinLimit(now, t, r) {
+	if !ok || !r.Pin.allows(t) || b.weightsUseOf(now, r.Model.Name, weights) == useNever || t.backingOff(now) || !b.withinLimit(now, t, r) {
 		return c, false
 	}
 	cs := []candidate{{target: t, weights: weights, chain: r.chain(weights)}}
--- a/route/rollout.go
+++ b/route/rollout.go
@@ -271,6 +271,9 @@
 func (b *Board) releaseSides(now time.Time, p *pool, r *request) []releaseSide {
 	ro, ok := b.rollouts[p.compiled.Name]
 	switch {
+	case r.Pin.Set:
+		// The release of a pinned request is chosen already.
+		return anySide
 	case !ok && now.Before(p.newestFrom) && p.hasUsable(func(t *target) bool { return t.release != p.newest }):
 		return knownSide
 	case !ok:
@@ -388,14 +391,14 @@
 	return !b.pools[ro.order.Pool].hasUsable(func(o *target) bool { return o.release == ro.order.Release && selected(o) })
 }
 
-// filterSide returns the servers on a request's side.
+// filterSide returns the servers on a request's side that its pin allows.
 func (b *Board) filterSide(now time.Time, p *pool, r *request, list []server) []server {
-	if r.side == anyRelease {
+	if r.side == anyRelease && !r.Pin.Set {
 		return list
 	}
 	var out []server
 	for _, s := range list {
-		if b.onSide(now, p, r.side, s.target) {
+		if r.Pin.allows(s.target) && b.onSide(now, p, r.side, s.target) {
 			out = append(out, s)
 		}
 	}
--- a/route/target.go
+++ b/route/target.go
@@ -260,6 +260,7 @@
 	if changed {
 		b.trackReleases(now)
 	}
+	b.observeReleases()
 	return b.dispatch(now)
 }
 
--- a/route/target_index.go
+++ b/route/target_index.go
@@ -12,9 +12,12 @@
 	// Size returns the number of targets in a large pool, or zero if the board holds the whole
 	// pool.
 	Size(pool string) int
-	// Best returns up to k targets of a large pool that are not draining, those with the highest
-	// rank.
-	Best(pool string, k int, rank func(hash uint64) uint64) []*Entry
+	// Best returns up to k targets of a large pool that are not draining and of a release that the pin
+	// allows, those with the highest rank.
+	Best(pool string, k int, pin ReleasePin, rank func(hash uint64) uint64) []*Entry
+	// Releases returns the number of targets of a large pool that are not draining, by release, or nil if
+	// the board holds the whole pool.
+	Releases(pool string) map[string]int
 	// Get returns the entry at an address, or nil if there is none.
 	Get(addr netip.AddrPort) *Entry
 }
@@ -27,9 +30,10 @@
 // noTargetIndex is the index of a board that holds all targets.
 type noTargetIndex struct{}
 
-func (noTargetIndex) Size(string) int                                { return 0 }
-func (noTargetIndex) Best(string, int, func(uint64) uint64) []*Entry { return nil }
-func (noTargetIndex) Get(netip.AddrPort) *Entry                      { return nil }
+func (noTargetIndex) Size(string) int                                            { return 0 }
+func (noTargetIndex) Releases(string) map[string]int                             { return nil }
+func (noTargetIndex) Best(string, int, ReleasePin, func(uint64) uint64) []*Entry { return nil }
+func (noTargetIndex) Get(netip.AddrPort) *Entry                                  { return nil }
 
 // HashAddr returns the hash of a target that [TargetIndex.Best] passes to rank.
 func HashAddr(addr netip.AddrPort) uint64 { return hashAddr(addr) }
@@ -57,15 +61,29 @@
 	r.recruited = true
 	var picks []*Entry
 	if r.homes.setSize > 0 {
-		picks = b.reserve.Best(p.compiled.Name, rendezvousTop, func(hash uint64) uint64 { return r.homes.rank(n, hash, 1) })
+		picks = b.reserve.Best(p.compiled.Name, rendezvousTop, r.Pin, func(hash uint64) uint64 { return r.homes.rank(n, hash, 1) })
 	}
-	if more := minLoadedTargets - len(p.members); more > 0 {
+	if more := minLoadedTargets - p.loadedFor(r.Pin); more > 0 {
 		seed := b.rng.Uint64()
-		picks = append(picks, b.reserve.Best(p.compiled.Name, more, func(hash uint64) uint64 { return mixHash(seed ^ hash) })...)
+		picks = append(picks, b.reserve.Best(p.compiled.Name, more, r.Pin, func(hash uint64) uint64 { return mixHash(seed ^ hash) })...)
 	}
 	return b.addListed(now, picks)
 }
 
+// loadedFor returns the number of loaded targets that a pin allows.
+func (p *pool) loadedFor(pin ReleasePin) int {
+	if !pin.Set {
+		return len(p.members)
+	}
+	n := 0
+	for _, t := range p.members {
+		if pin.allows(t) {
+			n++
+		}
+	}
+	return n
+}
+
 // loadTarget returns the target with the given key, loading it from the index if necessary.
 func (b *Board) loadTarget(now time.Time, m TargetKey) (*target, bool) {
 	if t, ok := b.targetByKey(m); ok {
--- a/route/wait.go
+++ b/route/wait.go
@@ -75,7 +75,7 @@
 		return now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
 	}
 	if r.delivered {
-		return r.Deadline
+		return b.continueDeadline(now, r)
 	}
 	recheck := now.Add(fillRecheckInterval)
 	if latest := r.arrived.Add(b.maxQueueTime(r)); latest.After(recheck) {
