--- a/node/stream_test.go
+++ b/node/stream_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -35,10 +36,15 @@
 // streamText streams a text whose end is the end of the connection, and returns how the attempt ended
 // and what the caller got.
 func streamText(t *testing.T, text string, last string) (route.Outcome, *forwarding, string) {
+	return streamFrom(t, strings.NewReader(text), last)
+}
+
+// streamFrom does so with a text that arrives as r returns it.
+func streamFrom(t *testing.T, r io.Reader, last string) (route.Outcome, *forwarding, string) {
 	f, w := newForwarding(t, 1<<20)
 	f.n.protocol, f.lastEvent = eventProtocol{}, last
 	timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, always, func() {})
-	resp := &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: -1, Unframed: true, Body: io.NopCloser(strings.NewReader(text))}
+	resp := &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: -1, Unframed: true, Body: io.NopCloser(r)}
 	out := f.stream(route.Attempt{Number: 1}, resp, route.Outcome{}, timer)
 	return out, f, w.Body.String()
 }
@@ -88,6 +94,7 @@
 		"a comment after an event":          {"id: 1\n\n: still here\n", "", true},
 		"a part of a comment":               {"id: 1\n\n: still", "", false},
 		"a blank line too many":             {"id: 1\n\n\n", "", true},
+		"an event without an id":            {"data: a\n\n", "", true},
 		"no event":                          {"", "", false},
 		"a comment alone":                   {": still here\n\n", "", false},
 		"nothing more after a continuation": {"", "1", true},
@@ -98,6 +105,9 @@
 			out, f, _ := streamText(t, c.text, c.last)
 			require.Equal(t, c.done, f.done)
 			require.Equal(t, c.done, out.Kind == route.OutcomeDone)
+			out, f, _ = streamFrom(t, iotest.OneByteReader(strings.NewReader(c.text)), c.last)
+			require.Equal(t, c.done, f.done, "byte by byte")
+			require.Equal(t, c.done, out.Kind == route.OutcomeDone, "byte by byte")
 		})
 	}
 }
--- a/transport/unframed_test.go
+++ b/transport/unframed_test.go
@@ -53,7 +53,8 @@
 				}
 			}()
 			opened := 0
-			p := NewPool(WithOpened(func() { opened++ }))
+			// The connection that ended leaves room for the one that checks.
+			p := NewPool(WithOpened(func() { opened++ }), WithMaxConns(func(netip.AddrPort) int { return 1 }))
 			defer p.Close()
 			req := request(l.Addr().(*net.TCPAddr).AddrPort(), "1", "b")
 			req.Method = c.method
