node: a stream to a caller of HTTP/1.0 ends with a reset however its node ends

Callers of HTTP/1.0 would see a stream as complete whose node was killed, or whose connection the server closed as it stopped: the reset was set only as a handler gave up.

The connection is set to end with a reset when an answer without a length begins, and back when it is whole, so that the kernel resets it whatever ends the process. TestPlatformKilledNodeToOldCaller failed before and passes, three times.

--- a/node/conns.go
+++ b/node/conns.go
@@ -131,15 +131,20 @@
 	return nil
 }
 
-// resetOnClose makes the connection of a request end with a reset when it is closed.
-func resetOnClose(r *http.Request) {
+// resetOnClose sets whether the connection of a request ends with a reset when it is closed, also by the
+// end of this process.
+func resetOnClose(r *http.Request, reset bool) {
 	conn, ok := r.Context().Value(connKey{}).(*callerConn)
 	if !ok {
 		return
 	}
+	seconds := -1
+	if reset {
+		seconds = 0
+	}
 	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 		// An error means that the connection has ended.
-		_ = tcp.SetLinger(0)
+		_ = tcp.SetLinger(seconds)
 	}
 }
 
--- a/node/cut.go
+++ b/node/cut.go
@@ -55,8 +55,7 @@
 }
 
 // logPanic records a panic of a request's handler and panics again, so that the server closes the
-// connection. Closing it deliberately is no fault. To a caller before HTTP/1.1, which knows no chunks, the
-// end of the connection may be the end of the answer, so the connection is reset.
+// connection. Closing it deliberately is no fault.
 func (n *Node) logPanic(v *callerRequest) {
 	p := recover()
 	if p == nil {
@@ -66,8 +65,5 @@
 		n.counters.cut(cutByPanic)
 		n.events.Record(event.Event{Code: event.HandlerPanicked, Request: v.info.ID, Detail: fmt.Sprintf("%v\n%s", p, debug.Stack())})
 	}
-	if !v.r.ProtoAtLeast(1, 1) {
-		resetOnClose(v.r)
-	}
 	panic(p)
 }
--- a/node/forward.go
+++ b/node/forward.go
@@ -481,7 +481,9 @@
 		n, err := resp.Body.Read(buf)
 		switch read = buf[:n]; {
 		case errors.Is(err, io.EOF):
-			f.done = f.write(a, read) == nil
+			if f.write(a, read) == nil {
+				f.complete()
+			}
 			out.Kind = route.OutcomeDone
 			return out
 		case err != nil:
--- a/node/stream.go
+++ b/node/stream.go
@@ -94,7 +94,7 @@
 			if !f.started {
 				f.writeHeader(resp)
 			}
-			f.done = true
+			f.complete()
 			out.Kind, out.Delivered = route.OutcomeDone, f.started
 			return out
 		case err != nil:
@@ -170,13 +170,25 @@
 	return max(gapFactor*time.Duration(f.v.route.MaxGap), minGap)
 }
 
-// writeHeader writes the header of a response to the caller.
+// writeHeader writes the header of a response to the caller. A caller before HTTP/1.1 knows no chunks, so
+// that the end of its connection is the end of the answer: until the answer is whole, any end is a reset.
 func (f *forwarding) writeHeader(resp *transport.Response) {
 	f.started = true
+	if !f.v.r.ProtoAtLeast(1, 1) {
+		resetOnClose(f.v.r, true)
+	}
 	copyHeader(f.v.w.Header(), resp.Header)
 	f.v.w.WriteHeader(resp.Status)
 }
 
+// complete records that the whole answer was written to the caller.
+func (f *forwarding) complete() {
+	f.done = true
+	if !f.v.r.ProtoAtLeast(1, 1) {
+		resetOnClose(f.v.r, false)
+	}
+}
+
 // forwardEvents writes complete events to the caller.
 func (f *forwarding) forwardEvents(resp *transport.Response, a route.Attempt, events []byte) error {
 	if len(events) == 0 {
