transport: the end of an answer is judged once

A second read after the end of an answer without a length opened another connection to the target and could judge the end differently. The error with which reading ended is kept. Package transport passes.

--- a/transport/send.go
+++ b/transport/send.go
@@ -315,10 +315,15 @@
 	resp     *http.Response
 	// unframed is that of the [Response].
 	unframed bool
+	// end is the error with which reading ended.
+	end error
 }
 
 // Read implements [io.Reader].
 func (b *body) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
 	n, err := b.resp.Body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF) && b.unframed:
@@ -333,6 +338,7 @@
 		err = b.exchange.classifyError(b.exchange.conn.target, err)
 		b.exchange.abort()
 	}
+	b.end = err
 	return n, err
 }
 
