node: whether a node knows the splits goes by what it heard in the last 1.2 s

A node that stood still for 2.0 to 2.5 s, or was cut off for longer than the window of the retry budget, counted as one that hears the others, and could take a stream up by splits that had been replaced. It counts as current now while it heard more than half of the nodes, of the seeds at least, within 1.2 s, or a relay in a large fleet: less than SplitLead by more than the time in which a split reaches the nodes. Otherwise it goes by the list and the row, read within SplitLead.

TestPlatformStreamKeepsRelease passes.

--- a/node/releases.go
+++ b/node/releases.go
@@ -85,7 +85,7 @@
 		if err := s.write(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
-	case s.n.isolated():
+	case !s.current():
 		row, err := s.read(ctx)
 		switch {
 		case err == nil && len(row.Data) > 0:
@@ -155,11 +155,35 @@
 	return life
 }
 
-// late reports whether a split may have taken effect that this node does not know: it has read
-// nothing for the given time, and hears at most half of the other nodes.
+// contactTime is how long ago this node may have heard other nodes to know what they know. It is shorter than
+// [route.SplitLead] by more than the time in which a split reaches the nodes.
+const contactTime = 1200 * time.Millisecond
+
+// current reports whether this node lately heard more than half of the nodes, or a relay in a large fleet,
+// so that it knows the splits that took effect.
+func (s *releases) current() bool {
+	n := s.n
+	now := n.now()
+	if large, age, answered := n.relays.age(now); large {
+		return answered && age <= contactTime
+	}
+	heard := 1
+	for _, e := range n.gossip.LiveWithAge() {
+		if e.Age <= contactTime {
+			heard++
+		}
+	}
+	n.Lock()
+	nodes := max(n.Board().RecentRouters(), len(n.settings().Seeds))
+	n.Unlock()
+	return 2*heard > nodes
+}
+
+// late reports whether a split may have taken effect that this node does not know: it is not current, and
+// has read nothing for the given time.
 func (s *releases) late(pool string, limit time.Duration) bool {
 	n := s.n
-	if !n.isolated() {
+	if s.current() {
 		return false
 	}
 	now := n.now()
@@ -265,7 +289,7 @@
 	case !s.started():
 		return "", "this node has just started"
 	case s.late(pool, route.SplitLead):
-		return "", "this node is cut off from the store and the other nodes"
+		return "", "this node has heard nothing from the store and most other nodes lately"
 	case !known:
 		return "", "the splits of the pool do not reach back far enough"
 	case len(candidates) != 1:
