node, peer: only what a node asked for tells that it is up to date

A node that had stood still took 8 of 96 streams up at another release (TestPlatformStreamKeepsReleaseAtCutOffNode, after a pause): messages of its peers, and answers of the store, had waited in its sockets, and made it look up to date when it went on.

What counts now is the beginning of calls that were answered: exchanges with peers or relays, readings of the list and of the row; and only once the board has the result.

--- a/node/list.go
+++ b/node/list.go
@@ -279,6 +279,7 @@
 		}
 		return out
 	})
+	n.releases.setListed(at)
 	n.divideConns()
 	n.weights.notify()
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -21,7 +21,9 @@
 			n.gossip.Round(ctx)
 			every = n.gossip.Period(gossipInterval)
 		}
+		contacts := n.releases.contacts()
 		n.updateBoard()
+		n.releases.setContacts(contacts)
 		n.probeLinks()
 	}
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -54,6 +54,8 @@
 	acting bool
 	// largeAt is when the fleet became large.
 	largeAt time.Time
+	// contactAt is when the last call to a relay began that was answered.
+	contactAt time.Time
 	// entries and heartbeats are the published list, read at listAt. Only relays have them.
 	entries    *route.Feed[netip.AddrPort, *route.Entry]
 	heartbeats *route.Feed[netip.AddrPort, int64]
@@ -124,6 +126,13 @@
 	}
 }
 
+// contact reports whether the fleet is large, and when the last call to a relay began that was answered.
+func (r *relays) contact() (large bool, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.large, r.contactAt
+}
+
 // known returns the relays, or nil in a small fleet.
 func (r *relays) known() []fleet.Member {
 	r.mu.Lock()
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -115,10 +115,20 @@
 	r.sharedSent[to.ID] = sent
 	r.mu.Unlock()
 	r.applyAnswer(ctx, begun, to, answer)
+	r.recordContact(begun)
 	r.n.applyConfigStatus(ctx, begun, to.Addr, answer.Config)
 	r.n.receiveNewest(begun, "relay "+to.ID, answer.Newest)
 }
 
+// recordContact records an answered call to a relay.
+func (r *relays) recordContact(begun time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if begun.After(r.contactAt) {
+		r.contactAt = begun
+	}
+}
+
 // reportTo adds the parts of a report that depend on the relay, and returns the position of shared
 // parts after it.
 func (r *relays) reportTo(to fleet.Member, report peer.RelayReport) (peer.RelayReport, sharedCursor) {
@@ -219,6 +229,8 @@
 	r.mu.Unlock()
 	if list != nil {
 		r.n.applyListing(listAt, Listing{Targets: list}, true)
+	} else if newer {
+		r.n.releases.setListed(listAt)
 	}
 	if !acting {
 		r.n.Lock()
--- a/node/releases.go
+++ b/node/releases.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -48,8 +50,12 @@
 	begun *streamMemory
 
 	mu sync.Mutex
-	// readAt is when the row was last read or written.
-	readAt time.Time
+	// readAt and listedAt are when the last read of the row and of the list began of which the board has
+	// the result.
+	readAt, listedAt time.Time
+	// contactAt are the beginnings of the calls to other nodes that were answered lately and of which
+	// the board has the result; in a large fleet those to relays.
+	contactAt []time.Time
 	// neededSince is when a change of a pool's splits was first needed.
 	neededSince map[string]time.Time
 }
@@ -86,11 +92,7 @@
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
 	case !s.current():
-		row, err := s.read(ctx)
-		switch {
-		case err == nil && len(row.Data) > 0:
-			s.apply(row)
-		case err != nil && ctx.Err() == nil:
+		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("reading the splits of releases failed", "error", err)
 		}
 	}
@@ -159,24 +161,52 @@
 // [route.SplitLead] by more than the time in which a split reaches the nodes.
 const contactTime = 1200 * time.Millisecond
 
-// current reports whether this node lately heard more than half of the nodes, or a relay in a large fleet,
-// so that it knows the splits that took effect.
-func (s *releases) current() bool {
+// contacts returns the beginnings of the calls to other nodes that were answered lately.
+func (s *releases) contacts() []time.Time {
 	n := s.n
-	now := n.now()
-	if large, age, answered := n.relays.age(now); large {
-		return answered && age <= contactTime
+	if large, at := n.relays.contact(); large {
+		return []time.Time{at}
 	}
-	heard := 1
-	for _, e := range n.gossip.LiveWithAge() {
-		if e.Age <= contactTime {
-			heard++
-		}
+	return slices.Collect(maps.Values(n.gossip.Answered(n.now().Add(-contactTime))))
+}
+
+// setContacts records contacts of which the board has the result.
+func (s *releases) setContacts(at []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.contactAt = at
+}
+
+// setListed records a reading of the list that the board has.
+func (s *releases) setListed(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.listedAt) {
+		s.listedAt = at
 	}
+}
+
+// current reports whether more than half of the nodes, or a relay in a large fleet, answered this node
+// lately, so that it knows the splits that took effect. What they sent unasked may have been in transit, or in
+// the sockets of this process while it stood still.
+func (s *releases) current() bool {
+	n := s.n
+	large, _ := n.relays.contact()
 	n.Lock()
 	nodes := max(n.Board().RecentRouters(), len(n.settings().Seeds))
 	n.Unlock()
-	return 2*heard > nodes
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	heard, now := 0, n.now()
+	for _, at := range s.contactAt {
+		if now.Sub(at) <= contactTime {
+			heard++
+		}
+	}
+	if large {
+		return heard > 0
+	}
+	return 2*(1+heard) > nodes
 }
 
 // late reports whether a split may have taken effect that this node does not know: it is not current, and
@@ -186,16 +216,13 @@
 	if s.current() {
 		return false
 	}
-	now := n.now()
-	if n.list.age(now) > limit {
-		return true
-	}
 	n.Lock()
 	several := n.Board().HasSeveralReleases(pool)
 	n.Unlock()
+	now := n.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return several && now.Sub(s.readAt) > limit
+	return now.Sub(s.listedAt) > limit || several && now.Sub(s.readAt) > limit
 }
 
 // pinRelease restricts a request whose answer may be taken up by its caller to one release. It returns a
--- a/node/releases_row.go
+++ b/node/releases_row.go
@@ -119,19 +119,21 @@
 	return data
 }
 
-// applyRead applies the rows of the lease's partition.
-func (s *releases) applyRead(rows []fleet.Row) {
+// applyRead applies the rows of the lease's partition, as of a call that began at the given time.
+func (s *releases) applyRead(begun time.Time, rows []fleet.Row) {
 	if row, ok := rowOf(rows, releasesRow); ok {
 		s.apply(row)
 	}
-	s.readNow()
+	s.setRead(begun)
 }
 
-// readNow records that the row was read or written now.
-func (s *releases) readNow() {
+// setRead records that the row is known as of a time.
+func (s *releases) setRead(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readAt = s.n.now()
+	if at.After(s.readAt) {
+		s.readAt = at
+	}
 }
 
 // apply takes over the splits in the row that are newer than the known ones, and returns all of them. An
@@ -160,25 +162,27 @@
 	})
 }
 
-// read reads the row and applies it.
-func (s *releases) read(ctx context.Context) (fleet.Row, error) {
+// read reads the row and applies it. It returns the row, which has no data if there is none, and the splits
+// in it.
+func (s *releases) read(ctx context.Context) (row fleet.Row, histories map[string]route.ReleaseHistory, err error) {
 	part, _ := s.n.weights.lease.Key()
+	begun := s.n.now()
 	row, ok, err := s.n.store.Get(ctx, part, releasesRow)
 	if err != nil {
-		return fleet.Row{}, err
+		return fleet.Row{}, nil, err
 	}
-	s.readNow()
-	if !ok {
-		return fleet.Row{}, nil
+	if ok {
+		histories = s.apply(row)
 	}
-	return row, nil
+	s.setRead(begun)
+	return row, histories, nil
 }
 
 // write records the splits that have to change, and takes them over. It fails if another node wrote at the
 // same time or the store is unavailable; the next round tries again.
 func (s *releases) write(ctx context.Context) error {
 	n := s.n
-	row, err := s.read(ctx)
+	row, histories, err := s.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -186,11 +190,8 @@
 	if !clock.Known() {
 		return errs.Errorf("the store's clock is not known")
 	}
-	histories := make(map[string]route.ReleaseHistory)
-	if row.Rev != 0 && len(row.Data) > 0 {
-		if known := s.apply(row); known != nil {
-			histories = known
-		}
+	if histories == nil {
+		histories = make(map[string]route.ReleaseHistory)
 	}
 	changed := make(map[string]route.ReleaseHistory)
 	n.Lock()
@@ -210,11 +211,12 @@
 		return nil
 	}
 	part, _ := n.weights.lease.Key()
+	begun := n.now()
 	_, err = n.store.Commit(ctx, rand.Text(), fleet.Write{Part: part, Sort: releasesRow, Data: encodeReleases(clock, histories), If: row.Rev})
 	if err != nil {
 		return err
 	}
-	s.readNow()
 	s.adopt(changed)
+	s.setRead(begun)
 	return nil
 }
--- a/node/weights_updater.go
+++ b/node/weights_updater.go
@@ -300,6 +300,7 @@
 // size and the crashes recorded there.
 func (d *weightsUpdater) readLease(ctx context.Context) bool {
 	part, sort := d.lease.Key()
+	begun := d.n.now()
 	rows, err := d.n.store.Range(ctx, part, "", leaseRowLimit)
 	row, ok := rowOf(rows, sort)
 	if !ok {
@@ -328,7 +329,7 @@
 	if held, ok := rowOf(rows, heldRequestsRow); ok {
 		d.n.applyHeldRecord(held)
 	}
-	d.n.releases.applyRead(rows)
+	d.n.releases.applyRead(begun, rows)
 	return true
 }
 
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -52,6 +53,8 @@
 	rng  *rand.Rand
 	last time.Time
 	now  clock.Clock
+	// answered is when the last call to each address began that was answered.
+	answered map[netip.AddrPort]time.Time
 	// suppressEvents turns off the events for peers that appear and disappear.
 	suppressEvents bool
 }
@@ -100,6 +103,7 @@
 	epoch := time.Now().UnixNano()
 	return &Gossip{
 		id:             cfg.ID,
+		answered:       make(map[netip.AddrPort]time.Time),
 		client:         client,
 		rec:            rec,
 		payload:        cfg.Payload,
@@ -196,10 +200,29 @@
 	}
 	g.crashes.HandleResponse(addr, message.Crashes, out.Crashes)
 	g.merge(out)
+	g.recordAnswer(addr, start)
 	g.onConfigStatus(start, out.Word)
 	g.onNewestWeights(start, out.From, out.Newest)
 }
 
+// recordAnswer records an answered call.
+func (g *Gossip) recordAnswer(addr netip.AddrPort, begun time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if begun.After(g.answered[addr]) {
+		g.answered[addr] = begun
+	}
+}
+
+// Answered returns the peers that answered this process since a time, each with the beginning of its last
+// answered call. Unlike the age of an entry, it does not depend on how long a message was in transit.
+func (g *Gossip) Answered(since time.Time) map[netip.AddrPort]time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.answered, func(_ netip.AddrPort, at time.Time) bool { return at.Before(since) })
+	return maps.Clone(g.answered)
+}
+
 // Exchange answers a peer's message with the local one. The answer has entries of other
 // processes if the two have not received entries of the same ones recently. Newer configuration
 // and weights that the peer reports count as unconfirmed, since it is unknown how long the
