--- /dev/null
+++ b/node/release_pin_test.go
@@ -0,0 +1,142 @@
+package node
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// pinNode is a node with a resumable route to a service whose targets have releases.
+type pinNode struct {
+	*Node
+	t   *testing.T
+	cfg *policy.Config
+}
+
+func newPinNode(t *testing.T, split ...policy.Share) *pinNode {
+	store := newSimStore(1)
+	n, err := New(validSettings(), store, nil, store)
+	require.NoError(t, err)
+	p := &pinNode{Node: n, t: t, cfg: &policy.Config{
+		Version: policy.Version,
+		Pools: []policy.Pool{
+			{Name: "p", Kind: policy.KindService, Selector: LabelPool + "=p"}, {Name: "q", Kind: policy.KindService, Selector: LabelPool + "=q"},
+		},
+		Routes: []policy.Route{{Name: "r", Pool: "p", Resumable: true, Streams: true, Split: split}},
+	}}
+	n.adopt(Declared{Revision: 1, Config: p.cfg}, "the test")
+	return p
+}
+
+// list lists one target for each release, in a pool.
+func (p *pinNode) list(pool string, releases ...string) {
+	var out []route.ListedTarget
+	for i, r := range releases {
+		out = append(out, route.ListedTarget{
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80), Release: r, Labels: map[string]string{LabelPool: pool},
+		})
+	}
+	p.Do(func(b *route.Board, now time.Time) []route.Action { return b.SetTargets(now, out) })
+	p.releases.readNow()
+}
+
+// ask pins a request.
+func (p *pinNode) ask(info RequestInfo) (route.Request, *route.Refusal) {
+	v := &callerRequest{
+		w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/x", nil), receivedAt: p.now(), info: info,
+		route: &p.cfg.Routes[0], snap: &policy.Snapshot{Revision: 1, Config: p.cfg},
+	}
+	req := p.request(v)
+	return req, p.pinRelease(v, &req)
+}
+
+// A stream that is taken up without the id of its first request may be any stream, so none that was taken
+// up before tells its release.
+func TestReleaseOfUnnamedStream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPinNode(t)
+		p.list("p", "v1")
+		req, refusal := p.ask(RequestInfo{ID: "a", LastEvent: "3"})
+		require.Nil(t, refusal)
+		require.Equal(t, route.PinTo("v1"), req.Pin)
+		p.list("p", "v1", "v2")
+		_, refusal = p.ask(RequestInfo{ID: "b", LastEvent: "3"})
+		require.NotNil(t, refusal)
+	})
+}
+
+// A route may divide its requests among services. A stream that is taken up goes to the service that began
+// it, whose targets are of its release.
+func TestReleaseOfDividedRoute(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPinNode(t, policy.Share{Pool: "p", Weight: 3}, policy.Share{Pool: "q", Weight: 1})
+		p.list("p", "v1")
+		begun := make(map[string]int)
+		for i := range 400 {
+			id := fmt.Sprint("a-", i)
+			first, _ := p.ask(RequestInfo{ID: id})
+			next, _ := p.ask(RequestInfo{ID: "b-" + id, LastEvent: "3", Resumes: id})
+			require.Equal(t, first.Pool, next.Pool)
+			begun[first.Pool]++
+		}
+		require.InDelta(t, 100, begun["q"], 35)
+	})
+}
+
+// A node that has just started may have requests before it has read the list. Once that shows two releases,
+// a stream begins only where its id belongs, as other nodes expect.
+func TestReleaseBeforeList(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPinNode(t)
+		for i := range 20 {
+			req, refusal := p.ask(RequestInfo{ID: fmt.Sprint(i)})
+			require.Nil(t, refusal)
+			p.Do(func(b *route.Board, now time.Time) []route.Action {
+				req.ID, req.QueueTime, req.Deadline = fmt.Sprint(i), 2*time.Second, now.Add(time.Minute)
+				actions := b.Arrive(now, req)
+				for _, a := range actions {
+					require.NotContains(t, fmt.Sprintf("%T", a), "Send")
+				}
+				return nil
+			})
+		}
+		split := route.WholeSplit(time.Time{}, "v2")
+		p.Do(func(b *route.Board, now time.Time) []route.Action {
+			b.AdoptReleases(now, "p", route.ReleaseHistory{Number: 1, Splits: []route.ReleaseSplit{split}})
+			return nil
+		})
+		sent := 0
+		p.Do(func(b *route.Board, now time.Time) []route.Action {
+			var out []route.ListedTarget
+			for i, r := range []string{"v1", "v2"} {
+				out = append(out, route.ListedTarget{
+					Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80), Release: r, Labels: map[string]string{LabelPool: "p"},
+				})
+			}
+			actions := b.SetTargets(now, out)
+			for _, e := range out {
+				actions = append(actions, b.Report(now, e.Addr, route.Report{Incarnation: "i", Slots: 8})...)
+			}
+			for _, a := range actions {
+				if s, ok := a.(route.Send); ok {
+					sent++
+					require.Equal(t, out[1].Addr, s.Attempt.Target, "a stream of v2 begins at v1")
+				}
+			}
+			return nil
+		})
+		require.NotZero(t, sent)
+	})
+}
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -29,8 +29,9 @@
 	splitSpreadTime = time.Second
 	// splitInterval is the minimum time between two splits of a pool.
 	splitInterval = 2 * time.Second
-	// splitSkew is how far the clocks of two routers may differ at the beginning of a split.
-	splitSkew = 250 * time.Millisecond
+	// splitSkew is how far two routers may differ about the beginning of a split: one that learns of it by
+	// gossip takes it for later by the time of the transfer, in which another may begin streams under it.
+	splitSkew = SplitLead
 	// LateSplitTime is how long a router that learns nothing may begin streams under its last split.
 	LateSplitTime = 15 * time.Second
 )
@@ -156,13 +157,14 @@
 }
 
 // AdoptReleases takes over a pool's splits if they are newer. It reports whether they are. Streams do not
-// begin under a new split before the other routers had the time to learn of it, also if it was written late.
+// begin under a new split before the other routers had the time to learn of it, also if this router is the
+// first to learn of it, long after it was written. The split before is remembered for longer than that.
 func (b *Board) AdoptReleases(now time.Time, pool string, h ReleaseHistory) bool {
 	p, ok := b.pools[pool]
 	if !ok || len(h.Splits) == 0 || h.Number <= p.streams.history.Number {
 		return false
 	}
-	if now.Sub(h.newest().From) < SplitLead {
+	if now.Sub(h.newest().From) < LateSplitTime-splitSpreadTime {
 		h.begin = now.Add(splitSpreadTime)
 	}
 	p.streams.history = h
@@ -260,6 +262,19 @@
 	return ro.phase == RolloutPending || ro.phase == RolloutRolledBack || ro.detector.regressed()
 }
 
+// pinAtPlacing pins a new stream that arrived before this router knew a release of its pool. It reports
+// whether the request may be placed: not while the pool has several releases and no known split.
+func (b *Board) pinAtPlacing(now time.Time, p *pool, r *request) bool {
+	if r.Pin.Set || !r.Streams || !r.Resumable {
+		return true
+	}
+	release, ok := b.NewStreamRelease(now, r.Pool, r.ID)
+	if ok {
+		r.Pin = PinTo(release)
+	}
+	return ok || !p.streams.several()
+}
+
 // continues reports whether the request continues a stream of which the caller has a part.
 func (r *request) continues() bool { return r.delivered || r.Continues }
 
