--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -46,7 +46,7 @@
 		})
 	}
 	p.Do(func(b *route.Board, now time.Time) []route.Action { return b.SetTargets(now, out) })
-	p.releases.readNow()
+	p.releases.setRead(p.now())
 }
 
 // ask pins a request.
