route: streams begin under a split that is learned late only once others may know it

A node that learned a split two seconds or more after its beginning began streams under it at once, as if all others knew it. It may be the first to know: the commit's answer was lost and the store carried it out late, or the writer was stopped (SIGSTOP) for four seconds between its commit and the answer. Nobody else reads the row. A stream of a moved slot that breaks within the next gossip round is then taken up by the old split at another node, on the other release, without a question. Callers have seen nothing of it yet.

Evidence: TestReleaseSplitLearnedLate, which failed from 2 s on. Change: the second for others to learn also counts for splits that began up to 14 s ago; until 15 s the split before is remembered by all. A node that starts soon after a change begins by the split before for a second, and so do those that learn late.

--- /dev/null
+++ b/route/release_begin_test.go
@@ -0,0 +1,39 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// idOfSlot returns the id of a request in a slot.
+func idOfSlot(slot int) string {
+	for i := 0; ; i++ {
+		if id := time.Duration(i).String(); ReleaseSlot(id) == slot {
+			return id
+		}
+	}
+}
+
+// twoSplits returns a history whose second split moves all slots to another release.
+func twoSplits(number int64, from time.Time) ReleaseHistory {
+	return ReleaseHistory{Number: number, Splits: []ReleaseSplit{WholeSplit(time.Time{}, oldRel), WholeSplit(from, newRel)}}
+}
+
+// Streams begin under a split only once the other routers had the time to learn of it, also if the router
+// that wrote it learns late that it was written: a commit whose answer was lost, or that it did not see
+// since it was stopped.
+func TestReleaseSplitLearnedLate(t *testing.T) {
+	t.Parallel()
+	for _, late := range []time.Duration{0, time.Second, SplitLead, 2 * SplitLead, 5 * SplitLead} {
+		w := newWorld(t, 2, 0, testSetup{})
+		id, from := idOfSlot(0), w.now.Add(-late)
+		require.True(t, w.board.AdoptReleases(w.now, "e", twoSplits(1, from)))
+		release, ok := w.board.NewStreamRelease(w.now, "e", id)
+		require.True(t, ok)
+		require.Equal(t, oldRel, release, "%s late", late)
+		release, _ = w.board.NewStreamRelease(w.now.Add(splitSpreadTime), "e", id)
+		require.Equal(t, newRel, release, "%s late", late)
+	}
+}
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -156,13 +156,14 @@
 }
 
 // AdoptReleases takes over a pool's splits if they are newer. It reports whether they are. Streams do not
-// begin under a new split before the other routers had the time to learn of it, also if it was written late.
+// begin under a new split before the other routers had the time to learn of it, also if this router is the
+// first to learn of it, long after it was written. The split before is remembered for longer than that.
 func (b *Board) AdoptReleases(now time.Time, pool string, h ReleaseHistory) bool {
 	p, ok := b.pools[pool]
 	if !ok || len(h.Splits) == 0 || h.Number <= p.streams.history.Number {
 		return false
 	}
-	if now.Sub(h.newest().From) < SplitLead {
+	if now.Sub(h.newest().From) < LateSplitTime-splitSpreadTime {
 		h.begin = now.Add(splitSpreadTime)
 	}
 	p.streams.history = h
