route: a split that is about to begin counts when a stream is taken up, also on a slow link

A split travels in gossip with its age, and the time of the transfer is not part of that: a node on a link of one second takes its beginning for a second later than it is, and keeps that, since it adopts each number once. Streams begun elsewhere in that second were taken up there by the split before alone, without a question, beyond the 250 ms that two nodes were allowed to differ.

Evidence: TestReleaseSplitBySlowLink, which failed.

--- a/route/release_begin_test.go
+++ b/route/release_begin_test.go
@@ -37,3 +37,15 @@
 		require.Equal(t, newRel, release, "%s late", late)
 	}
 }
+
+// A router that learned a split by a slow link takes its beginning for later than it is. It does not place
+// a stream that is taken up by the split before alone.
+func TestReleaseSplitBySlowLink(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 0, testSetup{})
+	const transit = time.Second
+	from := w.now.Add(SplitLead)
+	w.board.AdoptReleases(w.now.Add(transit), "e", twoSplits(1, from.Add(transit)))
+	releases, _ := w.board.StreamReleases(from.Add(transit/2), "e", idOfSlot(0), time.Second)
+	require.Equal(t, []string{oldRel, newRel}, releases)
+}
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -29,8 +29,9 @@
 	splitSpreadTime = time.Second
 	// splitInterval is the minimum time between two splits of a pool.
 	splitInterval = 2 * time.Second
-	// splitSkew is how far the clocks of two routers may differ at the beginning of a split.
-	splitSkew = 250 * time.Millisecond
+	// splitSkew is how far two routers may differ about the beginning of a split: one that learns of it by
+	// gossip takes it for later by the time of the transfer, in which another may begin streams under it.
+	splitSkew = SplitLead
 	// LateSplitTime is how long a router that learns nothing may begin streams under its last split.
 	LateSplitTime = 15 * time.Second
 )
