node: a stream that is taken up unnamed does not tell the release of the next

A caller may send Last-Event-Id without Resumes. In a pool of one release the node served that, and remembered the release under the empty id. Once the pool had a second release, each unnamed stream that came within a minute was taken for one of the first by that memory, where nothing is known of it.

Evidence: TestReleaseOfUnnamedStream, which failed: the second stream was not refused. Change: an empty id is not remembered. Measured: the test passes.

--- /dev/null
+++ b/node/release_pin_test.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pathhead/pathhead/policy"
+	"github.com/pathhead/pathhead/route"
+)
+
+// pinNode is a node with a resumable route to a service whose targets have releases.
+type pinNode struct {
+	*Node
+	t   *testing.T
+	cfg *policy.Config
+}
+
+func newPinNode(t *testing.T, split ...policy.Share) *pinNode {
+	store := newSimStore(1)
+	n, err := New(validSettings(), store, nil, store)
+	require.NoError(t, err)
+	p := &pinNode{Node: n, t: t, cfg: &policy.Config{
+		Version: policy.Version,
+		Pools: []policy.Pool{
+			{Name: "p", Kind: policy.KindService, Selector: LabelPool + "=p"}, {Name: "q", Kind: policy.KindService, Selector: LabelPool + "=q"},
+		},
+		Routes: []policy.Route{{Name: "r", Pool: "p", Resumable: true, Streams: true, Split: split}},
+	}}
+	n.adopt(Declared{Revision: 1, Config: p.cfg}, "the test")
+	return p
+}
+
+// list lists one target for each release, in a pool.
+func (p *pinNode) list(pool string, releases ...string) {
+	var out []route.ListedTarget
+	for i, r := range releases {
+		out = append(out, route.ListedTarget{
+			Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80), Release: r, Labels: map[string]string{LabelPool: pool},
+		})
+	}
+	p.Do(func(b *route.Board, now time.Time) []route.Action { return b.SetTargets(now, out) })
+	p.releases.readNow()
+}
+
+// ask pins a request.
+func (p *pinNode) ask(info RequestInfo) (route.Request, *route.Refusal) {
+	v := &callerRequest{
+		w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/x", nil), receivedAt: p.now(), info: info,
+		route: &p.cfg.Routes[0], snap: &policy.Snapshot{Revision: 1, Config: p.cfg},
+	}
+	req := p.request(v)
+	return req, p.pinRelease(v, &req)
+}
+
+// A stream that is taken up without the id of its first request may be any stream, so none that was taken
+// up before tells its release.
+func TestReleaseOfUnnamedStream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPinNode(t)
+		p.list("p", "v1")
+		req, refusal := p.ask(RequestInfo{ID: "a", LastEvent: "3"})
+		require.Nil(t, refusal)
+		require.Equal(t, route.PinTo("v1"), req.Pin)
+		p.list("p", "v1", "v2")
+		_, refusal = p.ask(RequestInfo{ID: "b", LastEvent: "3"})
+		require.NotNil(t, refusal)
+	})
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -219,7 +219,9 @@
 		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: undividedRetry, Detail: "the release that began the stream is not known: " + doubt}
 	}
 	req.Pin = route.PinTo(release)
-	s.begun.add(s.n.now(), v.info.Resumes, release)
+	if v.info.Resumes != "" {
+		s.begun.add(s.n.now(), v.info.Resumes, release)
+	}
 	return nil
 }
 
