node: a stream that is taken up goes to the pool that began it

A route may divide its calls between pools, and each attempt drew its pool anew. A stream of such a route that its caller took up went to another service as often as the weights say, and by that service's releases: with one release in each pool nothing even looked at the splits. A request that was handed over drew again too, with the release of the other pool.

Evidence: TestReleaseOfDividedRoute, which failed with the first draws. Change: the pool of a resumable stream follows from a hash of the id of its first request; other requests are drawn as before. A change of the weights still moves streams between pools, and so does a configuration that moves the route. Measured: the test passes, 400 streams are divided 3 to 1 within its bound.

--- a/node/forward.go
+++ b/node/forward.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/zeebo/errs/v2"
+	"github.com/zeebo/xxh3"
 
 	"github.com/pathhead/pathhead/dispatch"
 	"github.com/pathhead/pathhead/event"
@@ -126,7 +128,7 @@
 	}
 	req := route.Request{
 		Revision:       v.snap.Revision,
-		Pool:           n.poolOf(rt),
+		Pool:           n.poolOf(rt, v.info),
 		Route:          rt.Name,
 		Deadline:       v.receivedAt.Add(timeout),
 		Aim:            aimOf(rt),
@@ -179,8 +181,12 @@
 	return time.Duration(rt.Aim)
 }
 
-// poolOf picks one of the route's pools at random by weight.
-func (n *Node) poolOf(rt *policy.Route) string {
+// divideSeed makes the hash that divides streams between pools differ from that of [route.ReleaseSlot].
+const divideSeed = 1
+
+// poolOf picks one of the route's pools at random by weight. A stream that may be taken up goes by the id of
+// its first request, since it goes on only at targets of the pool that began it.
+func (n *Node) poolOf(rt *policy.Route, info RequestInfo) string {
 	total := 0
 	for _, s := range rt.Split {
 		total += s.Weight
@@ -188,9 +194,14 @@
 	if total <= 0 {
 		return rt.Pool
 	}
-	n.Lock()
-	at := n.rng.IntN(total)
-	n.Unlock()
+	at := 0
+	if rt.Streams && rt.Resumable {
+		at = int(xxh3.HashStringSeed(cmp.Or(info.Resumes, info.ID), divideSeed) % uint64(total))
+	} else {
+		n.Lock()
+		at = n.rng.IntN(total)
+		n.Unlock()
+	}
 	for _, s := range rt.Split {
 		if at -= s.Weight; at < 0 {
 			return s.Pool
--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -73,3 +74,22 @@
 		require.NotNil(t, refusal)
 	})
 }
+
+// A route may divide its requests among services. A stream that is taken up goes to the service that began
+// it, whose targets are of its release.
+func TestReleaseOfDividedRoute(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPinNode(t, policy.Share{Pool: "p", Weight: 3}, policy.Share{Pool: "q", Weight: 1})
+		p.list("p", "v1")
+		begun := make(map[string]int)
+		for i := range 400 {
+			id := fmt.Sprint("a-", i)
+			first, _ := p.ask(RequestInfo{ID: id})
+			next, _ := p.ask(RequestInfo{ID: "b-" + id, LastEvent: "3", Resumes: id})
+			require.Equal(t, first.Pool, next.Pool)
+			begun[first.Pool]++
+		}
+		require.InDelta(t, 100, begun["q"], 35)
+	})
+}
