route, node: a stream that arrives before the list is read begins where its id belongs

A node that has just started, or whose pool is new, knows no release when a request arrives, so the request stayed unpinned and waited. Once the list was there, with two releases, it was placed at any target: the stream began at a release at which no other node expects it, and nothing remembered that. A caller who took it up had it go on at the other release. An unpinned stream that was handed over after its first events went without its release, too.

Evidence: TestReleaseBeforeList, which failed: a stream whose slot is of v2 began at v1. Change: the board pins such a request as it is placed, by the split in effect then, and it waits while the pool has several releases and no known split; an attempt carries the pin of its request, so a hand-over has one that was set later.

--- a/node/handoff.go
+++ b/node/handoff.go
@@ -117,8 +117,8 @@
 	if a.Resume && f.lastEvent != "" {
 		h.Set(handoffLastEvent, f.lastEvent)
 	}
-	if f.req.Pin.Set {
-		h.Set(handoffRelease, releaseMark+f.req.Pin.Release)
+	if a.Pin.Set {
+		h.Set(handoffRelease, releaseMark+a.Pin.Release)
 	}
 	id := f.v.info.ID
 	return transport.Request{
--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -93,3 +93,50 @@
 		require.InDelta(t, 100, begun["q"], 35)
 	})
 }
+
+// A node that has just started may have requests before it has read the list. Once that shows two releases,
+// a stream begins only where its id belongs, as other nodes expect.
+func TestReleaseBeforeList(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPinNode(t)
+		for i := range 20 {
+			req, refusal := p.ask(RequestInfo{ID: fmt.Sprint(i)})
+			require.Nil(t, refusal)
+			p.Do(func(b *route.Board, now time.Time) []route.Action {
+				req.ID, req.QueueTime, req.Deadline = fmt.Sprint(i), 2*time.Second, now.Add(time.Minute)
+				actions := b.Arrive(now, req)
+				for _, a := range actions {
+					require.NotContains(t, fmt.Sprintf("%T", a), "Send")
+				}
+				return nil
+			})
+		}
+		split := route.WholeSplit(time.Time{}, "v2")
+		p.Do(func(b *route.Board, now time.Time) []route.Action {
+			b.AdoptReleases(now, "p", route.ReleaseHistory{Number: 1, Splits: []route.ReleaseSplit{split}})
+			return nil
+		})
+		sent := 0
+		p.Do(func(b *route.Board, now time.Time) []route.Action {
+			var out []route.ListedTarget
+			for i, r := range []string{"v1", "v2"} {
+				out = append(out, route.ListedTarget{
+					Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80), Release: r, Labels: map[string]string{LabelPool: "p"},
+				})
+			}
+			actions := b.SetTargets(now, out)
+			for _, e := range out {
+				actions = append(actions, b.Report(now, e.Addr, route.Report{Incarnation: "i", Slots: 8})...)
+			}
+			for _, a := range actions {
+				if s, ok := a.(route.Send); ok {
+					sent++
+					require.Equal(t, out[1].Addr, s.Attempt.Target, "a stream of v2 begins at v1")
+				}
+			}
+			return nil
+		})
+		require.NotZero(t, sent)
+	})
+}
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -171,6 +171,9 @@
 		if r.retryOwed && !b.retryAvailable(now, &p.retries) {
 			continue
 		}
+		if !b.pinAtPlacing(now, p, r) {
+			continue
+		}
 		if p.releaseGone(r) {
 			return b.refuse(now, r, CauseNoTarget, "no target of release "+r.Pin.Release+" is left, at which the answer has to run")
 		}
--- a/route/handoff.go
+++ b/route/handoff.go
@@ -358,6 +358,7 @@
 	a.Attempt = Attempt{
 		ID: r.newAttempt(), Request: r.ID, Target: peer, Via: peer, Resume: r.delivered, Number: r.tries,
 		Reason: "handed over", Tries: r.handoffTries(), Waited: now.Sub(r.arrived), Sent: r.countedSends() > 0,
+		Pin: r.Pin,
 	}
 	r.attempt = a
 	b.handoffs.inFlight[peer]++
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -262,6 +262,19 @@
 	return ro.phase == RolloutPending || ro.phase == RolloutRolledBack || ro.detector.regressed()
 }
 
+// pinAtPlacing pins a new stream that arrived before this router knew a release of its pool. It reports
+// whether the request may be placed: not while the pool has several releases and no known split.
+func (b *Board) pinAtPlacing(now time.Time, p *pool, r *request) bool {
+	if r.Pin.Set || !r.Streams || !r.Resumable {
+		return true
+	}
+	release, ok := b.NewStreamRelease(now, r.Pool, r.ID)
+	if ok {
+		r.Pin = PinTo(release)
+	}
+	return ok || !p.streams.several()
+}
+
 // continues reports whether the request continues a stream of which the caller has a part.
 func (r *request) continues() bool { return r.delivered || r.Continues }
 
--- a/route/request.go
+++ b/route/request.go
@@ -123,6 +123,8 @@
 	Tries  int
 	Waited time.Duration
 	Sent   bool
+	// Pin is the release that the request is restricted to when it is handed over.
+	Pin ReleasePin
 }
 
 // Action is an instruction from the board to its caller.
