node: a node that is cut off for long does not take streams up by what it knew

A node counted as cut off while it heard at most half of the routers of the last retryWindow (10 s). After that a node without any contact took itself for the whole fleet, was late for nothing and no longer read the row: it took streams up by a split that the others had replaced long ago, at the wrong release. A group of two of six did the same. That the store does not answer it either made no difference.

Change: while the store cannot be read, the fleet does not shrink, and a node that hears no other is late. A single node without the store knows the streams that it began itself, up to its memory's limit. Not covered: a group that lost the others for longer than the window while it read the store, and then the store.

--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -46,6 +46,7 @@
 		})
 	}
 	p.Do(func(b *route.Board, now time.Time) []route.Action { return b.SetTargets(now, out) })
+	p.Node.list.merge(p.now(), p.now(), Listing{}, false)
 	p.releases.readNow()
 }
 
@@ -140,3 +141,39 @@
 		require.NotZero(t, sent)
 	})
 }
+
+// A node that is cut off knows nothing of a split that the others write, however long it has been cut off,
+// so it must not take a stream up by what it knows.
+func TestReleaseCutOffForLong(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		fleet, group int
+		want         bool
+	}{
+		"alone of 6":  {6, 1, false},
+		"two of 6":    {6, 2, false},
+		"four of 6":   {6, 4, true},
+		"fleet of 1":  {1, 1, false},
+		"six of 6":    {6, 6, true},
+		"two of 2":    {2, 2, true},
+		"one of 2":    {2, 1, false},
+		"three of 84": {84, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPinNode(t)
+				p.list("p", "v1")
+				hears := func(nodes int) {
+					p.Do(func(b *route.Board, now time.Time) []route.Action { return b.MergePeers(now, nil, nodes) })
+					p.releases.round(t.Context())
+				}
+				hears(c.fleet)
+				for range 60 {
+					time.Sleep(time.Second)
+					hears(c.group)
+				}
+				require.Equal(t, c.want, !p.releases.lateAmong(c.group, "p", route.SplitLead))
+			})
+		})
+	}
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -50,6 +50,8 @@
 	mu sync.Mutex
 	// readAt is when the row was last read or written.
 	readAt time.Time
+	// fleet is the number of nodes that were there recently, or when the store was last read.
+	fleet int
 	// neededSince is when a change of a pool's splits was first needed.
 	neededSince map[string]time.Time
 }
@@ -71,6 +73,8 @@
 
 // round changes the splits that have to change, and reports whether a pool has several releases.
 func (s *releases) round(ctx context.Context) bool {
+	nodes, _ := s.n.relays.size()
+	isolated := s.isolated(nodes)
 	pools := s.several()
 	if len(pools) == 0 {
 		return false
@@ -85,7 +89,7 @@
 		if err := s.write(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
-	case s.n.isolated():
+	case isolated:
 		row, err := s.read(ctx)
 		switch {
 		case err == nil && len(row.Data) > 0:
@@ -158,8 +162,14 @@
 // late reports whether a split may have taken effect that this node does not know: it has read
 // nothing for the given time, and hears at most half of the other nodes.
 func (s *releases) late(pool string, limit time.Duration) bool {
+	nodes, _ := s.n.relays.size()
+	return s.lateAmong(nodes, pool, limit)
+}
+
+// lateAmong is late at a node that hears the given number of nodes, itself included.
+func (s *releases) lateAmong(nodes int, pool string, limit time.Duration) bool {
 	n := s.n
-	if !n.isolated() {
+	if !s.isolated(nodes) {
 		return false
 	}
 	now := n.now()
@@ -174,6 +184,24 @@
 	return several && now.Sub(s.readAt) > limit
 }
 
+// isolated reports whether a node that hears the given number of nodes, itself included, hears at most half
+// of the fleet. While it cannot read the store, a fleet that seems smaller may be one from which it is cut
+// off, however long, and a node that hears no other cannot tell whether there are any.
+func (s *releases) isolated(nodes int) bool {
+	n := s.n
+	n.Lock()
+	recent := n.Board().RecentRouters()
+	n.Unlock()
+	unread := n.list.age(n.now()) > route.SplitLead
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if unread {
+		recent = max(recent, s.fleet)
+	}
+	s.fleet = recent
+	return 2*nodes <= recent || nodes == 1 && unread
+}
+
 // pinRelease restricts a request whose answer may be taken up by its caller to one release. It returns a
 // refusal if that is not known.
 func (n *Node) pinRelease(v *callerRequest, req *route.Request) *route.Refusal {
