route: streams begin under a split only after every node that reads the row has read it

A node that is cut off from the others counts as late once its last reading of the row is two seconds old, but streams began one second after their node had learned of the split. If the store took more than a second to carry out the write, a cut-off node that had read the row just before still went by the old split for up to a second while streams began under the new one.

Change: the time for others to learn of a split is SplitLead too. With a quick store nothing changes, since a split begins two seconds after it is written anyway.

--- a/route/release_begin_test.go
+++ b/route/release_begin_test.go
@@ -49,3 +49,15 @@
 	releases, _ := w.board.StreamReleases(from.Add(transit/2), "e", idOfSlot(0), time.Second)
 	require.Equal(t, []string{oldRel, newRel}, releases)
 }
+
+// A router that reads the row, every [SplitLead] at most, has read a split before streams begin under it,
+// also if the store was slow to carry out its writing.
+func TestReleaseSplitWrittenSlowly(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 2, 0, testSetup{})
+	written := w.now.Add(SplitLead - 500*time.Millisecond)
+	w.board.AdoptReleases(written, "e", twoSplits(1, w.now.Add(SplitLead)))
+	release, ok := w.board.NewStreamRelease(written.Add(SplitLead-time.Millisecond), "e", idOfSlot(0))
+	require.True(t, ok)
+	require.Equal(t, oldRel, release)
+}
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -25,8 +25,9 @@
 	// SplitLead is the time between the writing of a split and its effect, within which the routers
 	// in contact learn of it.
 	SplitLead = 2 * time.Second
-	// splitSpreadTime is the time in which a split that one router knows reaches the others in contact.
-	splitSpreadTime = time.Second
+	// splitSpreadTime is the time in which a split that one router knows reaches the others in contact. One
+	// that is not reads the row so often, or knows by then that it is late.
+	splitSpreadTime = SplitLead
 	// splitInterval is the minimum time between two splits of a pool.
 	splitInterval = 2 * time.Second
 	// splitSkew is how far two routers may differ about the beginning of a split: one that learns of it by
