node: a node that was cut off or stopped is late before others begin streams under a split

A node counts another as heard for 2.5 s after its last entry, but streams begin under a split 2 s after it was written. A node that was cut off, or stopped (SIGSTOP) for 2.0 to 2.5 s, took streams up by the split before for up to half a second while others began new ones.

Evidence: TestReleaseCutOffNoticed, which fails with the 2.5 s. Change: for the splits, a small fleet's node is heard if its entry is at most a second old, and a node that follows a relay hears the fleet while a relay answers it. On an overloaded machine nodes may count as cut off more often; not measured.

--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -177,3 +177,24 @@
 		})
 	}
 }
+
+// A node that the others do not reach counts as cut off before they begin streams under a split that it has
+// not heard of.
+func TestReleaseCutOffNoticed(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 6, engines: 12, perSecond: 40})
+		f.settle()
+		defer f.end()
+		cut := f.nodes[0].releases
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range f.nodes {
+				require.False(t, n.releases.isolated(n.releases.heard()), n.settings().Name)
+			}
+		}
+		f.net.cutOff(f.nodes[0].settings().Peers.Addr())
+		time.Sleep(route.SplitLead - gossipInterval)
+		require.True(t, cut.isolated(cut.heard()))
+	})
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -73,8 +73,7 @@
 
 // round changes the splits that have to change, and reports whether a pool has several releases.
 func (s *releases) round(ctx context.Context) bool {
-	nodes, _ := s.n.relays.size()
-	isolated := s.isolated(nodes)
+	isolated := s.isolated(s.heard())
 	pools := s.several()
 	if len(pools) == 0 {
 		return false
@@ -162,8 +161,7 @@
 // late reports whether a split may have taken effect that this node does not know: it has read
 // nothing for the given time, and hears at most half of the other nodes.
 func (s *releases) late(pool string, limit time.Duration) bool {
-	nodes, _ := s.n.relays.size()
-	return s.lateAmong(nodes, pool, limit)
+	return s.lateAmong(s.heard(), pool, limit)
 }
 
 // lateAmong is late at a node that hears the given number of nodes, itself included.
@@ -184,6 +182,29 @@
 	return several && now.Sub(s.readAt) > limit
 }
 
+// contactTime is the age from which what other nodes reported does not tell what they know now. With the
+// time in which a split spreads, it stays below [route.SplitLead].
+const contactTime = time.Second
+
+// heard returns the number of nodes that this node hears, itself included. A node that was stopped hears
+// none at first.
+func (s *releases) heard() int {
+	nodes, large := s.n.relays.size()
+	if large {
+		if !s.n.relays.isRelay() && !s.n.relays.relayResponds() {
+			return 1
+		}
+		return nodes
+	}
+	nodes = 1
+	for _, e := range s.n.gossip.LiveWithAge() {
+		if e.Age <= contactTime {
+			nodes++
+		}
+	}
+	return nodes
+}
+
 // isolated reports whether a node that hears the given number of nodes, itself included, hears at most half
 // of the fleet. While it cannot read the store, a fleet that seems smaller may be one from which it is cut
 // off, however long, and a node that hears no other cannot tell whether there are any.
