--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,7 @@
 		})
 	}
 	p.Do(func(b *route.Board, now time.Time) []route.Action { return b.SetTargets(now, out) })
+	p.releases.setListed(p.now())
 	p.releases.setRead(p.now())
 }
 
@@ -140,3 +142,61 @@
 		require.NotZero(t, sent)
 	})
 }
+
+// A node that is cut off knows nothing of a split that the others write, however long it has been cut off,
+// so it must not take a stream up by what it knows.
+func TestReleaseCutOffForLong(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		fleet, group int
+		want         bool
+	}{
+		"alone of 6":  {6, 1, false},
+		"two of 6":    {6, 2, false},
+		"four of 6":   {6, 4, true},
+		"fleet of 1":  {1, 1, false},
+		"six of 6":    {6, 6, true},
+		"two of 2":    {2, 2, true},
+		"one of 2":    {2, 1, false},
+		"three of 84": {84, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPinNode(t)
+				p.list("p", "v1")
+				hears := func(nodes int) {
+					p.Do(func(b *route.Board, now time.Time) []route.Action { return b.MergePeers(now, nil, nodes) })
+					p.releases.setContacts(slices.Repeat([]time.Time{p.now()}, nodes-1))
+					p.releases.round(t.Context())
+				}
+				hears(c.fleet)
+				for range 60 {
+					time.Sleep(time.Second)
+					hears(c.group)
+				}
+				require.Equal(t, c.want, !p.releases.late("p", route.SplitLead))
+			})
+		})
+	}
+}
+
+// A node that the others do not reach counts as cut off before they begin streams under a split that it has
+// not heard of.
+func TestReleaseCutOffNoticed(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 6, engines: 12, perSecond: 40})
+		f.settle()
+		defer f.end()
+		cut := f.nodes[0].releases
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range f.nodes {
+				require.True(t, n.releases.current(), n.settings().Name)
+			}
+		}
+		f.net.cutOff(f.nodes[0].settings().Peers.Addr())
+		time.Sleep(route.SplitLead - gossipInterval)
+		require.False(t, cut.current())
+	})
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -56,6 +56,8 @@
 	// contactAt are the beginnings of the calls to other nodes that were answered lately and of which
 	// the board has the result; in a large fleet those to relays.
 	contactAt []time.Time
+	// fleet is the number of nodes that were there recently, or when the list was last read.
+	fleet int
 	// neededSince is when a change of a pool's splits was first needed.
 	neededSince map[string]time.Time
 }
@@ -77,6 +79,7 @@
 
 // round changes the splits that have to change, and reports whether a pool has several releases.
 func (s *releases) round(ctx context.Context) bool {
+	current := s.current()
 	pools := s.several()
 	if len(pools) == 0 {
 		return false
@@ -91,7 +94,7 @@
 		if err := s.write(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
-	case !s.current():
+	case !current:
 		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("reading the splits of releases failed", "error", err)
 		}
@@ -193,7 +196,7 @@
 	n := s.n
 	large, _ := n.relays.contact()
 	n.Lock()
-	nodes := max(n.Board().RecentRouters(), len(n.settings().Seeds))
+	recent := n.Board().RecentRouters()
 	n.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -206,7 +209,18 @@
 	if large {
 		return heard > 0
 	}
-	return 2*(1+heard) > nodes
+	return s.hearsMost(1+heard, max(recent, len(n.settings().Seeds)), now.Sub(s.listedAt) > route.SplitLead)
+}
+
+// hearsMost reports whether a node that hears the given number of nodes, itself included, hears most of the
+// fleet. While it cannot read the list, a fleet that seems smaller may be one from which it is cut off,
+// however long, and a node that hears no other cannot tell whether there are any. The caller holds s.mu.
+func (s *releases) hearsMost(heard, recent int, unread bool) bool {
+	if unread {
+		recent = max(recent, s.fleet)
+	}
+	s.fleet = recent
+	return 2*heard > recent && !(heard == 1 && unread)
 }
 
 // late reports whether a split may have taken effect that this node does not know: it is not current, and
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -25,10 +25,9 @@
 	// SplitLead is the time between the writing of a split and its effect, within which the routers
 	// in contact learn of it.
 	SplitLead = 2 * time.Second
-	// splitSpreadTime is the time in which a split that one router knows reaches the others in contact.
-	splitSpreadTime = time.Second
-	// splitInterval is the minimum time between two splits of a pool.
-	splitInterval = 2 * time.Second
+	// splitSpreadTime is the time in which a split that one router knows reaches the others in contact. One
+	// that is not reads the row so often, or knows by then that it is late.
+	splitSpreadTime = SplitLead
 	// splitSkew is how far two routers may differ about the beginning of a split: one that learns of it by
 	// gossip takes it for later by the time of the transfer, in which another may begin streams under it.
 	splitSkew = SplitLead
@@ -185,7 +184,7 @@
 		if p.streams.known {
 			h.Splits = []ReleaseSplit{WholeSplit(time.Time{}, p.streams.sole)}
 		}
-	} else if now.Before(h.newest().From.Add(splitInterval)) {
+	} else if now.Before(h.newest().From) {
 		return next, false
 	}
 	split, ok := h.newest().next(now.Add(SplitLead), b.releaseWeights(now, p))
