route: a new stream of a release that was rolled back is refused at once

A stream that arrives after its release was rolled back, and before its slot has moved (some three seconds), was held to the end of its queue time, and then refused: the release gets no new requests, and the stream may begin at no other. The same held for those that waited as the release was rolled back.

Evidence: TestReleaseRolledBack, which failed: nothing was sent or refused. Change: it is refused as not run while it is placed. Measured: the test passes, and those of TestRelease, TestRollout and TestBoard in route.

--- a/route/arrive.go
+++ b/route/arrive.go
@@ -177,6 +177,9 @@
 		if p.releaseGone(r) {
 			return b.refuse(now, r, CauseNoTarget, "no target of release "+r.Pin.Release+" is left, at which the answer has to run")
 		}
+		if b.pinHolds(p, r) && b.rollouts[p.compiled.Name].phase == RolloutRolledBack {
+			return b.refuse(now, r, CauseNoTarget, "release "+r.Pin.Release+", at which the answer has to begin, was rolled back")
+		}
 		r.awaitingFill = false
 		c, extra, admission := b.chooseAdmitted(now, p, r)
 		if c == nil {
--- a/route/release_begin_test.go
+++ b/route/release_begin_test.go
@@ -61,3 +61,34 @@
 	require.True(t, ok)
 	require.Equal(t, oldRel, release)
 }
+
+// A new stream of a release that was rolled back is refused at once, since that release gets no new requests.
+func TestReleaseRolledBack(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 0, 2, testSetup{})
+	list := func() []ListedTarget {
+		var out []ListedTarget
+		for i, f := range w.targets {
+			out = append(out, ListedTarget{Addr: f.addr, Labels: map[string]string{"s": "s"}, Release: []string{oldRel, newRel}[i]})
+		}
+		return out
+	}
+	w.board.SetTargets(w.now, list())
+	for _, f := range w.targets {
+		w.report(f)
+	}
+	ask := func(id string) []Action {
+		return w.board.Arrive(w.now, Request{
+			ID: id, Pool: "s", Revision: w.snap.Revision, Deadline: w.now.Add(time.Minute), QueueTime: 10 * time.Second,
+			Streams: true, Resumable: true, Pin: PinTo(newRel),
+		})
+	}
+	actions := ask("before")
+	require.Len(t, actions, 1)
+	require.IsType(t, Send{}, actions[0])
+	w.board.rollouts["s"] = &rollout{order: RolloutOrder{Pool: "s", Release: newRel}, phase: RolloutRolledBack}
+	actions = ask("after")
+	require.Len(t, actions, 1, "the request waits")
+	require.IsType(t, Refuse{}, actions[0])
+	require.Equal(t, NotRun, actions[0].(Refuse).Refusal.Verdict)
+}
