soak: engines of a second release, and callers that take broken streams up

A step target-release replaces an engine by one of the other release beside the rest, as a drain does; callers take resumable streams up with Last-Event-Id and Resumes; the verifier finds a run that continues a stream at another release than the one that began it. Six cases of TestVerify say what breaks the guarantee and what doesn't.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -196,16 +197,21 @@
 		if n > 0 {
 			client = c.newConns
 		}
-		pause, retry := c.attempt(client, a, time.Until(end))
-		if !retry || time.Until(end) < minPause {
+		pause, events, retry := c.attempt(client, a, time.Until(end))
+		if a.Kind == ResumeCall && events > 0 {
+			// A next attempt takes up what this one left.
+			a.Resumes, a.LastEvent = cmp.Or(a.Resumes, a.ID), a.LastEvent+events
+		}
+		if !retry || a.LastEvent == streamEvents || time.Until(end) < minPause {
 			return
 		}
 		time.Sleep(min(pause, time.Until(end)/3))
 	}
 }
 
-// attempt sends a call once. It returns whether the call may be retried, and after what pause.
-func (c *caller) attempt(client *http.Client, a Attempt, left time.Duration) (pause time.Duration, retry bool) {
+// attempt sends a call once. It returns how many whole events it brought if it is a stream, whether the call
+// may be retried, and after what pause.
+func (c *caller) attempt(client *http.Client, a Attempt, left time.Duration) (pause time.Duration, events int, retry bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	if a.Kind.streams() && rand.Float64() < abandonFraction {
@@ -254,7 +260,10 @@
 		p.Left = ctx.Err() != nil
 		retry = retryable(*p)
 	})
-	return pause, retry
+	if a.Kind.streams() && got.Status == http.StatusOK {
+		events = strings.Count(got.Answer, "\n\n")
+	}
+	return pause, events, retry
 }
 
 // retryable reports whether a call may be retried after an attempt.
@@ -295,6 +304,10 @@
 		params.Model, params.Parts, params.PromptTokens, params.AnswerTokens = modelName, a.Parts, promptTokens, answerTokens
 	}
 	params.Set(req.Header)
+	if a.Resumes != "" {
+		req.Header.Set("Resumes", a.Resumes)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(a.LastEvent))
+	}
 	return req
 }
 
@@ -304,7 +317,7 @@
 		return platformtest.Body(a.ID)
 	}
 	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
+	for n := a.LastEvent + 1; n <= streamEvents; n++ {
 		b.WriteString(platformtest.Event(a.ID, n))
 	}
 	return b.String()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -69,7 +69,7 @@
 		s.impairLink(ctx, step, sl.proxy, "")
 	case NodeCutOff:
 		s.cutOff(ctx, step, n)
-	case TargetCrash, TargetRestart, TargetDrain, TargetUnlist:
+	case TargetCrash, TargetRestart, TargetDrain, TargetUnlist, TargetRelease:
 		if !s.claim(sl) {
 			return
 		}
@@ -99,12 +99,12 @@
 	}
 }
 
-// affectedSlot returns the slot that a step affects. Only engines receive orders.
+// affectedSlot returns the slot that a step affects. Only engines receive orders and change their release.
 func (s *cluster) affectedSlot(step Step) *slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	most := len(s.slots)
-	if step.Kind == OrdersLate {
+	if step.Kind == OrdersLate || step.Kind == TargetRelease {
 		most = s.engines
 	}
 	return s.slots[max(0, step.Subject)%most]
@@ -232,7 +232,7 @@
 	return sl.replica
 }
 
-// replaceTarget starts a new target that takes over a slot. The old target drains, or is
+// replaceTarget starts a new target, of the same release unless the step changes it, that takes over a slot. The old target drains, or is
 // removed from the list without a drain, and after its end another service starts at its
 // address.
 func (s *cluster) replaceTarget(ctx context.Context, step Step, oldSlot *slot) {
@@ -242,7 +242,11 @@
 	}
 	end := s.beginFault(InjectedFault{Scope: ScopeTarget, Kind: step.Kind, Subject: r.ID})
 	defer end()
-	replacement, err := s.addTarget(r.Service)
+	release := oldSlot.release
+	if step.Kind == TargetRelease {
+		release = otherRelease(release)
+	}
+	replacement, err := s.addTarget(r.Service, release)
 	if err != nil {
 		s.recordError(err)
 		return
@@ -262,6 +266,14 @@
 	s.recordError(s.startTarget(oldSlot, s.newID(foreignName), foreignName, 0, time.Now()))
 }
 
+// otherRelease returns the other one of the two releases.
+func otherRelease(release string) string {
+	if release == firstRelease {
+		return secondRelease
+	}
+	return firstRelease
+}
+
 // swapSlots exchanges the positions of two slots in the list.
 func (s *cluster) swapSlots(a, b *slot) {
 	s.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,8 @@
 	TargetDrain   Kind = "target-drain"
 	TargetUnlist  Kind = "target-hide"
 	TargetGrey    Kind = "target-grey"
+	// TargetRelease drains an engine and replaces it by one of the other release.
+	TargetRelease Kind = "target-release"
 	// SuspectRequest sends copies of one request that crashes each engine that begins to run it.
 	SuspectRequest Kind = "request-deadly"
 	// TargetHintsLimit, TargetHintsDraining and TargetHintsBackoff make a target announce in
@@ -156,6 +158,7 @@
 	{TargetHintsBackoff, 0.4, 3 * time.Second, 10 * time.Second, 4},
 	{StoreRollback, 0.2, 300 * time.Millisecond, 8 * time.Second, 3},
 	{NodeCutOff, 0.3, time.Second, 12 * time.Second, 3},
+	{TargetRelease, 0.3, time.Second, 4 * time.Second, 6},
 }
 
 // links and outages list the faults of links and of the store. A repeated entry has a higher
@@ -277,7 +280,7 @@
 		s.Link = links[rng.IntN(len(links))]
 	case NodeCutOff:
 		s.Link = nodeCutOffs[rng.IntN(len(nodeCutOffs))]
-	case OrdersLate, Pause, Kill, Stop, ReloadSettings, AddNode, StoreForgets, StoreRollback, TargetCrash, TargetRestart, TargetDrain, TargetUnlist, TargetGrey, SuspectRequest,
+	case OrdersLate, Pause, Kill, Stop, ReloadSettings, AddNode, StoreForgets, StoreRollback, TargetCrash, TargetRestart, TargetDrain, TargetUnlist, TargetGrey, TargetRelease, SuspectRequest,
 		TargetHintsLimit, TargetHintsDraining, TargetHintsBackoff, AnnounceWeights, Reconfigure:
 	}
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -53,6 +53,10 @@
 	// Parts and Body are the prompt parts and the body that the caller sent.
 	Parts string
 	Body  string
+	// Resumes is the id of the attempt that brought the stream's first event, LastEvent the last event
+	// that the caller has, if the attempt takes a stream up.
+	Resumes   string `json:",omitempty"`
+	LastEvent int    `json:",omitempty"`
 	// Node and Boot name the process that accepted the connection, and are empty if there was
 	// none. Kept reports that an earlier request had used the connection.
 	Node string
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -26,6 +26,9 @@
 	foreignName = "strange"
 	// spareTargets is the number of targets of the second plain service.
 	spareTargets = 2
+	// All targets are of the first release until steps replace some by targets of the other.
+	firstRelease  = "v1"
+	secondRelease = "v1.1"
 )
 
 // The timing of requests, streams and restarts.
@@ -44,6 +47,8 @@
 type slot struct {
 	proxy   *Proxy
 	replica *platformtest.Replica
+	// release is the release of all targets that run there.
+	release string
 	// claimed reports that a step is about to end the target. Other steps that would end it
 	// are skipped meanwhile.
 	claimed bool
@@ -110,7 +115,7 @@
 		case n >= size.Engines:
 			service = plainName
 		}
-		if _, err := s.addTarget(service); err != nil {
+		if _, err := s.addTarget(service, firstRelease); err != nil {
 			return err
 		}
 	}
@@ -252,9 +257,9 @@
 	}
 }
 
-// addTarget starts a target of a service in a new slot.
-func (s *cluster) addTarget(service string) (*slot, error) {
-	sl := &slot{proxy: NewProxy(s.addrs.next(), s.cuts)}
+// addTarget starts a target of a service and release in a new slot.
+func (s *cluster) addTarget(service, release string) (*slot, error) {
+	sl := &slot{proxy: NewProxy(s.addrs.next(), s.cuts), release: release}
 	s.mu.Lock()
 	weights := s.weights
 	s.mu.Unlock()
@@ -277,7 +282,7 @@
 
 // startTarget starts a target in a slot. The target reports the given time as its start.
 func (s *cluster) startTarget(sl *slot, id, service string, weights int64, at time.Time) error {
-	opts := []platformtest.Option{platformtest.WithAdvertisedAddr(sl.proxy.Addr), platformtest.WithStart(at.UnixMilli())}
+	opts := []platformtest.Option{platformtest.WithAdvertisedAddr(sl.proxy.Addr), platformtest.WithStart(at.UnixMilli()), platformtest.WithRelease(sl.release)}
 	if service == engineName {
 		opts = append(opts, platformtest.WithModel(modelName, weights), platformtest.WithEvents(streamEvents, eventGap),
 			platformtest.WithCrashPrompt(crashParts, func(r *platformtest.Replica) { s.steps.Go(func() { s.crashUnderRequest(sl, r) }) }))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -60,21 +60,35 @@
 	for _, plan := range plans {
 		t.Run(fmt.Sprint(plan.Seed), func(t *testing.T) {
 			t.Parallel()
-			res, err := New(binaries, WithOutput(t.TempDir())).Run(t.Context(), plan)
-			require.NoError(t, err)
-			var report strings.Builder
-			res.Write(&report)
-			t.Log(report.String())
-			require.NotEmpty(t, res.Record.Runs)
-			if len(res.Violations) > 0 {
-				joined, err := os.ReadFile(filepath.Join(res.Dir, "joined.txt"))
-				require.NoError(t, err)
-				t.Fatalf("%s", joined)
-			}
+			playPlan(t, plan)
 		})
 	}
 }
 
+// Real nodes keep all guarantees while engines of a second release take the place of the first's, engines
+// fail and end, and callers take broken streams up.
+func TestSoakReleases(t *testing.T) {
+	t.Parallel()
+	plan, err := ReadPlan("testdata/releases.json")
+	require.NoError(t, err)
+	playPlan(t, plan)
+}
+
+// playPlan plays a plan, which must break no guarantee.
+func playPlan(t *testing.T, plan Plan) {
+	res, err := New(binaries, WithOutput(t.TempDir())).Run(t.Context(), plan)
+	require.NoError(t, err)
+	var report strings.Builder
+	res.Write(&report)
+	t.Log(report.String())
+	require.NotEmpty(t, res.Record.Runs)
+	if len(res.Violations) > 0 {
+		joined, err := os.ReadFile(filepath.Join(res.Dir, "joined.txt"))
+		require.NoError(t, err)
+		t.Fatalf("%s", joined)
+	}
+}
+
 // The stored plans can be read, have steps, and describe the fault that they revealed.
 func TestStoredPlans(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.json")
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -111,6 +111,25 @@
 			r.Arrivals = append(r.Arrivals, seen)
 		}
 	}
+	// addResumed adds a stream of which two events came from release v1, and whose next run is one of an
+	// attempt at a release.
+	addResumed := func(r *Record, id, release string) {
+		a := Attempt{ID: "v.0", Call: "v", Kind: ResumeCall, Path: "/resume/v", Key: openKey, Parts: "ab:1"}
+		add(r, a, 40, "e1")
+		r.Runs[len(r.Runs)-1].Release, r.Runs[len(r.Runs)-1].Events = "v1", 2
+		a.ID = id
+		if id != "v.0" {
+			r.Attempts[len(r.Attempts)-1].Answer, r.Attempts[len(r.Attempts)-1].Err = platformtest.Event("v.0", 1)+platformtest.Event("v.0", 2), "EOF"
+			a.Resumes, a.LastEvent = "v.0", 2
+		}
+		attempts := len(r.Attempts)
+		add(r, a, 41, "e2")
+		if id == "v.0" {
+			r.Attempts = r.Attempts[:attempts]
+		}
+		last := &r.Runs[len(r.Runs)-1]
+		last.Release, last.Events, last.Resumed = release, streamEvents-2, "2"
+	}
 	pauseNode := func(r *Record, from, until float64) {
 		r.Faults = append(r.Faults, injectedFault(ScopeNode, Pause, "a", from, until))
 	}
@@ -243,8 +262,20 @@
 				r.Attempts[len(r.Attempts)-1].Done = at(44)
 			}
 		}, AnswersTimely},
-		"no requests served after the last fault": {func(r *Record) { r.FaultsEnded, r.Finished = at(40), true }, ServiceRecovers},
-		"process exited unexpectedly":             {func(r *Record) { r.Exits = []InjectedFault{{Subject: "a", From: at(3)}} }, NoUnexpectedExit},
+		"no requests served after the last fault":             {func(r *Record) { r.FaultsEnded, r.Finished = at(40), true }, ServiceRecovers},
+		"process exited unexpectedly":                         {func(r *Record) { r.Exits = []InjectedFault{{Subject: "a", From: at(3)}} }, NoUnexpectedExit},
+		"stream goes on at another release within its answer": {func(r *Record) { addResumed(r, "v.0", "v1.1") }, StreamReleaseKept},
+		"stream goes on at its release within its answer":     {func(r *Record) { addResumed(r, "v.0", "v1") }, ""},
+		"stream is taken up at another release":               {func(r *Record) { addResumed(r, "v.1", "v1.1") }, StreamReleaseKept},
+		"stream is taken up at its release":                   {func(r *Record) { addResumed(r, "v.1", "v1") }, ""},
+		"stream is repeated at another release before any event": {func(r *Record) {
+			addResumed(r, "v.0", "v1.1")
+			r.Runs[len(r.Runs)-1].Resumed = ""
+		}, ""},
+		"stream is taken up at another release, which sends nothing": {func(r *Record) {
+			addResumed(r, "v.1", "v1.1")
+			r.Runs[len(r.Runs)-1].Events = 0
+		}, ""},
 		"too many attempts": {func(r *Record) {
 			for _, id := range []string{"1", "2", "3", "4"} {
 				add(r, Attempt{ID: id, Call: id, Kind: SafeCall, Path: "/safe/x", Key: openKey}, 40, "p1")
