node: a node of a majority without the store does not guess at releases

With one release most of them are enough: else each outage of the store with a dead node would refuse every stream that is taken up.

A continuation that was handed over counts as one (by reading): a roll-out could hold it.

--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -192,11 +192,38 @@
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
 			for _, n := range f.nodes {
-				require.True(t, n.releases.current(), n.settings().Name)
+				require.NotEqual(t, hearsFew, n.releases.contact(), n.settings().Name)
 			}
 		}
 		f.net.cutOff(f.nodes[0].settings().Peers.Addr())
 		time.Sleep(route.SplitLead - gossipInterval)
-		require.False(t, cut.current())
+		require.Equal(t, hearsFew, cut.contact())
 	})
 }
+
+// Most nodes may be cut off from the store together while the others write a split.
+func TestReleaseMinorityHasStore(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		releases []string
+		hears    int
+		late     bool
+	}{
+		"several releases, most nodes": {[]string{"v1", "v2"}, 4, true},
+		"several releases, all nodes":  {[]string{"v1", "v2"}, 6, false},
+		"one release, most nodes":      {[]string{"v1"}, 4, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPinNode(t)
+				p.list("p", c.releases...)
+				for range 10 {
+					p.Do(func(b *route.Board, now time.Time) []route.Action { return b.MergePeers(now, nil, 6) })
+					p.releases.setContacts(slices.Repeat([]time.Time{p.now()}, c.hears-1))
+					require.Equal(t, c.late && p.releases.n.now.Since(p.releases.listedAt) > route.SplitLead, p.releases.late("p", route.SplitLead))
+					time.Sleep(time.Second)
+				}
+			})
+		})
+	}
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -79,7 +79,7 @@
 
 // round changes the splits that have to change, and reports whether a pool has several releases.
 func (s *releases) round(ctx context.Context) bool {
-	current := s.current()
+	hears := s.contact()
 	pools := s.several()
 	if len(pools) == 0 {
 		return false
@@ -94,7 +94,7 @@
 		if err := s.write(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
-	case !current:
+	case hears == hearsFew:
 		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("reading the splits of releases failed", "error", err)
 		}
@@ -189,53 +189,66 @@
 	}
 }
 
-// current reports whether more than half of the nodes, or a relay in a large fleet, answered this node
-// lately, so that it knows the splits that took effect. What they sent unasked may have been in transit, or in
-// the sockets of this process while it stood still.
-func (s *releases) current() bool {
+// contact is how much of the fleet a node heard lately.
+type contact int
+
+// Kinds of contact. A large fleet's node that hears a relay hears most.
+const (
+	hearsFew contact = iota
+	hearsMost
+	hearsAll
+)
+
+// contact returns how much of the fleet answered this node lately. What others sent unasked may have been in
+// transit, or in the sockets of this process while it stood still.
+func (s *releases) contact() contact {
 	n := s.n
 	large, _ := n.relays.contact()
 	n.Lock()
-	recent := n.Board().RecentRouters()
+	recent := max(n.Board().RecentRouters(), len(n.settings().Seeds))
 	n.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	heard, now := 0, n.now()
+	heard, now := 1, n.now()
 	for _, at := range s.contactAt {
 		if now.Sub(at) <= contactTime {
 			heard++
 		}
 	}
-	if large {
-		return heard > 0
-	}
-	return s.hearsMost(1+heard, max(recent, len(n.settings().Seeds)), now.Sub(s.listedAt) > route.SplitLead)
-}
-
-// hearsMost reports whether a node that hears the given number of nodes, itself included, hears most of the
-// fleet. While it cannot read the list, a fleet that seems smaller may be one from which it is cut off,
-// however long, and a node that hears no other cannot tell whether there are any. The caller holds s.mu.
-func (s *releases) hearsMost(heard, recent int, unread bool) bool {
+	// While the list cannot be read, a fleet that seems smaller may be one from which this node is cut off,
+	// however long, and a node that hears no other cannot tell whether there are any.
+	unread := now.Sub(s.listedAt) > route.SplitLead
 	if unread {
 		recent = max(recent, s.fleet)
 	}
 	s.fleet = recent
-	return 2*heard > recent && !(heard == 1 && unread)
+	switch {
+	case large && heard > 1:
+		return hearsMost
+	case large, heard == 1 && unread, 2*heard <= recent:
+		return hearsFew
+	case heard < recent:
+		return hearsMost
+	}
+	return hearsAll
 }
 
-// late reports whether a split may have taken effect that this node does not know: it is not current, and
-// has read nothing for the given time.
+// late reports whether a split may have taken effect that this node does not know, since it has read nothing
+// for the given time. What most nodes know is enough while they read the list; if the store does not answer
+// them either, the remaining nodes may have written a split.
 func (s *releases) late(pool string, limit time.Duration) bool {
 	n := s.n
-	if s.current() {
-		return false
-	}
+	hears := s.contact()
 	n.Lock()
 	several := n.Board().HasSeveralReleases(pool)
 	n.Unlock()
 	now := n.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	unread := now.Sub(s.listedAt) > route.SplitLead
+	if hears == hearsAll || hears == hearsMost && !(unread && several) {
+		return false
+	}
 	return now.Sub(s.listedAt) > limit || several && now.Sub(s.readAt) > limit
 }
 
@@ -245,7 +258,7 @@
 	if !req.Streams || !v.route.Resumable {
 		return nil
 	}
-	req.Continues = v.info.LastEvent != "" || v.info.Resumes != ""
+	req.Continues = v.info.LastEvent != "" || v.info.Resumes != "" || v.handed != nil && v.handed.lastEvent != ""
 	if v.handed != nil && v.handed.release.Set {
 		req.Pin = v.handed.release
 		return nil
