route: no crash while a pool of several releases has no target for new streams

apportion divided by the number of releases with a weight, which is zero while all targets of a pool of several releases drain or are gone. Each node computes the next split twice a second in that state, and would crash with "integer divide by zero". Slots now stay where they are.

TestNextReleasesWithoutTargets panicked before, in both cases, and passes now.

--- a/route/releases.go
+++ b/route/releases.go
@@ -214,6 +214,9 @@
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
 	})
+	if len(names) == 0 {
+		return nil
+	}
 	names = names[:min(len(names), ReleaseSlots)]
 	total := 0.0
 	for _, n := range names {
