--- a/node/releases_row.go
+++ b/node/releases_row.go
@@ -121,8 +121,8 @@
 
 // applyRead applies the rows of the lease's partition, as of a call that began at the given time.
 func (s *releases) applyRead(begun time.Time, rows []fleet.Row) {
-	if row, ok := rowOf(rows, releasesRow); ok {
-		s.apply(row)
+	if row, ok := rowOf(rows, releasesRow); ok && s.apply(row) == nil {
+		return
 	}
 	s.setRead(begun)
 }
@@ -136,8 +136,8 @@
 	}
 }
 
-// apply takes over the splits in the row that are newer than the known ones, and returns all of them. An
-// invalid row is skipped, and the next write replaces it.
+// apply takes over the splits in the row that are newer than the known ones, and returns all of them, or nil
+// if the row cannot be read. The next write replaces an invalid one.
 func (s *releases) apply(row fleet.Row) map[string]route.ReleaseHistory {
 	clock := s.n.store.Clock()
 	if !clock.Known() {
@@ -174,7 +174,9 @@
 	if ok {
 		histories = s.apply(row)
 	}
-	s.setRead(begun)
+	if !ok || histories != nil {
+		s.setRead(begun)
+	}
 	return row, histories, nil
 }
 
