node, route, peer: terms of the code on releases

Behaviour unchanged, but that a request whose release has left the list, or was rolled back, is refused also while it has no retry left (found by the review, by reading).

--- a/node/forward.go
+++ b/node/forward.go
@@ -184,7 +184,7 @@
 // divideSeed makes the hash that divides streams between pools differ from that of [route.ReleaseSlot].
 const divideSeed = 1
 
-// poolOf picks one of the route's pools at random by weight. A stream that may be taken up goes by the id of
+// poolOf picks one of the route's pools at random by weight. A stream that may be resumed goes by the id of
 // its first request, since it goes on only at targets of the pool that began it.
 func (n *Node) poolOf(rt *policy.Route, info RequestInfo) string {
 	total := 0
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -97,9 +97,9 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_unframed_streams_total{inside_event=%q}", strconv.FormatBool(insideEvent))).Inc()
 }
 
-// takenUp counts a stream that a caller took up, by what told its release.
-func (c counters) takenUp(by releaseSource) {
-	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_streams_taken_up_total{release=%q}", string(by))).Inc()
+// resumed counts a stream that a caller resumed, by where its release is known from.
+func (c counters) resumed(by releaseSource) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_resumed_streams_total{release=%q}", string(by))).Inc()
 }
 
 // fetched counts a fetch of the configuration from another node by result.
--- a/node/peers.go
+++ b/node/peers.go
@@ -69,7 +69,7 @@
 		State:    state,
 
 		TakesHandoffs: !n.disabled.Has(route.HandingOver),
-		KeepsReleases: true,
+		PinsReleases:  true,
 	}
 }
 
--- a/node/ports.go
+++ b/node/ports.go
@@ -28,10 +28,10 @@
 	LengthHint int
 	// Tokens is the number of tokens charged to limits; zero if unknown.
 	Tokens int
-	// LastEvent is the id of the event after which the caller takes a stream up; empty if it asks for a
+	// LastEvent is the id of the event after which the caller resumes a stream; empty if it asks for a
 	// whole one.
 	LastEvent string
-	// Resumes is the id of the request that brought the first event of the stream that is taken up.
+	// Resumes is the id of the request that brought the first event of the stream that is resumed.
 	Resumes string
 }
 
--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -194,12 +194,12 @@
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
 			for _, n := range f.nodes {
-				require.NotEqual(t, hearsFew, n.releases.contact(), n.settings().Name)
+				require.NotEqual(t, contactFew, n.releases.contact(), n.settings().Name)
 			}
 		}
 		f.net.cutOff(f.nodes[0].settings().Peers.Addr())
 		time.Sleep(route.SplitLead - gossipInterval)
-		require.Equal(t, hearsFew, cut.contact())
+		require.Equal(t, contactFew, cut.contact())
 	})
 }
 
--- a/node/releases.go
+++ b/node/releases.go
@@ -33,10 +33,10 @@
 	undividedRetry = 400 * time.Millisecond
 )
 
-// releaseSource is what told a node the release of a stream.
+// releaseSource is where a node knows the release of a stream from.
 type releaseSource string
 
-// Sources of the release of a stream that a caller takes up.
+// Sources of the release of a stream that a caller resumes.
 const (
 	releaseBySplit  releaseSource = "split"
 	releaseByMemory releaseSource = "memory"
@@ -79,7 +79,7 @@
 
 // round changes the splits that have to change, and reports whether a pool has several releases.
 func (s *releases) round(ctx context.Context) bool {
-	hears := s.contact()
+	contact := s.contact()
 	pools := s.several()
 	if len(pools) == 0 {
 		return false
@@ -94,7 +94,7 @@
 		if err := s.write(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
-	case hears == hearsFew:
+	case contact == contactFew:
 		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("reading the splits of releases failed", "error", err)
 		}
@@ -160,8 +160,8 @@
 	return life
 }
 
-// contactTime is how long ago this node may have heard other nodes to know what they know. It is shorter than
-// [route.SplitLead] by more than the time in which a split reaches the nodes.
+// contactTime is how old an answered call to another node may be for this node to have the splits that the
+// other one has. It is shorter than [route.SplitLead] by more than the time in which a split reaches the nodes.
 const contactTime = 1200 * time.Millisecond
 
 // contacts returns the beginnings of the calls to other nodes that were answered lately.
@@ -189,19 +189,20 @@
 	}
 }
 
-// contact is how much of the fleet a node heard lately.
-type contact int
+// contactLevel is how much of the fleet answered a node recently.
+type contactLevel int
 
-// Kinds of contact. A large fleet's node that hears a relay hears most.
+// Levels of contact: at most half of the nodes, more, or all of them. In a large fleet, an answer of a relay
+// counts as more than half.
 const (
-	hearsFew contact = iota
-	hearsMost
-	hearsAll
+	contactFew contactLevel = iota
+	contactMost
+	contactAll
 )
 
-// contact returns how much of the fleet answered this node lately. What others sent unasked may have been in
-// transit, or in the sockets of this process while it stood still.
-func (s *releases) contact() contact {
+// contact returns how much of the fleet answered this node recently. Messages that others sent by themselves
+// do not count: they may have been in transit, or in the sockets of this process while it was stopped.
+func (s *releases) contact() contactLevel {
 	n := s.n
 	large, _ := n.relays.contact()
 	n.Lock()
@@ -209,28 +210,28 @@
 	n.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	heard, now := 1, n.now()
+	answered, now := 1, n.now()
 	for _, at := range s.contactAt {
 		if now.Sub(at) <= contactTime {
-			heard++
+			answered++
 		}
 	}
 	// While the list cannot be read, a fleet that seems smaller may be one from which this node is cut off,
-	// however long, and a node that hears no other cannot tell whether there are any.
+	// for any time, and a node without contact does not know whether there are others.
 	unread := now.Sub(s.listedAt) > route.SplitLead
 	if unread {
 		recent = max(recent, s.fleet)
 	}
 	s.fleet = recent
 	switch {
-	case large && heard > 1:
-		return hearsMost
-	case large, heard == 1 && unread, 2*heard <= recent:
-		return hearsFew
-	case heard < recent:
-		return hearsMost
-	}
-	return hearsAll
+	case large && answered > 1:
+		return contactMost
+	case large, answered == 1 && unread, 2*answered <= recent:
+		return contactFew
+	case answered < recent:
+		return contactMost
+	}
+	return contactAll
 }
 
 // late reports whether a split may have taken effect that this node does not know, since it has read nothing
@@ -238,7 +239,7 @@
 // them either, the remaining nodes may have written a split.
 func (s *releases) late(pool string, limit time.Duration) bool {
 	n := s.n
-	hears := s.contact()
+	contact := s.contact()
 	n.Lock()
 	several := n.Board().HasSeveralReleases(pool)
 	n.Unlock()
@@ -246,13 +247,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	unread := now.Sub(s.listedAt) > route.SplitLead
-	if hears == hearsAll || hears == hearsMost && !(unread && several) {
+	if contact == contactAll || contact == contactMost && !(unread && several) {
 		return false
 	}
 	return now.Sub(s.listedAt) > limit || several && now.Sub(s.readAt) > limit
 }
 
-// pinRelease restricts a request whose answer may be taken up by its caller to one release. It returns a
+// pinRelease restricts a request whose answer may be resumed by its caller to one release. It returns a
 // refusal if that is not known.
 func (n *Node) pinRelease(v *callerRequest, req *route.Request) *route.Refusal {
 	if !req.Streams || !v.route.Resumable {
@@ -285,17 +286,17 @@
 	case !ok:
 		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: undividedRetry, Detail: "the streams of the pool are not divided among its releases yet"}
 	case several && s.late(req.Pool, route.LateSplitTime):
-		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: fencedRetry, Detail: "the releases of the pool are not known lately"}
+		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: fencedRetry, Detail: "the splits of the pool may have changed"}
 	}
 	req.Pin = route.PinTo(release)
 	s.begun.add(n.now(), v.info.ID, release)
 	return nil
 }
 
-// pinContinuation pins a stream that its caller takes up to the release that began it.
+// pinContinuation pins a stream that its caller resumes to the release that began it.
 func (s *releases) pinContinuation(v *callerRequest, req *route.Request) *route.Refusal {
 	release, by, doubt := s.releaseOf(v.r.Context(), req.Pool, v.info.Resumes)
-	s.n.counters.takenUp(by)
+	s.n.counters.resumed(by)
 	if by == releaseUnknown {
 		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: undividedRetry, Detail: "the release that began the stream is not known: " + doubt}
 	}
@@ -350,7 +351,7 @@
 )
 
 // bySplit returns the release of a stream by the list and the splits. Doubt is not empty if it may have
-// begun at another one, and says why.
+// begun at another one, and gives the reason.
 func (s *releases) bySplit(pool, id string) (release, doubt string) {
 	n := s.n
 	n.Lock()
@@ -361,39 +362,39 @@
 	case !s.started():
 		return "", "this node has just started"
 	case s.late(pool, route.SplitLead):
-		return "", "this node has heard nothing from the store and most other nodes lately"
+		return "", "neither the store nor most of the other nodes answered this node recently"
 	case !known:
 		return "", "the splits of the pool do not reach back far enough"
 	case len(candidates) != 1:
 		return "", "its slot moved between " + strings.Join(candidates, ", ")
 	case several && id == "":
 		return "", "the request does not name it"
-	case several && !n.othersKeepReleases():
+	case several && !n.othersPinReleases():
 		return "", "nodes of an earlier release of this program are running"
 	}
 	return candidates[0], ""
 }
 
-// started reports whether this node has read the row since it started, or hears what others know.
+// started reports whether this node has read the row since it started, or has the splits that most other nodes have.
 func (s *releases) started() bool {
 	s.mu.Lock()
 	read := !s.readAt.IsZero()
 	s.mu.Unlock()
-	return read || s.contact() != hearsFew
+	return read || s.contact() != contactFew
 }
 
-// othersKeepReleases reports whether all other nodes that are known begin streams by the splits.
-func (n *Node) othersKeepReleases() bool {
+// othersPinReleases reports whether all other nodes that are known begin streams by the splits.
+func (n *Node) othersPinReleases() bool {
 	for _, e := range n.gossip.Live() {
-		if !e.Payload.KeepsReleases {
+		if !e.Payload.PinsReleases {
 			return false
 		}
 	}
 	return true
 }
 
-// ask asks the other nodes of a small fleet for the release that began a stream. Answers that differ tell
-// nothing.
+// ask queries the other nodes of a small fleet for the release that began a stream. It is unknown if their
+// answers differ.
 func (s *releases) ask(ctx context.Context, id string) (release string, by releaseSource) {
 	n := s.n
 	if _, large := n.relays.size(); large {
@@ -432,7 +433,7 @@
 // maxStreamsKept bounds the remembered streams in each of two generations.
 const maxStreamsKept = 2048
 
-// streamMemory holds the releases of the streams that this node began or took up, in two generations.
+// streamMemory holds the releases of the streams that this node began or resumed, in two generations.
 type streamMemory struct {
 	mu           sync.Mutex
 	recent, past map[string]string
--- a/node/releases_test.go
+++ b/node/releases_test.go
@@ -220,7 +220,7 @@
 				v, req = continuation("another id")
 				refusal := n.pinRelease(v, req)
 				require.NotNil(t, refusal, "cut off for %s, isolated: %t", away, n.isolated())
-				require.Contains(t, refusal.Detail, "heard nothing")
+				require.Contains(t, refusal.Detail, "neither the store")
 				require.Equal(t, route.NotRun, refusal.Verdict)
 				require.Positive(t, refusal.RetryAfter)
 				v, req = continuation("id")
--- a/peer/gossip.go
+++ b/peer/gossip.go
@@ -129,16 +129,16 @@
 	g.mu.Lock()
 	addrs := g.view.Pick(g.now(), g.rng, n)
 	if n > 1 {
-		g.includeLongestUnheard(addrs)
+		g.includeLeastRecent(addrs)
 	}
 	g.mu.Unlock()
 	g.exchangeAll(ctx, addrs)
 	g.expire()
 }
 
-// includeLongestUnheard replaces the first of the picked peers by the live one that has not answered for
+// includeLeastRecent replaces the first of the picked peers by the live one that has not answered for
 // longest, so that no peer is left out for many rounds by chance. The caller holds the lock.
-func (g *Gossip) includeLongestUnheard(picked []netip.AddrPort) {
+func (g *Gossip) includeLeastRecent(picked []netip.AddrPort) {
 	for _, e := range g.view.Live(g.now()) {
 		if g.answered[e.Addr].Before(g.answered[picked[0]]) && !slices.Contains(picked, e.Addr) {
 			picked[0] = e.Addr
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -37,8 +37,8 @@
 	State route.PeerState
 	// TakesHandoffs is set if the process serves requests that others hand over.
 	TakesHandoffs bool
-	// KeepsReleases is set if the process begins streams by the splits of releases.
-	KeepsReleases bool
+	// PinsReleases is set if the process begins streams by the splits of releases.
+	PinsReleases bool
 }
 
 // Entry is the gossip entry of one process.
@@ -118,8 +118,8 @@
 // StreamQuery requests the release at which the stream of a request began.
 type StreamQuery struct{ ID string }
 
-// StreamAnswer is the answer to a [StreamQuery]. Known is set if the process began that stream or took it
-// up.
+// StreamAnswer is the answer to a [StreamQuery]. Known is set if the process began that stream or resumed
+// it.
 type StreamAnswer struct {
 	Known   bool
 	Release string
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -168,18 +168,18 @@
 		leastRemaining = time.Duration(math.MaxInt64)
 	)
 	for _, r := range p.queue.heads(now) {
-		if r.retryOwed && !b.retryAvailable(now, &p.retries) {
-			continue
-		}
 		if !b.pinAtPlacing(now, p, r) {
 			continue
 		}
-		if p.releaseGone(r) {
+		if p.releaseUnlisted(r) {
 			return b.refuse(now, r, CauseNoTarget, "no target of release "+r.Pin.Release+" is left, at which the answer has to run")
 		}
 		if b.pinHolds(p, r) && b.rollouts[p.compiled.Name].phase == RolloutRolledBack {
 			return b.refuse(now, r, CauseNoTarget, "release "+r.Pin.Release+", at which the answer has to begin, was rolled back")
 		}
+		if r.retryOwed && !b.retryAvailable(now, &p.retries) {
+			continue
+		}
 		r.awaitingFill = false
 		c, extra, admission := b.chooseAdmitted(now, p, r)
 		if c == nil {
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -277,9 +277,9 @@
 // continues reports whether the request continues a stream of which the caller has a part.
 func (r *request) continues() bool { return r.delivered || r.Continues }
 
-// releaseGone reports whether the list has no target of the release that a request is pinned to, while it
+// releaseUnlisted reports whether the list has no target of the release that a request is pinned to, while it
 // has others.
-func (p *pool) releaseGone(r *request) bool {
+func (p *pool) releaseUnlisted(r *request) bool {
 	return r.Pin.Set && len(p.streams.listed) > 0 && p.streams.listed[r.Pin.Release] == 0
 }
 
