node: the end of an event is searched only in what a read adds

Each read searched the whole buffer for the end of an event, twice since an event may end with a carriage return. Only the last two bytes of what was there and what was added are searched now.

--- a/node/stream.go
+++ b/node/stream.go
@@ -21,6 +21,9 @@
 // eventEnds are the ends of an event of a stream: a blank line, which may end with a carriage return.
 var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
+// maxEventEnd is the length in bytes of the longest of them.
+const maxEventEnd = 3
+
 // The ways in which a stream without a length or chunks shows that it was broken off.
 var (
 	errInsideEvent = errs.Tag("the stream ended inside an event")
@@ -60,8 +63,12 @@
 			f.heard()
 			f.delayProbe()
 		}
+		complete := 0
+		searched := max(0, len(buffered)-maxEventEnd+1)
 		buffered = append(buffered, buf[:n]...)
-		complete := completeEvents(buffered)
+		if end := completeEvents(buffered[searched:]); end > 0 {
+			complete = searched + end
+		}
 		hasEvent = hasEvent || hasField(buffered[:complete])
 		if errors.Is(err, io.EOF) {
 			if err = f.checkEnd(a, resp, hasEvent, buffered[complete:], err); errors.Is(err, io.EOF) {
