--- a/route/admission_fleet_test.go
+++ b/route/admission_fleet_test.go
@@ -413,6 +413,9 @@
 	return out
 }
 
+// enginesGo is the scenario in which every second engine is down for a while.
+const enginesGo = "half of the engines go"
+
 // admitScenarios bring about one trouble each during a surge, and return how its requests ended.
 func admitScenarios() map[string]func(f *admitFleet) *admitResult {
 	return map[string]func(f *admitFleet) *admitResult{
@@ -429,7 +432,7 @@
 			}
 			return f.play(8*time.Second, admitCalm*admitSurge)
 		},
-		"half of the engines go": func(f *admitFleet) *admitResult {
+		enginesGo: func(f *admitFleet) *admitResult {
 			f.setDown(func(e int) bool { return e%2 == 0 })
 			r := f.play(6*time.Second, admitCalm)
 			f.setDown(func(int) bool { return false })
@@ -447,7 +450,11 @@
 func TestAdmission(t *testing.T) {
 	t.Parallel()
 	for name, play := range admitScenarios() {
-		for _, n := range largeFleets(false, 1, 8) {
+		for _, n := range fleetSizes(1, 8, 84) {
+			if n == 84 && name == enginesGo {
+				// TestAdmissionLarge plays it.
+				continue
+			}
 			t.Run(fmt.Sprintf("%s/%d routers", name, n), func(t *testing.T) { checkAdmission(t, n, play) })
 		}
 	}
@@ -456,7 +463,8 @@
 // TestAdmissionLarge is TestAdmission for 84 routers of which half of the engines go.
 func TestAdmissionLarge(t *testing.T) {
 	t.Parallel()
-	checkAdmission(t, 84, admitScenarios()["half of the engines go"])
+	skipLargeFleet(t, 84)
+	checkAdmission(t, 84, admitScenarios()[enginesGo])
 }
 
 func checkAdmission(t *testing.T, routers int, play func(f *admitFleet) *admitResult) {
--- a/route/capacity_fleet_test.go
+++ b/route/capacity_fleet_test.go
@@ -77,6 +77,8 @@
 	slowTime        = 600 * time.Millisecond
 	engineStep      = 5 * time.Millisecond
 	engineSpeed     = 56_600
+	// engineFleetRouters is the number of routers in the tests of engines' rates.
+	engineFleetRouters = 17
 	// promptRead is the mean number of tokens of a prompt that no other shares.
 	promptRead = 0.95 * (2890*2 + 628) / 3
 )
--- a/route/capacity_test.go
+++ b/route/capacity_test.go
@@ -86,11 +86,12 @@
 	t.Parallel()
 	for name, load := range map[string]float64{"light": 0.3, "busy": 0.6, "overload": 0.9} {
 		t.Run(name, func(t *testing.T) {
+			skipLargeFleet(t, engineFleetRouters)
 			speeds := make([]float64, 12)
 			for i := range speeds {
 				speeds[i] = engineSpeed * []float64{0.55, 1.2, 1.2, 1.2}[i%4]
 			}
-			f := newEngineFleet(t, 17, speeds, 1)
+			f := newEngineFleet(t, engineFleetRouters, speeds, 1)
 			f.slowShare = 0.15
 			f.play(15*time.Second, load*float64(len(speeds))*engineSpeed/promptRead)
 			for name, newEstimate := range rateEstimates() {
@@ -223,6 +224,7 @@
 	)
 	for name, alone := range map[string]bool{"shared": false, "alone": true} {
 		t.Run(name, func(t *testing.T) {
+			skipLargeFleet(t, engineFleetRouters)
 			var steady, slow, recovered []float64
 			for seed := range uint64(plays) {
 				s, l, r := playChange(t, seed, alone, change)
@@ -255,7 +257,7 @@
 		speeds[i], all[i] = engineSpeed*[]float64{0.7, 1, 1, 1.3}[i%4], i
 	}
 	perSecond := 0.5 * float64(len(speeds)) * engineSpeed / promptRead
-	f := newEngineFleet(t, 17, speeds, seed)
+	f := newEngineFleet(t, engineFleetRouters, speeds, seed)
 	f.alone = alone
 	f.play(8*time.Second, perSecond)
 	steady = f.knownRates(all...)
--- a/route/crash_sim_test.go
+++ b/route/crash_sim_test.go
@@ -416,6 +416,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			skipLargeFleet(t, c.boards)
 			for seed := range uint64(3) {
 				f := newCrashFleet(t, c.boards, c.lag, seed+1)
 				var guilty []*simClient
--- a/route/large_fleet_test.go
+++ b/route/large_fleet_test.go
@@ -1,15 +1,27 @@
 package route
 
-import "flag"
+import "testing"
 
-// largeFleetTests plays every scenario with the largest fleets too, which takes minutes with the race
-// detector.
-var largeFleetTests = flag.Bool("route.large", false, "play all scenarios of overload with 84 routers too")
+// maxRaceFleet is the largest number of routers that is simulated with the race detector, with which
+// a simulation takes some eight times as long. Each simulation runs in one goroutine. scripts/test
+// runs the larger ones without the detector.
+const maxRaceFleet = 16
 
-// largeFleets returns numbers of routers, with the largest one if it is to be played.
-func largeFleets(always bool, routers ...int) []int {
-	if always || *largeFleetTests {
-		routers = append(routers, 84)
+// fleetSizes returns the given numbers of routers without those that are too large to simulate.
+func fleetSizes(routers ...int) []int {
+	var sizes []int
+	for _, n := range routers {
+		if !raceDetector || n <= maxRaceFleet {
+			sizes = append(sizes, n)
+		}
+	}
+	return sizes
+}
+
+// skipLargeFleet skips a test whose number of routers is too large to simulate.
+func skipLargeFleet(t *testing.T, routers int) {
+	t.Helper()
+	if len(fleetSizes(routers)) == 0 {
+		t.Skipf("%d routers are simulated without the race detector", routers)
 	}
-	return routers
 }
--- a/route/limit_fleet_test.go
+++ b/route/limit_fleet_test.go
@@ -340,7 +340,7 @@
 func TestLimitBound(t *testing.T) {
 	t.Parallel()
 	for name, play := range limitScenarios() {
-		for _, n := range []int{1, 8, 90, 390} {
+		for _, n := range fleetSizes(1, 8, 90, 390) {
 			for _, rate := range limitRates(n) {
 				t.Run(fmt.Sprintf("%s/%d routers/%.0f", name, n, rate), func(t *testing.T) { checkLimit(t, play, n, rate, 1) })
 			}
@@ -352,6 +352,7 @@
 // they assumed that nothing had been used before.
 func TestLimitBoundAgain(t *testing.T) {
 	t.Parallel()
+	skipLargeFleet(t, 390)
 	for _, name := range []string{"all restart during the surge", "one after the other restarts"} {
 		for _, seed := range []uint64{5, 6, 7} {
 			checkLimit(t, limitScenarios()[name], 90, 300_000, seed)
@@ -390,7 +391,7 @@
 // A lowered limit holds from one window after all routers know it.
 func TestLimitLowered(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{1, 8, 90} {
+	for _, n := range fleetSizes(1, 8, 90) {
 		f := newLimitFleet(t, n, 1_210_000, 1)
 		f.play(9*time.Second, 0.56)
 		f.setRate(200_000)
@@ -405,7 +406,7 @@
 // bucket, however its callers are spread over the routers.
 func TestLimitBelow(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{1, 8, 90, 390} {
+	for _, n := range fleetSizes(1, 8, 90, 390) {
 		for _, rate := range limitRates(n) {
 			t.Run(fmt.Sprintf("%d routers/%.0f", n, rate), func(t *testing.T) {
 				f := newLimitFleet(t, n, rate, 2)
@@ -425,6 +426,7 @@
 func TestLimitStrategies(t *testing.T) {
 	t.Parallel()
 	const routers = 90
+	skipLargeFleet(t, routers)
 	strategies := map[string]func(rate float64) *limitFleet{
 		"shared bucket": func(rate float64) *limitFleet { return newLimitFleet(t, routers, rate, 1) },
 		"equal shares": func(rate float64) *limitFleet {
--- a/route/limit_priority_test.go
+++ b/route/limit_priority_test.go
@@ -40,7 +40,7 @@
 // two seconds of the rate at once, so there the urgent are only served far more often.
 func TestLimitUrgentFirst(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{1, 8, 90} {
+	for _, n := range fleetSizes(1, 8, 90) {
 		for _, rate := range limitRates(n) {
 			t.Run(fmt.Sprintf("%d routers/%.0f", n, rate), func(t *testing.T) {
 				f := newLimitFleet(t, n, rate, 3)
@@ -62,7 +62,7 @@
 // keep their least share.
 func TestLimitUrgentBeyond(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{1, 8, 90} {
+	for _, n := range fleetSizes(1, 8, 90) {
 		f := newLimitFleet(t, n, 300_000, 4)
 		f.priorityOf = oddIsUrgent
 		urgent, rest := f.surgeShares(8)
@@ -92,7 +92,7 @@
 	splits := map[string]func(cost float64) int{"short prompts urgent": shortIsUrgent, "half urgent": oddIsUrgent}
 	for split, priorityOf := range splits {
 		for name, play := range limitScenarios() {
-			for _, n := range []int{8, 90} {
+			for _, n := range fleetSizes(8, 90) {
 				t.Run(fmt.Sprintf("%s/%s/%d routers", split, name, n), func(t *testing.T) {
 					f := newLimitFleet(t, n, 300_000, 1)
 					f.priorityOf = priorityOf
--- a/route/memory_fleet_test.go
+++ b/route/memory_fleet_test.go
@@ -184,6 +184,7 @@
 		"84 routers": {84, 60, 0.05},
 	} {
 		t.Run(name, func(t *testing.T) {
+			skipLargeFleet(t, c.routers)
 			f := newHerdFleet(t, c.routers, c.engines)
 			prompts := 4 * c.engines
 			for arrived := 0; f.now.Sub(epoch) < 5*time.Second; {
--- a/route/pool_demand_test.go
+++ b/route/pool_demand_test.go
@@ -62,14 +62,25 @@
 // TestPoolCalm checks that nothing is refused below the capacity.
 func TestPoolCalm(t *testing.T) {
 	t.Parallel()
-	for _, routers := range largeFleets(false, 1, 8) {
-		f := newPoolFleet(t, routers, hogAndSmall())
-		f.play(8*time.Second, func(poolOrg) float64 { return 1 })
-		for _, b := range f.boards {
-			s := b.PoolStatuses(f.now)[0]
-			require.Empty(t, s.Refused)
-			require.False(t, s.Saturated)
-		}
+	for _, routers := range []int{1, 8} {
+		checkPoolCalm(t, routers)
+	}
+}
+
+// TestPoolCalmLarge is TestPoolCalm for 84 routers.
+func TestPoolCalmLarge(t *testing.T) {
+	t.Parallel()
+	skipLargeFleet(t, 84)
+	checkPoolCalm(t, 84)
+}
+
+func checkPoolCalm(t *testing.T, routers int) {
+	f := newPoolFleet(t, routers, hogAndSmall())
+	f.play(8*time.Second, func(poolOrg) float64 { return 1 })
+	for _, b := range f.boards {
+		s := b.PoolStatuses(f.now)[0]
+		require.Empty(t, s.Refused)
+		require.False(t, s.Saturated)
 	}
 }
 
@@ -77,7 +88,7 @@
 // surge is over and its backlog gone.
 func TestPoolSaturationEnds(t *testing.T) {
 	t.Parallel()
-	for _, routers := range largeFleets(false, 1, 8) {
+	for _, routers := range fleetSizes(1, 8, 84) {
 		f := newPoolFleet(t, routers, hogAndSmall())
 		f.play(4*time.Second, hogTimes)
 		calm := func(poolOrg) float64 { return 0.5 }
--- a/route/pool_fleet_test.go
+++ b/route/pool_fleet_test.go
@@ -526,7 +526,7 @@
 func TestPoolShares(t *testing.T) {
 	t.Parallel()
 	for name, s := range poolScenarios() {
-		for _, routers := range largeFleets(name == "one organisation surges", 1, 8) {
+		for _, routers := range fleetSizes(1, 8, 84) {
 			t.Run(fmt.Sprintf("%s/%d routers", name, routers), func(t *testing.T) {
 				t.Parallel()
 				s.play(t, routers).checkShares()
@@ -543,9 +543,14 @@
 // TestPoolSharesHotPrompt checks the shares while many requests want the engines that hold one part.
 func TestPoolSharesHotPrompt(t *testing.T) {
 	t.Parallel()
-	for _, routers := range largeFleets(false, 8) {
-		hotPromptSurge().play(t, routers).checkShares()
-	}
+	hotPromptSurge().play(t, 8).checkShares()
+}
+
+// TestPoolSharesHotPromptLarge is TestPoolSharesHotPrompt for 84 routers.
+func TestPoolSharesHotPromptLarge(t *testing.T) {
+	t.Parallel()
+	skipLargeFleet(t, 84)
+	hotPromptSurge().play(t, 84).checkShares()
 }
 
 // TestPoolSharesHotPromptAlone is TestPoolSharesHotPrompt for a fleet of one router, in whose queue
@@ -566,7 +571,10 @@
 func TestPoolSharesCutOff(t *testing.T) { cutOffSurge().play(t, 8).checkShares() }
 
 // TestPoolSharesCutOffLarge is TestPoolSharesCutOff for 84 routers.
-func TestPoolSharesCutOffLarge(t *testing.T) { cutOffSurge().play(t, 84).checkShares() }
+func TestPoolSharesCutOffLarge(t *testing.T) {
+	skipLargeFleet(t, 84)
+	cutOffSurge().play(t, 84).checkShares()
+}
 
 // TestPoolSharesWays compares joint shares with a queue of each router on the same scenarios, in
 // which the queues leave the urgent requests to chance and answer most of them too late.
--- a/route/release_fleet_test.go
+++ b/route/release_fleet_test.go
@@ -436,6 +436,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			skipLargeFleet(t, c.routers)
 			sum := splitFleet{wrong: make(map[string][]string)}
 			for seed := range c.seeds * *releasePlays {
 				f := newSplitFleet(t, c.routers, uint64(seed), c.releases, c.commit)
--- a/route/reprobe_test.go
+++ b/route/reprobe_test.go
@@ -289,6 +289,7 @@
 func TestProbesOfManyRouters(t *testing.T) {
 	t.Parallel()
 	const routers = 390
+	skipLargeFleet(t, routers)
 	perStep := make(map[time.Time]int)
 	recovered := make(map[time.Time]int)
 	for i := range routers {
--- a/route/rollout_test.go
+++ b/route/rollout_test.go
@@ -277,7 +277,7 @@
 		"slow on one route":  {slow: 6, route: 1},
 		"fails under load":   {failing: 0.5, route: -1, load: 3},
 	} {
-		for _, nodes := range []int{1, 8, 40} {
+		for _, nodes := range fleetSizes(1, 8, 40) {
 			t.Run(fmt.Sprint(name, " at ", nodes), func(t *testing.T) {
 				t.Parallel()
 				for seed := range uint64(4) {
@@ -295,7 +295,7 @@
 // A good release is completed in time, after every router has stopped sending to the old one.
 func TestRolloutGood(t *testing.T) {
 	t.Parallel()
-	for _, nodes := range []int{1, 8, 40} {
+	for _, nodes := range fleetSizes(1, 8, 40) {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(8) {
--- a/route/target_brittle_fleet_test.go
+++ b/route/target_brittle_fleet_test.go
@@ -387,6 +387,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			skipLargeFleet(t, c.routers)
 			for seed := range c.seeds {
 				f := newBrittleFleet(t, c.routers, c.targets, seed+1)
 				served := f.surge(c.bearable, c.queue, nil)
@@ -405,6 +406,7 @@
 		for _, queue := range []int{2, 0} {
 			t.Run(fmt.Sprintf("%d routers, queue %d", routers, queue), func(t *testing.T) {
 				t.Parallel()
+				skipLargeFleet(t, routers)
 				f := newBrittleFleet(t, routers, targets, 1, WithoutMechanisms(BrittleTargets))
 				served := f.surge(5, queue, nil)
 				t.Logf("%.2f of the capacity served, %d rejections, %d falls of %d allowed", served, f.rejections, f.falls(), f.allowedFalls())
@@ -421,6 +423,7 @@
 	for _, bearable := range []int{1, 3} {
 		t.Run(fmt.Sprint(bearable), func(t *testing.T) {
 			t.Parallel()
+			skipLargeFleet(t, 84)
 			f := newBrittleFleet(t, 84, 10, 1)
 			served := f.surge(bearable, 0, nil)
 			f.play(15*time.Second, 2*f.capacity())
@@ -449,6 +452,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			skipLargeFleet(t, c.routers)
 			f := newBrittleFleet(t, c.routers, c.targets, 1)
 			served := f.surge(5, 0, func(f *brittleFleet) {
 				for i := 0; i < len(f.boards); i += c.every {
@@ -468,6 +472,7 @@
 	for routers, targets := range map[int]int{6: 20, 84: 40} {
 		t.Run(fmt.Sprint(routers), func(t *testing.T) {
 			t.Parallel()
+			skipLargeFleet(t, routers)
 			f := newBrittleFleet(t, routers, targets, 1)
 			served := f.surge(5, 0, func(f *brittleFleet) {
 				f.alone = make(map[int]bool)
@@ -513,7 +518,7 @@
 // time, and a slot that a target lacks takes one place from one router.
 func TestBrittlePlaces(t *testing.T) {
 	t.Parallel()
-	for _, routers := range []int{1, 6, 84, 390} {
+	for _, routers := range fleetSizes(1, 6, 84, 390) {
 		boards := make([]*Board, routers)
 		for i := range boards {
 			b := NewBoard(WithRouters(routers), WithTargetNotices(fmt.Sprintf("n%d", i), nil))
--- a/route/target_limit_fleet_test.go
+++ b/route/target_limit_fleet_test.go
@@ -294,7 +294,7 @@
 func TestTargetLimitBound(t *testing.T) {
 	t.Parallel()
 	for name, play := range targetLimitScenarios() {
-		for _, n := range []int{1, 8, 90, 390} {
+		for _, n := range fleetSizes(1, 8, 90, 390) {
 			for _, limit := range testTargetLimits(n) {
 				t.Run(fmt.Sprintf("%s/%d routers/%g", name, n, limit), func(t *testing.T) {
 					t.Parallel()
@@ -329,7 +329,7 @@
 // however many routers there are.
 func TestTargetLimitSurge(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{1, 4, 8, 12, 90, 390} {
+	for _, n := range fleetSizes(1, 4, 8, 12, 90, 390) {
 		for _, limit := range testTargetLimits(n) {
 			t.Run(fmt.Sprintf("%d routers/%g", n, limit), func(t *testing.T) { surge(t, n, limit) })
 		}
@@ -343,7 +343,7 @@
 // At least four fifths of a target's limit are used while the demand exceeds it.
 func TestTargetLimitUsed(t *testing.T) {
 	t.Parallel()
-	for _, n := range []int{1, 8, 90, 390} {
+	for _, n := range fleetSizes(1, 8, 90, 390) {
 		for _, limit := range testTargetLimits(n) {
 			t.Run(fmt.Sprintf("%d routers/%g", n, limit), func(t *testing.T) {
 				t.Parallel()
@@ -481,7 +481,7 @@
 		"one router":    func(f *targetLimitFleet) { f.single = true },
 	}
 	for name, strategy := range strategies {
-		for _, n := range []int{6, 90} {
+		for _, n := range fleetSizes(6, 90) {
 			for _, limit := range []float64{2, 10} {
 				f := newTargetLimitFleet(t, n, 4, 7, strategy)
 				f.setLimit(limit)
