route: a request is handed over with all the targets that it has left

Seen while a test of releases was written: a node to which a stream was handed over gave up after one target ("tried too often") although the route allows three.

Cause: sendToPeer called newAttempt, which counts an attempt, before it computed how many targets are left and whether one has received the request; Go evaluates the calls in a composite literal in order. So the attempt that hands over, which reaches no target, counted as one: a route of three attempts left the second node one in place of two, and Pathhead-Handoff-Sent was always set, so that no node counted such a request towards the retry budget.

Change: both are computed before the attempt is counted. The sum over all nodes stays within the route's attempts: one is kept back, and a node that ends without a word counts with all that it was given.

TestHandoffStatesTries: 4 of 4 cases red before, green after; the other tests of hand-overs and links in route green (-run 'Handoff|HandedOver|Link|CutOff', once).

--- a/route/handoff.go
+++ b/route/handoff.go
@@ -354,10 +354,12 @@
 	p.queue.remove(r)
 	p.queue.charge(r, b.weight(r.Org))
 	r.handoffs++
+	// The attempt itself reaches no target; newAttempt counts it until it ends.
+	tries, sent := r.handoffTries(), r.countedSends() > 0
 	a := &attempt{target: &target{addr: peer}, sent: now, progress: now}
 	a.Attempt = Attempt{
 		ID: r.newAttempt(), Request: r.ID, Target: peer, Via: peer, Resume: r.delivered, Number: r.tries,
-		Reason: "handed over", Tries: r.handoffTries(), Waited: now.Sub(r.arrived), Sent: r.countedSends() > 0,
+		Reason: "handed over", Tries: tries, Waited: now.Sub(r.arrived), Sent: sent,
 		Pin: r.Pin,
 	}
 	r.attempt = a
--- a/route/handoff_test.go
+++ b/route/handoff_test.go
@@ -278,6 +278,46 @@
 	}
 }
 
+// Guards against a request that is handed over with fewer targets left than it has, or as one that a target
+// has received although none did, so that no router counts it towards the retry budget.
+func TestHandoffStatesTries(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		maxTries      int
+		first, second int
+	}{
+		"three": {3, 2, 1}, "two": {2, 1, 1}, "one": {1, 1, 0}, "four": {4, 3, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newLinkWorld(t, 4, HandoffPeer{Addr: peerA}, HandoffPeer{Addr: peerB}, HandoffPeer{Addr: peerC})
+			w.cutOff("silent")
+			w.drop()
+			w.execute(w.board.Arrive(w.now, Request{
+				ID: "x", Revision: w.board.Revision(), Org: "b", Pool: "s", Deadline: w.now.Add(10 * time.Second), QueueTime: time.Second,
+				Repeatable: true, MaxTries: c.maxTries,
+			}))
+			a := w.take()
+			require.True(t, a.Via.IsValid())
+			require.Equal(t, c.first, a.Tries)
+			require.False(t, a.Sent)
+			// A router that did not get it changes nothing.
+			w.execute(w.board.Ended(w.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeUnsent}))
+			a = w.take()
+			require.Equal(t, c.first, a.Tries)
+			require.False(t, a.Sent)
+			// One that ends without an answer may have sent it to as many targets as it was given.
+			w.execute(w.board.Ended(w.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken}))
+			if c.second == 0 {
+				require.Empty(t, w.inFlight)
+				return
+			}
+			a = w.take()
+			require.Equal(t, c.second, a.Tries)
+			require.True(t, a.Sent)
+		})
+	}
+}
+
 // Guards against a second hop: a router that is cut off too refuses a request of another one at once,
 // and never hands it over.
 func TestHandedOverEndsHere(t *testing.T) {
