node: a request that is handed over keeps its release, whatever kind its route is now

Found by reading, shown by a test: pinRelease looked at the route before it looked at the release that the other node had stated. A second node may have a newer configuration (only an older one is refused), in which the route is no longer one of streams that may be resumed; then it ignored the release and placed the rest of an answer anywhere, an answer on two releases.

TestHandedReleaseOfChangedRoute: 2 of 3 cases red before (route no longer resumable, no longer of streams), green after. The release that a node states is decided by its own configuration and comes first now.

--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -53,12 +53,17 @@
 
 // ask pins a request.
 func (p *pinNode) ask(info RequestInfo) (route.Request, *route.Refusal) {
-	v := &callerRequest{
+	v := p.received(info)
+	req := p.request(v)
+	return req, p.pinRelease(v, &req)
+}
+
+// received returns a request of a caller.
+func (p *pinNode) received(info RequestInfo) *callerRequest {
+	return &callerRequest{
 		w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/x", nil), receivedAt: p.now(), info: info,
 		route: &p.cfg.Routes[0], snap: &policy.Snapshot{Revision: 1, Config: p.cfg},
 	}
-	req := p.request(v)
-	return req, p.pinRelease(v, &req)
 }
 
 // A stream that is taken up without the id of its first request may be any stream, so none that was taken
@@ -229,3 +234,28 @@
 		})
 	}
 }
+
+// Guards against a request that another node handed over and that is placed at any release, since its route is
+// no longer one of streams that may be resumed.
+func TestHandedReleaseOfChangedRoute(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(r *policy.Route){
+		"unchanged":            func(*policy.Route) {},
+		"no longer resumable":  func(r *policy.Route) { r.Resumable = false },
+		"no longer of streams": func(r *policy.Route) { r.Streams = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPinNode(t)
+				p.list("p", "v1", "v2")
+				change(&p.cfg.Routes[0])
+				v := p.received(RequestInfo{ID: "a"})
+				v.handed = &handedRequest{lastEvent: "3", release: route.PinTo("v2")}
+				req := p.request(v)
+				require.Nil(t, p.pinRelease(v, &req))
+				require.Equal(t, route.PinTo("v2"), req.Pin)
+				require.True(t, req.Continues)
+			})
+		})
+	}
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -256,15 +256,16 @@
 // pinRelease restricts a request whose answer may be resumed by its caller to one release. It returns a
 // refusal if that is not known.
 func (n *Node) pinRelease(v *callerRequest, req *route.Request) *route.Refusal {
-	if !req.Streams || !v.route.Resumable {
+	continues := v.info.LastEvent != "" || v.info.Resumes != "" || v.handed != nil && v.handed.lastEvent != ""
+	if v.handed != nil && v.handed.release.Set {
+		// The other node pinned it by its own configuration, in which the route may be of another kind.
+		req.Pin, req.Continues = v.handed.release, continues
 		return nil
 	}
-	req.Continues = v.info.LastEvent != "" || v.info.Resumes != "" || v.handed != nil && v.handed.lastEvent != ""
-	if v.handed != nil && v.handed.release.Set {
-		req.Pin = v.handed.release
+	if !req.Streams || !v.route.Resumable {
 		return nil
 	}
-	if req.Continues {
+	if req.Continues = continues; continues {
 		return n.releases.pinContinuation(v, req)
 	}
 	return n.releases.pinNew(v, req)
