node: splits are remembered for the longest life that a stream under way may have

Found by reading, shown by a test: how long earlier splits matter was computed from the timeouts of the present configuration alone. Where a newer one shortens them, a stream that began under the longer timeout was taken up by the splits of the last (new timeout + 15 s), so that after a change of the split in between it went to the new release of its slot, without a refusal, and the split that it needed was dropped from memory and row.

TestReleaseAfterTimeoutIsShortened (timeout 60 s, then 5 s, the slot moves in between; another node than the one that began the stream): red before, "v2" instead of "v1" 23 s after the begin; green after.

The test also checks that the longer life ends.

--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -259,3 +259,52 @@
 		})
 	}
 }
+
+// Guards against a stream that goes on at another release, since a newer configuration has shorter timeouts and
+// the split under which it began is forgotten too early.
+func TestReleaseAfterTimeoutIsShortened(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const longer, shorter = time.Minute, 5 * time.Second
+		p := newPinNode(t)
+		declare := func(revision int64, timeout time.Duration) {
+			cfg := *p.cfg
+			cfg.Routes = slices.Clone(cfg.Routes)
+			cfg.Routes[0].Timeout = policy.Duration(timeout)
+			p.cfg = &cfg
+			p.adopt(Declared{Revision: revision, Config: &cfg}, "the test")
+		}
+		declare(2, longer)
+		p.list("p", "v1", "v2")
+		split := func(number int64, splits ...route.ReleaseSplit) {
+			p.Do(func(b *route.Board, now time.Time) []route.Action {
+				b.AdoptReleases(now, "p", route.ReleaseHistory{Number: number, Splits: splits})
+				return nil
+			})
+		}
+		first := route.WholeSplit(time.Time{}, "v1")
+		split(1, first)
+		p.releases.several()
+		// A stream begins here, at another node.
+		time.Sleep(time.Second)
+		split(2, first, route.WholeSplit(p.now().Add(route.SplitLead), "v2"))
+		time.Sleep(route.SplitLead)
+		declare(3, shorter)
+		for age := 3 * time.Second; age <= longer; age += time.Second {
+			p.list("p", "v1", "v2")
+			p.releases.several()
+			if release, doubt := p.releases.bySplit("p", "a"); doubt == "" {
+				require.Equal(t, "v1", release, "%s after the begin", age)
+			}
+			time.Sleep(time.Second)
+		}
+		// Nothing is remembered for longer than it matters.
+		time.Sleep(route.LateSplitTime + shorter)
+		p.list("p", "v1", "v2")
+		p.releases.several()
+		require.Equal(t, shorter, p.releases.streamLife())
+		release, doubt := p.releases.bySplit("p", "a")
+		require.Empty(t, doubt)
+		require.Equal(t, "v2", release)
+	})
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -60,6 +60,8 @@
 	fleet int
 	// neededSince is when a change of a pool's splits was first needed.
 	neededSince map[string]time.Time
+
+	lives streamLives
 }
 
 func newReleases(n *Node) *releases {
@@ -107,10 +109,10 @@
 	n := s.n
 	n.Lock()
 	defer n.Unlock()
-	b := n.Board()
+	b, life := n.Board(), s.streamLife()
 	pools := b.SeveralReleases()
 	for _, pool := range pools {
-		b.ForgetOldSplits(n.now(), pool, streamLife(b.Snapshot()))
+		b.ForgetOldSplits(n.now(), pool, life)
 	}
 	return pools
 }
@@ -120,7 +122,7 @@
 func (s *releases) due(pool string) bool {
 	n := s.n
 	n.Lock()
-	_, needed := n.Board().NextReleases(n.now(), pool, streamLife(n.Board().Snapshot()))
+	_, needed := n.Board().NextReleases(n.now(), pool, s.streamLife())
 	n.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -141,7 +143,35 @@
 	return !ok || owner.ID == n.settings().Name || n.now.Since(since) >= takeOverTime
 }
 
-// streamLife returns how long a stream may last, over all tries of its caller.
+// streamLives remembers how long streams may last that began under earlier configurations.
+type streamLives struct {
+	mu sync.Mutex
+	// kept are the present life and the longer ones that still matter, the longest first.
+	kept []streamLifeUntil
+}
+
+// streamLifeUntil is the life of streams, and until when one of them may be taken up.
+type streamLifeUntil struct {
+	life  time.Duration
+	until time.Time
+}
+
+// longest records the present life of streams, and returns the longest one that still matters.
+func (l *streamLives) longest(now time.Time, life time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept = slices.DeleteFunc(l.kept, func(k streamLifeUntil) bool { return k.life <= life || !now.Before(k.until) })
+	l.kept = append(l.kept, streamLifeUntil{life, now.Add(life + route.LateSplitTime)})
+	return l.kept[0].life
+}
+
+// streamLife returns how long a stream that may be under way may last. The node must be locked.
+func (s *releases) streamLife() time.Duration {
+	return s.lives.longest(s.n.now(), streamLife(s.n.Board().Snapshot()))
+}
+
+// streamLife returns how long a stream may last that begins under a configuration, over all tries of its
+// caller.
 func streamLife(snap *policy.Snapshot) time.Duration {
 	life := time.Duration(0)
 	if snap == nil {
@@ -357,7 +387,7 @@
 	n := s.n
 	n.Lock()
 	several := n.Board().HasSeveralReleases(pool)
-	candidates, known := n.Board().StreamReleases(n.now(), pool, id, streamLife(n.Board().Snapshot()))
+	candidates, known := n.Board().StreamReleases(n.now(), pool, id, s.streamLife())
 	n.Unlock()
 	switch {
 	case !s.started():
--- a/node/releases_row.go
+++ b/node/releases_row.go
@@ -199,7 +199,7 @@
 	n.Lock()
 	b := n.Board()
 	for _, pool := range b.SeveralReleases() {
-		if next, ok := b.NextReleases(n.now(), pool, streamLife(b.Snapshot())); ok {
+		if next, ok := b.NextReleases(n.now(), pool, s.streamLife()); ok {
 			histories[pool], changed[pool] = next, next
 		}
 	}
