--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -198,6 +198,39 @@
 	})
 }
 
+// Processes that start to report to each other before any of them acts as a relay must not count
+// each other's states again and again.
+func TestRosterStart(t *testing.T) {
+	for _, n := range []int{2, 4, 14, 60} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			w := &rosterSim{now: time.Unix(1000, 0), nodes: make(map[string]*Roster[[]string])}
+			w.down, w.cut = make(map[string]bool), make(map[[2]string]bool)
+			members := testMembers(n)
+			for _, m := range members {
+				w.start(m)
+			}
+			for _, r := range w.nodes {
+				r.Hint(w.now, members...)
+			}
+			for round := range 16 {
+				w.run(1)
+				for id, r := range w.nodes {
+					counts := make(map[string]int)
+					for _, s := range append(r.OtherStates(w.now, ""), []string{id}) {
+						for _, other := range s {
+							counts[other]++
+						}
+					}
+					for other, times := range counts {
+						// A process that changes its relay is known to both for a round.
+						require.LessOrEqual(t, times, 2, "round %d: %s counts %s", round, id, other)
+					}
+				}
+			}
+		})
+	}
+}
+
 // A process whose relays all fail still knows the members that they reported, so that it can select
 // new relays from them without asking a seed.
 func TestRosterKeepsMembersOfFailedRelays(t *testing.T) {
