route: a node that starts awaits the old release's reports

In each of three logs looked at it is one request that came to a restarted node before its list: it was queued, and placed at the first target of the list ("best of 1"), which had the release whose rollback is recorded; the roll-out was "pending" there.

Cause: the reports of a list are applied one by one, and waiting requests are placed after each. While the old release's targets were listed but had not reported, a pending roll-out took them for gone and gave the request to the new release.

Change: an old target that is listed, healthy and has not reported yet counts as there. Old targets that are gone, draining or failing count as before, so that a node that starts after a completed roll-out still uses the new release.

TestRolloutPendingReports is red without the change.

--- a/route/rollout.go
+++ b/route/rollout.go
@@ -295,7 +295,9 @@
 	case RolloutCompleted:
 		return newSide
 	case RolloutPending:
-		if !p.hasUsable(func(t *target) bool { return t.release != ro.order.Release }) {
+		if !slices.ContainsFunc(p.members, func(t *target) bool {
+			return t.release != ro.order.Release && (t.usable() || t.awaited())
+		}) {
 			// The old targets are gone, so the roll-out was completed.
 			return newSide
 		}
--- a/route/rollout_test.go
+++ b/route/rollout_test.go
@@ -363,6 +363,29 @@
 	require.NotEmpty(t, f.sent[1], "requests where the old targets are gone")
 }
 
+// A request that waits as a router starts must not go to the new release whose target reports before
+// the old ones.
+func TestRolloutPendingReports(t *testing.T) {
+	t.Parallel()
+	f := newRolloutFleet(t, 1, 1, releaseFault{})
+	b := NewBoard(WithExposure(exposureShare))
+	f.boards[0] = b
+	b.Adopt(f.now, testSetup{window: 400}.snapshot(t))
+	b.StartRollout(f.now, f.order())
+	f.ordered = f.now
+	f.ask()
+	var seen []ListedTarget
+	for k, release := range []string{newRel, oldRel} {
+		seen = append(seen, ListedTarget{Addr: testAddr(f.targets - 1 - k*(f.targets-1)), Labels: map[string]string{"s": "s"}, Release: release})
+	}
+	f.take(0, b.SetTargets(f.now, seen))
+	for _, s := range seen {
+		f.take(0, b.Report(f.now, s.Addr, Report{Incarnation: "i", Slots: 400}))
+	}
+	require.Empty(t, f.sent[1], "requests to a release whose recorded phase is unknown")
+	require.Len(t, f.sent[0], 1)
+}
+
 // The retry of a request that failed at the new release goes to the old one.
 func TestRolloutRetry(t *testing.T) {
 	t.Parallel()
--- a/route/target.go
+++ b/route/target.go
@@ -176,6 +176,12 @@
 		!t.reported.IsZero() && !t.unconfirmed
 }
 
+// awaited reports whether the target may get new work once its first report arrives, as after this
+// router's start.
+func (t *target) awaited() bool {
+	return t.listed && !t.draining && !t.listedDraining && !t.failing && (t.reported.IsZero() || t.unconfirmed)
+}
+
 // serves returns the weights that the target has for a model and adapter.
 func (t *target) serves(model, adapter string) (weights string, ok bool) {
 	weights, ok = t.report.Weights[model]
