route: a stream that may be resumed is handed over with the release that it is pinned to

Found by reading, shown by a test: a stream that arrives before its node knows a release of the pool is pinned as it is placed, but hand-overs went out before that, without a release. What came back of it was not pinned either (nothing is known of the other node's target), so that after a change of the split the rest of the answer would be placed by the new split, as a new stream.

TestHandoffPinsStreams: 2 of 3 cases red before ("one release": no release; "several, not divided": handed over), green after. A stream waits now as at a node that is not cut off while the pool is not divided.

--- a/route/handoff.go
+++ b/route/handoff.go
@@ -293,7 +293,7 @@
 	var out []Action
 	for _, o := range p.queue.next() {
 		for _, r := range slices.Clone(o.items) {
-			if now.Before(r.notBefore) || !r.mayBeHandedOver() {
+			if now.Before(r.notBefore) || !r.mayBeHandedOver() || !b.pinAtPlacing(now, p, r) {
 				continue
 			}
 			peer, ok := b.chooseHandoffPeer(now, p)
--- a/route/handoff_test.go
+++ b/route/handoff_test.go
@@ -318,6 +318,50 @@
 	}
 }
 
+// Guards against a stream that goes on at another release, since it arrived before this router knew a release of
+// its pool and was handed over without one.
+func TestHandoffPinsStreams(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		// releases are those of the targets in turn.
+		releases []string
+		pin      ReleasePin
+		handed   bool
+	}{
+		"one release":                {[]string{oldRel}, PinTo(oldRel), true},
+		"several, not divided":       {[]string{oldRel, newRel}, ReleasePin{}, false},
+		"several, pinned on arrival": {[]string{oldRel, newRel}, PinTo(newRel), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newLinkWorld(t, 4, HandoffPeer{Addr: peerA})
+			var list []ListedTarget
+			for i, f := range w.targets[1:] {
+				list = append(list, ListedTarget{Addr: f.addr, Labels: map[string]string{"s": "s"}, Release: c.releases[i%len(c.releases)]})
+			}
+			// The targets that the world began with had no release.
+			w.board.pools["s"].streams = releaseState{}
+			w.execute(w.board.SetTargets(w.now, list))
+			w.cutOff("silent")
+			w.drop()
+			req := Request{
+				ID: "x", Revision: w.board.Revision(), Org: "b", Pool: "s", Deadline: w.now.Add(10 * time.Second), QueueTime: time.Second,
+				Repeatable: true, Streams: true, Resumable: true,
+			}
+			if len(c.releases) > 1 {
+				req.Pin = c.pin
+			}
+			w.execute(w.board.Arrive(w.now, req))
+			if !c.handed {
+				require.Empty(t, w.inFlight)
+				return
+			}
+			a := w.take()
+			require.True(t, a.Via.IsValid())
+			require.Equal(t, c.pin, a.Pin)
+		})
+	}
+}
+
 // Guards against a second hop: a router that is cut off too refuses a request of another one at once,
 // and never hands it over.
 func TestHandedOverEndsHere(t *testing.T) {
