route: sums and sends of the simulated pools have one order

Seen: the fleets of pool_fleet_test.go sum demands and deliver announced sends in the order of a map. What the check counts as below its share depends on sums of floating point numbers (a demand is left out if its share is below 1), so rounding could add or drop one.

Change: demands are visited by organisation, priority and urgency, and sends by router.

--- a/route/pool_fleet_test.go
+++ b/route/pool_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
@@ -77,7 +78,7 @@
 	asked []*poolCaller
 	next  int
 	// placed are the long prompts that each router announces to the others.
-	placed map[int][]SentRequest
+	placed [][]SentRequest
 }
 
 // poolWork is an attempt at an engine with the tokens that it still has to read.
@@ -90,7 +91,7 @@
 func newPoolFleet(t *testing.T, routers int, orgs []poolOrg, opts ...Option) *poolFleet {
 	f := &poolFleet{
 		t: t, rng: rand.New(rand.NewPCG(1, uint64(routers))), now: epoch, orgs: orgs, opts: opts, side: make([]int, routers),
-		engines: make(map[netip.AddrPort][]poolWork), callers: make(map[string]*poolCaller), tally: make(map[demandKey]*poolTally), placed: make(map[int][]SentRequest),
+		engines: make(map[netip.AddrPort][]poolWork), callers: make(map[string]*poolCaller), tally: make(map[demandKey]*poolTally), placed: make([][]SentRequest, routers),
 	}
 	cfg := &policy.Config{
 		Pools:     []policy.Pool{{Name: "e", Kind: policy.KindEngine, Selector: "s=e", Window: 64, TrustRefusals: true}},
@@ -337,15 +338,29 @@
 	f.tally, f.asked = make(map[demandKey]*poolTally), nil
 }
 
+// demands returns the keys of the tally in order, so that sums over them are the same in each run.
+func (f *poolFleet) demands() []demandKey {
+	return slices.SortedFunc(maps.Keys(f.tally), func(a, b demandKey) int {
+		return cmp.Or(cmp.Compare(a.org, b.org), cmp.Compare(a.priority, b.priority), cmp.Compare(urgency(a), urgency(b)))
+	})
+}
+
+func urgency(k demandKey) int {
+	if k.urgent {
+		return 1
+	}
+	return 0
+}
+
 // ideal returns the fraction of each demand that water filling without delays admits, given what
 // the pool completed.
 func (f *poolFleet) ideal(d time.Duration) map[demandKey]float64 {
-	var keys []demandKey
+	keys := f.demands()
 	var demands []shareDemand
 	completed := 0.0
-	for key, t := range f.tally {
+	for _, key := range keys {
+		t := f.tally[key]
 		completed += t.served / d.Seconds()
-		keys = append(keys, key)
 		demands = append(demands, shareDemand{key.org, key.priority, f.boards[0].weight(key.org), t.asked / d.Seconds()})
 	}
 	out := make(map[demandKey]float64)
@@ -358,8 +373,8 @@
 // sum returns the tally of all organisations at a priority.
 func (f *poolFleet) sum(priority int) poolTally {
 	var out poolTally
-	for key, t := range f.tally {
-		if key.priority == priority {
+	for _, key := range f.demands() {
+		if t := f.tally[key]; key.priority == priority {
 			out.asked, out.served, out.inTime = out.asked+t.asked, out.served+t.served, out.inTime+t.inTime
 		}
 	}
@@ -376,8 +391,9 @@
 	}
 	sum := poolTally{}
 	least = 1
-	for key, part := range f.ideal(d) {
-		if part < 1 {
+	ideal := f.ideal(d)
+	for _, key := range f.demands() {
+		if ideal[key] < 1 {
 			continue
 		}
 		t := f.tally[key]
