cutoff: requests of the warm-up end before a link is cut

The tally counted by the time of sending, so the cut itself ended or held up requests that counted as before it. Without load 1 to 5 of some 143 are under way at that time; with a mean answer of 0.1 s at two of four nodes more than the 7 that may fail.

No stage of the node holds requests back. The rest waits for the processor: up to 1.2 s until the caller has written its request (the process did not run for 0.93 s, with 79 ms of processor time), 60 ms in the median and up to 0.43 s until the node has parsed it, 0.4 s in the median and up to 1.8 s for the target's answer.

The harness now waits until all requests of the warm-up's second have ended before it cuts, while the callers go on, and judges that second by the same bound. Each request of it is judged still, also one that ends by its caller's deadline. What the second no longer counts are requests that the cut hits, of which the old bound let as many fail as were under way without load.

--- a/internal/cutoff/harness_test.go
+++ b/internal/cutoff/harness_test.go
@@ -74,6 +74,8 @@
 
 	mu    sync.Mutex
 	calls []cutoffCall
+	// open has the times at which the calls without an end were sent, by id.
+	open map[string]time.Time
 }
 
 // cutoffNode is a node with its link to the targets.
@@ -101,7 +103,7 @@
 	t.Parallel()
 	fleetSlots <- struct{}{}
 	t.Cleanup(func() { <-fleetSlots })
-	f := &cutoffFleet{t: t, heartbeat: heartbeat, options: opts, store: platformtest.NewStore(), log: new(platformtest.RunLog)}
+	f := &cutoffFleet{t: t, heartbeat: heartbeat, options: opts, store: platformtest.NewStore(), log: new(platformtest.RunLog), open: make(map[string]time.Time)}
 	t.Cleanup(f.store.Close)
 	for i := range engineCount {
 		f.engines = append(f.engines, f.startReplica(fmt.Sprintf("e%d", i), engineName,
@@ -377,14 +379,50 @@
 		id := fmt.Sprintf("%s-%s-%d", n.name, strings.Trim(k.prefix, "/"), i)
 		parts := fmt.Sprintf("a%d:50,b%x:50", rng.IntN(promptStarts), rng.Uint32())
 		callers.Go(func() {
-			c := f.call(n, k, id, parts)
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.calls = append(f.calls, c)
+			f.begin(id)
+			f.end(f.call(n, k, id, parts))
 		})
 	}
 }
 
+// begin records that a call is sent.
+func (f *cutoffFleet) begin(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[id] = time.Now()
+}
+
+// end records what came of a call.
+func (f *cutoffFleet) end(c cutoffCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, c.id)
+	f.calls = append(f.calls, c)
+}
+
+// warm lets the callers send undisturbed for the time of the warm-up, waits until each request of that
+// time has ended, and returns what came of them. A request that is under way when a link is cut says
+// nothing about the time before.
+func (f *cutoffFleet) warm() tally {
+	from := time.Now()
+	time.Sleep(warmUp)
+	until := time.Now()
+	require.Eventually(f.t, func() bool { return f.endedBefore(until) }, cutoffWait, cutoffTick, "requests of the warm-up do not end")
+	return f.tallyOf(from, until, func(int) bool { return true })
+}
+
+// endedBefore reports whether all calls sent before a time have ended.
+func (f *cutoffFleet) endedBefore(until time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, sentAt := range f.open {
+		if sentAt.Before(until) {
+			return false
+		}
+	}
+	return true
+}
+
 // tally counts the requests that were sent to one node in a span of time.
 type tally struct {
 	sent, served int
