ports: all test harnesses take their ports from blocks that one process holds

The harnesses of internal/e2e, platform/platformtest and internal/cutoff each chose ports by listening on them for a moment, from overlapping ranges (12000 to 32000, 20000 to 32000 twice). Between the choice and the start of the program another test process can be given the same port, or can look whether it is free just when the program listens: looking takes it.

A process claims blocks of 100 ports by listening on the first port of each for as long as it runs, so no other process chooses from them or tries them. It holds at most 30 of 120 blocks and uses the ports of tests that have ended again. FreePorts of internal/load, which pathhead-load prints for scripts and which can't hold a port, keeps to the range below.

--- a/internal/cutoff/harness_test.go
+++ b/internal/cutoff/harness_test.go
@@ -7,19 +7,17 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"regexp"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathhead/pathhead/internal/ports"
 	"github.com/pathhead/pathhead/node"
 	"github.com/pathhead/pathhead/platform"
 	"github.com/pathhead/pathhead/platform/platformtest"
@@ -170,7 +168,7 @@
 	require.NoError(f.t, err)
 	return &cutoffNode{
 		number: number, name: fmt.Sprintf("node-%d", number), store: endpoint.Addr, link: newTargetLink(),
-		callers: freeCutoffAddr(f.t), readiness: freeCutoffAddr(f.t), peers: freeCutoffAddr(f.t), operators: freeCutoffAddr(f.t),
+		callers: ports.Free(f.t), readiness: ports.Free(f.t), peers: ports.Free(f.t), operators: ports.Free(f.t),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}},
 	}
 }
@@ -220,31 +218,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// Ports for the nodes, below the range from which the kernel assigns ports to outgoing connections
-// (32768 on, ip(7)).
-const (
-	firstCutoffPort = 20000
-	cutoffPorts     = 12000
-)
-
-// cutoffPortsAssigned counts the assigned ports; test processes start at different ones.
-var cutoffPortsAssigned atomic.Uint32
-
-func freeCutoffAddr(t *testing.T) netip.AddrPort {
-	for range cutoffPorts {
-		port := firstCutoffPort + (uint32(os.Getpid())*61+cutoffPortsAssigned.Add(1))%cutoffPorts
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-		l, err := net.Listen("tcp4", addr.String())
-		if err != nil {
-			continue
-		}
-		require.NoError(t, l.Close())
-		return addr
-	}
-	t.Fatal("no free port")
-	return netip.AddrPort{}
-}
-
 // addrs returns the addresses of replicas.
 func addrs(replicas ...[]*platformtest.Replica) []netip.AddrPort {
 	var out []netip.AddrPort
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pathhead/pathhead/internal/load"
+	"github.com/pathhead/pathhead/internal/ports"
 	"github.com/pathhead/pathhead/internal/programs"
 	"github.com/pathhead/pathhead/internal/standin"
 	"github.com/pathhead/pathhead/router"
@@ -118,29 +119,12 @@
 	p.run()
 }
 
-// ports records the ports in use. Tests run in parallel, so each port is used once per run.
-var ports struct {
-	mu    sync.Mutex
-	taken map[int]bool
-}
-
 // freeAddrs returns n loopback addresses with free ports.
 func freeAddrs(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	if ports.taken == nil {
-		ports.taken = make(map[int]bool)
-	}
 	var out []netip.AddrPort
-	for len(out) < n {
-		free, err := load.FreePorts(1)
-		require.NoError(t, err)
-		if ports.taken[free[0]] {
-			continue
-		}
-		ports.taken[free[0]] = true
-		out = append(out, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(free[0])))
+	for range n {
+		out = append(out, ports.Free(t))
 	}
 	return out
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -268,10 +268,11 @@
 }
 
 // The range of ports that [FreePorts] chooses from. It lies below the ephemeral ports,
-// since an outgoing connection could take one of those between its choice and its use.
+// since an outgoing connection could take one of those between its choice and its use, and below those
+// that package ports assigns to tests.
 const (
 	firstPort = 12000
-	lastPort  = 32000
+	lastPort  = 19999
 )
 
 // FreePorts returns n ports of the loopback address that nothing listens on. It
