--- a/internal/cutoff/harness_test.go
+++ b/internal/cutoff/harness_test.go
@@ -7,19 +7,17 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"regexp"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/pathhead/pathhead/internal/ports"
 	"github.com/pathhead/pathhead/node"
 	"github.com/pathhead/pathhead/platform"
 	"github.com/pathhead/pathhead/platform/platformtest"
@@ -74,6 +72,8 @@
 
 	mu    sync.Mutex
 	calls []cutoffCall
+	// open has the times at which the calls without an end were sent, by id.
+	open map[string]time.Time
 }
 
 // cutoffNode is a node with its link to the targets.
@@ -101,7 +101,7 @@
 	t.Parallel()
 	fleetSlots <- struct{}{}
 	t.Cleanup(func() { <-fleetSlots })
-	f := &cutoffFleet{t: t, heartbeat: heartbeat, options: opts, store: platformtest.NewStore(), log: new(platformtest.RunLog)}
+	f := &cutoffFleet{t: t, heartbeat: heartbeat, options: opts, store: platformtest.NewStore(), log: new(platformtest.RunLog), open: make(map[string]time.Time)}
 	t.Cleanup(f.store.Close)
 	for i := range engineCount {
 		f.engines = append(f.engines, f.startReplica(fmt.Sprintf("e%d", i), engineName,
@@ -168,7 +168,7 @@
 	require.NoError(f.t, err)
 	return &cutoffNode{
 		number: number, name: fmt.Sprintf("node-%d", number), store: endpoint.Addr, link: newTargetLink(),
-		callers: freeCutoffAddr(f.t), readiness: freeCutoffAddr(f.t), peers: freeCutoffAddr(f.t), operators: freeCutoffAddr(f.t),
+		callers: ports.Free(f.t), readiness: ports.Free(f.t), peers: ports.Free(f.t), operators: ports.Free(f.t),
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 64}},
 	}
 }
@@ -218,31 +218,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// Ports for the nodes, below the range from which the kernel assigns ports to outgoing connections
-// (32768 on, ip(7)).
-const (
-	firstCutoffPort = 20000
-	cutoffPorts     = 12000
-)
-
-// cutoffPortsAssigned counts the assigned ports; test processes start at different ones.
-var cutoffPortsAssigned atomic.Uint32
-
-func freeCutoffAddr(t *testing.T) netip.AddrPort {
-	for range cutoffPorts {
-		port := firstCutoffPort + (uint32(os.Getpid())*61+cutoffPortsAssigned.Add(1))%cutoffPorts
-		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(port))
-		l, err := net.Listen("tcp4", addr.String())
-		if err != nil {
-			continue
-		}
-		require.NoError(t, l.Close())
-		return addr
-	}
-	t.Fatal("no free port")
-	return netip.AddrPort{}
-}
-
 // addrs returns the addresses of replicas.
 func addrs(replicas ...[]*platformtest.Replica) []netip.AddrPort {
 	var out []netip.AddrPort
@@ -377,14 +352,50 @@
 		id := fmt.Sprintf("%s-%s-%d", n.name, strings.Trim(k.prefix, "/"), i)
 		parts := fmt.Sprintf("a%d:50,b%x:50", rng.IntN(promptStarts), rng.Uint32())
 		callers.Go(func() {
-			c := f.call(n, k, id, parts)
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.calls = append(f.calls, c)
+			f.begin(id)
+			f.end(f.call(n, k, id, parts))
 		})
 	}
 }
 
+// begin records that a call is sent.
+func (f *cutoffFleet) begin(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[id] = time.Now()
+}
+
+// end records what came of a call.
+func (f *cutoffFleet) end(c cutoffCall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.open, c.id)
+	f.calls = append(f.calls, c)
+}
+
+// warm lets the callers send undisturbed for the time of the warm-up, waits until each request of that
+// time has ended, and returns what came of them. A request that is under way when a link is cut says
+// nothing about the time before.
+func (f *cutoffFleet) warm() tally {
+	from := time.Now()
+	time.Sleep(warmUp)
+	until := time.Now()
+	require.Eventually(f.t, func() bool { return f.endedBefore(until) }, cutoffWait, cutoffTick, "requests of the warm-up do not end")
+	return f.tallyOf(from, until, func(int) bool { return true })
+}
+
+// endedBefore reports whether all calls sent before a time have ended.
+func (f *cutoffFleet) endedBefore(until time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, sentAt := range f.open {
+		if sentAt.Before(until) {
+			return false
+		}
+	}
+	return true
+}
+
 // tally counts the requests that were sent to one node in a span of time.
 type tally struct {
 	sent, served int
