--- a/internal/programs/programs.go
+++ b/internal/programs/programs.go
@@ -2,10 +2,16 @@
 package programs
 
 import (
+	"debug/buildinfo"
 	"os"
 	"os/exec"
+	"path"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
 	"testing"
 
+	"github.com/stretchr/testify/require"
 	"github.com/zeebo/errs/v2"
 )
 
@@ -32,3 +38,19 @@
 	}
 	return m.Run(), nil
 }
+
+// WithoutRace returns a folder with the program of a package, built without the race detector, which
+// multiplies the memory of a program. That is dir if its program was built so, else a temporary
+// folder into which the program is built.
+func WithoutRace(t *testing.T, dir, pkg string) string {
+	t.Helper()
+	info, err := buildinfo.ReadFile(filepath.Join(dir, path.Base(pkg)))
+	require.NoError(t, err)
+	if !slices.ContainsFunc(info.Settings, func(s debug.BuildSetting) bool { return s.Key == "-race" }) {
+		return dir
+	}
+	tempDir := t.TempDir()
+	out, err := exec.Command("go", "build", "-race=false", "-o", tempDir, pkg).CombinedOutput()
+	require.NoError(t, err, "building %s failed: %s", pkg, out)
+	return tempDir
+}
