trial: route: a router that begins to know of brittle targets takes no part by its demand yet

Cause: the first state of a restarted router says no demand, since it does not know that targets are brittle, and the others divide its part among themselves until its next state arrives. arrivalRate.update begins with the present rate as the least that others know, so the router takes its whole part meanwhile: the parts add up to 1.35.

Change: nothing is known to others before arrivalReportLag is over, so that a router begins with a quarter of an equal part, as docs/design/brittle.md says.

The new test fails on the code before (80 known).

--- a/route/target_brittle.go
+++ b/route/target_brittle.go
@@ -434,10 +434,10 @@
 	leastAt     time.Time
 }
 
-// update adds the rate of this moment.
+// update adds the rate of this moment. The other routers do not know the first one yet.
 func (a *arrivalRate) update(now time.Time, rate float64) {
 	if a.at.IsZero() {
-		*a = arrivalRate{rate: rate, at: now, least: rate, next: rate, leastAt: now}
+		*a = arrivalRate{rate: rate, at: now, next: rate, leastAt: now}
 		return
 	}
 	a.rate += (rate - a.rate) * min(1, now.Sub(a.at).Seconds()/arrivalSmoothing.Seconds())
--- a/route/target_brittle_test.go
+++ b/route/target_brittle_test.go
@@ -139,3 +139,16 @@
 		})
 	}
 }
+
+// Guards against a restarted router that takes a part of brittle targets by a demand which the others
+// do not know yet, and have divided among themselves.
+func TestArrivalRateBeginsUnknown(t *testing.T) {
+	t.Parallel()
+	var a arrivalRate
+	a.update(epoch, 80)
+	require.Zero(t, a.known())
+	a.update(epoch.Add(arrivalReportLag/2), 80)
+	require.Zero(t, a.known())
+	a.update(epoch.Add(arrivalReportLag), 80)
+	require.InDelta(t, 80, a.known(), 1e-9)
+}
