trial: route: a router that hears few others assumes more unseen backlog

Cause: unseenWait assumes at most as much again (maxUnseen 1) as the router sees, where 83 of 84 routers are unseen.

Change: the bound is 20.

--- a/route/admission_backlog.go
+++ b/route/admission_backlog.go
@@ -28,7 +28,7 @@
 
 // maxUnseen bounds the backlog that is assumed of routers that do not report, as a multiple of the
 // known one.
-const maxUnseen = 1
+const maxUnseen = 20
 
 // unseenWait returns the wait that routers add which may be running but do not report, on the
 // assumption that they keep as much pending as the others.
--- a/route/admission_reports_test.go
+++ b/route/admission_reports_test.go
@@ -107,3 +107,25 @@
 	s.others.asked = math.NaN()
 	require.False(t, s.tryTake(epoch, grant{rate: 1, burst: 1}, 10, 0.5, false))
 }
+
+// Guards against a router that hears no other and takes the engines for nearly idle, since it counts
+// little more than its own requests.
+func TestUnseenWait(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		routers, reporters int
+		want               time.Duration
+	}{
+		"all report":         {84, 83, 0},
+		"half of them":       {84, 41, 10 * time.Millisecond},
+		"one of eight":       {8, 0, 70 * time.Millisecond},
+		"one of 84, bounded": {84, 0, 200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newPartsBoard(t, 1)
+			p := f.b.pools["e"]
+			f.b.limitSharers.value, p.asked.reporters = c.routers, c.reporters
+			require.InDelta(t, c.want.Seconds(), f.b.unseenWait(p, 10*time.Millisecond).Seconds(), 0.0005)
+		})
+	}
+}
