--- a/route/admission_backlog.go
+++ b/route/admission_backlog.go
@@ -8,20 +8,17 @@
 
 // jointWait predicts how long a new request waits at the target before its prefill begins. Where
 // peers announce their sends, their loads are reported over relays and as old as these
-// announcements are kept: the target has computed since then, and has received what was announced
-// since. What was announced before is in the loads, unless the target has computed it.
+// announcements are kept: the target has computed since then, and has received what was announced.
 func (b *Board) jointWait(now time.Time, t *target) time.Duration {
 	if b.disabled.Has(AimAdmission) || now.Sub(b.announcedAt) > announcedMaxAge || t.peersAt.IsZero() {
 		return t.queueWait(now)
 	}
 	recent := t.peerSendPrefill(now)
-	age := now.Sub(t.peersAt) + peerSendTTL
 	announced := 0
 	for _, s := range t.peerSends {
-		if now.Sub(s.at) <= age {
-			announced += s.prefill
-		}
+		announced += s.prefill
 	}
+	age := now.Sub(t.peersAt) + peerSendTTL
 	peers := max(recent, float64(t.peerPrefill+announced)-age.Seconds()*t.rate())
 	return seconds((float64(t.prefill)+peers)/t.rate()) + t.slotWait()
 }
