--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -53,12 +53,17 @@
 
 // ask pins a request.
 func (p *pinNode) ask(info RequestInfo) (route.Request, *route.Refusal) {
-	v := &callerRequest{
+	v := p.received(info)
+	req := p.request(v)
+	return req, p.pinRelease(v, &req)
+}
+
+// received returns a request of a caller.
+func (p *pinNode) received(info RequestInfo) *callerRequest {
+	return &callerRequest{
 		w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/x", nil), receivedAt: p.now(), info: info,
 		route: &p.cfg.Routes[0], snap: &policy.Snapshot{Revision: 1, Config: p.cfg},
 	}
-	req := p.request(v)
-	return req, p.pinRelease(v, &req)
 }
 
 // A stream that is taken up without the id of its first request may be any stream, so none that was taken
@@ -229,3 +234,77 @@
 		})
 	}
 }
+
+// Guards against a request that another node handed over and that is placed at any release, since its route is
+// no longer one of streams that may be resumed.
+func TestHandedReleaseOfChangedRoute(t *testing.T) {
+	t.Parallel()
+	for name, change := range map[string]func(r *policy.Route){
+		"unchanged":            func(*policy.Route) {},
+		"no longer resumable":  func(r *policy.Route) { r.Resumable = false },
+		"no longer of streams": func(r *policy.Route) { r.Streams = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPinNode(t)
+				p.list("p", "v1", "v2")
+				change(&p.cfg.Routes[0])
+				v := p.received(RequestInfo{ID: "a"})
+				v.handed = &handedRequest{lastEvent: "3", release: route.PinTo("v2")}
+				req := p.request(v)
+				require.Nil(t, p.pinRelease(v, &req))
+				require.Equal(t, route.PinTo("v2"), req.Pin)
+				require.True(t, req.Continues)
+			})
+		})
+	}
+}
+
+// Guards against a stream that goes on at another release, since a newer configuration has shorter timeouts and
+// the split under which it began is forgotten too early.
+func TestReleaseAfterTimeoutIsShortened(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const longer, shorter = time.Minute, 5 * time.Second
+		p := newPinNode(t)
+		declare := func(revision int64, timeout time.Duration) {
+			cfg := *p.cfg
+			cfg.Routes = slices.Clone(cfg.Routes)
+			cfg.Routes[0].Timeout = policy.Duration(timeout)
+			p.cfg = &cfg
+			p.adopt(Declared{Revision: revision, Config: &cfg}, "the test")
+		}
+		declare(2, longer)
+		p.list("p", "v1", "v2")
+		split := func(number int64, splits ...route.ReleaseSplit) {
+			p.Do(func(b *route.Board, now time.Time) []route.Action {
+				b.AdoptReleases(now, "p", route.ReleaseHistory{Number: number, Splits: splits})
+				return nil
+			})
+		}
+		first := route.WholeSplit(time.Time{}, "v1")
+		split(1, first)
+		p.releases.several()
+		// A stream begins here, at another node.
+		time.Sleep(time.Second)
+		split(2, first, route.WholeSplit(p.now().Add(route.SplitLead), "v2"))
+		time.Sleep(route.SplitLead)
+		declare(3, shorter)
+		for age := 3 * time.Second; age <= longer; age += time.Second {
+			p.list("p", "v1", "v2")
+			p.releases.several()
+			if release, doubt := p.releases.bySplit("p", "a"); doubt == "" {
+				require.Equal(t, "v1", release, "%s after the begin", age)
+			}
+			time.Sleep(time.Second)
+		}
+		// Nothing is remembered for longer than it matters.
+		time.Sleep(route.LateSplitTime + shorter)
+		p.list("p", "v1", "v2")
+		p.releases.several()
+		require.Equal(t, shorter, p.releases.streamLife())
+		release, doubt := p.releases.bySplit("p", "a")
+		require.Empty(t, doubt)
+		require.Equal(t, "v2", release)
+	})
+}
--- a/route/handoff_test.go
+++ b/route/handoff_test.go
@@ -278,6 +278,90 @@
 	}
 }
 
+// Guards against a request that is handed over with fewer targets left than it has, or as one that a target
+// has received although none did, so that no router counts it towards the retry budget.
+func TestHandoffStatesTries(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		maxTries      int
+		first, second int
+	}{
+		"three": {3, 2, 1}, "two": {2, 1, 1}, "one": {1, 1, 0}, "four": {4, 3, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newLinkWorld(t, 4, HandoffPeer{Addr: peerA}, HandoffPeer{Addr: peerB}, HandoffPeer{Addr: peerC})
+			w.cutOff("silent")
+			w.drop()
+			w.execute(w.board.Arrive(w.now, Request{
+				ID: "x", Revision: w.board.Revision(), Org: "b", Pool: "s", Deadline: w.now.Add(10 * time.Second), QueueTime: time.Second,
+				Repeatable: true, MaxTries: c.maxTries,
+			}))
+			a := w.take()
+			require.True(t, a.Via.IsValid())
+			require.Equal(t, c.first, a.Tries)
+			require.False(t, a.Sent)
+			// A router that did not get it changes nothing.
+			w.execute(w.board.Ended(w.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeUnsent}))
+			a = w.take()
+			require.Equal(t, c.first, a.Tries)
+			require.False(t, a.Sent)
+			// One that ends without an answer may have sent it to as many targets as it was given.
+			w.execute(w.board.Ended(w.now, Outcome{Request: a.Request, Attempt: a.ID, Kind: OutcomeBroken}))
+			if c.second == 0 {
+				require.Empty(t, w.inFlight)
+				return
+			}
+			a = w.take()
+			require.Equal(t, c.second, a.Tries)
+			require.True(t, a.Sent)
+		})
+	}
+}
+
+// Guards against a stream that goes on at another release, since it arrived before this router knew a release of
+// its pool and was handed over without one.
+func TestHandoffPinsStreams(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		// releases are those of the targets in turn.
+		releases []string
+		pin      ReleasePin
+		handed   bool
+	}{
+		"one release":                {[]string{oldRel}, PinTo(oldRel), true},
+		"several, not divided":       {[]string{oldRel, newRel}, ReleasePin{}, false},
+		"several, pinned on arrival": {[]string{oldRel, newRel}, PinTo(newRel), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newLinkWorld(t, 4, HandoffPeer{Addr: peerA})
+			var list []ListedTarget
+			for i, f := range w.targets[1:] {
+				list = append(list, ListedTarget{Addr: f.addr, Labels: map[string]string{"s": "s"}, Release: c.releases[i%len(c.releases)]})
+			}
+			// The targets that the world began with had no release.
+			w.board.pools["s"].streams = releaseState{}
+			w.execute(w.board.SetTargets(w.now, list))
+			w.cutOff("silent")
+			w.drop()
+			req := Request{
+				ID: "x", Revision: w.board.Revision(), Org: "b", Pool: "s", Deadline: w.now.Add(10 * time.Second), QueueTime: time.Second,
+				Repeatable: true, Streams: true, Resumable: true,
+			}
+			if len(c.releases) > 1 {
+				req.Pin = c.pin
+			}
+			w.execute(w.board.Arrive(w.now, req))
+			if !c.handed {
+				require.Empty(t, w.inFlight)
+				return
+			}
+			a := w.take()
+			require.True(t, a.Via.IsValid())
+			require.Equal(t, c.pin, a.Pin)
+		})
+	}
+}
+
 // Guards against a second hop: a router that is cut off too refuses a request of another one at once,
 // and never hands it over.
 func TestHandedOverEndsHere(t *testing.T) {
