--- a/internal/cutoff/release_test.go
+++ b/internal/cutoff/release_test.go
@@ -452,17 +452,17 @@
 			for k := range 2 * releaseCallers {
 				callers.Go(func() {
 					rng := rand.New(rand.NewPCG(62, uint64(k)))
-					any := func() *cutoffNode { return f.nodes[rng.IntN(len(f.nodes))] }
+					anyNode := func() *cutoffNode { return f.nodes[rng.IntN(len(f.nodes))] }
 					for i := 0; ; i++ {
 						select {
 						case <-done:
 							return
 						default:
 						}
-						st := f.begin(any(), fmt.Sprintf("change-%d-%d", k, i), eventsHeld, &began)
+						st := f.begin(anyNode(), fmt.Sprintf("change-%d-%d", k, i), eventsHeld, &began)
 						if st.last > 0 {
 							time.Sleep(time.Duration(rng.Int64N(int64(maxHold))))
-							f.try(any, st, streamEvents+1, &goneOn)
+							f.try(anyNode, st, streamEvents+1, &goneOn)
 						}
 					}
 				})
