node: the default timeout before the first configuration is no earlier configuration's

Read in the diff before the landing: a node that starts asked for the life of streams before it had a configuration, and streamLives kept the default, 30 s, as if streams had begun under it, until 45 s later. Meanwhile splits that a shorter timeout makes irrelevant would have counted, and streams of slots that moved be refused for longer. TestStreamLifeBeforeConfiguration is red without the change (30 s where 5 s are right).

--- a/node/release_pin_test.go
+++ b/node/release_pin_test.go
@@ -311,3 +311,23 @@
 		require.Equal(t, "v2", release)
 	})
 }
+
+// Guards against streams of slots that moved that are refused for longer than they last, since a node that
+// starts takes the default timeout for that of an earlier configuration.
+func TestStreamLifeBeforeConfiguration(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const timeout = 5 * time.Second
+		store := newSimStore(1)
+		n, err := New(validSettings(), store, nil, store)
+		require.NoError(t, err)
+		n.releases.several()
+		cfg := newPinNode(t).cfg
+		cfg.Routes[0].Timeout = policy.Duration(timeout)
+		n.adopt(Declared{Revision: 1, Config: cfg}, "the test")
+		n.Do(func(*route.Board, time.Time) []route.Action {
+			require.Equal(t, timeout, n.releases.streamLife())
+			return nil
+		})
+	})
+}
--- a/node/releases.go
+++ b/node/releases.go
@@ -61,6 +61,7 @@
 	// neededSince is when a change of a pool's splits was first needed.
 	neededSince map[string]time.Time
 
+	// lives has a lock of its own.
 	lives streamLives
 }
 
@@ -167,7 +168,12 @@
 
 // streamLife returns how long a stream that may be under way may last. The node must be locked.
 func (s *releases) streamLife() time.Duration {
-	return s.lives.longest(s.n.now(), streamLife(s.n.Board().Snapshot()))
+	snap := s.n.Board().Snapshot()
+	if snap == nil {
+		// No stream has begun under a configuration that this node knows.
+		return streamLife(nil)
+	}
+	return s.lives.longest(s.n.now(), streamLife(snap))
 }
 
 // streamLife returns how long a stream may last that begins under a configuration, over all tries of its
