node: streams' lives need no lock of their own; one lookup of a request's connection

Found in a last reading of the change. streamLives had a mutex, although each of its callers holds the node's lock, as its comment asks; it is a slice now, and the default before the first configuration stands in one place in place of two.

--- a/node/conns.go
+++ b/node/conns.go
@@ -111,10 +111,16 @@
 	}
 }
 
+// connOf returns the connection of a request.
+func connOf(r *http.Request) (conn *callerConn, ok bool) {
+	conn, ok = r.Context().Value(connKey{}).(*callerConn)
+	return conn, ok
+}
+
 // occupyTarget bounds how long the caller of a request keeps a target waiting, until the returned
 // function is called.
 func occupyTarget(r *http.Request) (end func()) {
-	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	conn, ok := connOf(r)
 	if !ok {
 		return func() {}
 	}
@@ -134,7 +140,7 @@
 // resetOnClose sets whether the connection of a request ends with a reset when it is closed, also by the
 // end of this process.
 func resetOnClose(r *http.Request, reset bool) {
-	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	conn, ok := connOf(r)
 	if !ok {
 		return
 	}
@@ -150,7 +156,7 @@
 
 // callerStalled reports whether the connection of a request was given up because its caller stalled.
 func callerStalled(r *http.Request) bool {
-	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	conn, ok := connOf(r)
 	return ok && conn.stalled.Load()
 }
 
@@ -280,7 +286,7 @@
 
 // headerRead records that the header of a request is complete.
 func (c *callerConns) headerRead(r *http.Request) {
-	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+	if conn, ok := connOf(r); ok {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.setIdleSince(conn, time.Time{})
--- a/node/releases.go
+++ b/node/releases.go
@@ -61,7 +61,7 @@
 	// neededSince is when a change of a pool's splits was first needed.
 	neededSince map[string]time.Time
 
-	// lives has a lock of its own.
+	// lives is guarded by the lock of the node.
 	lives streamLives
 }
 
@@ -144,12 +144,9 @@
 	return !ok || owner.ID == n.settings().Name || n.now.Since(since) >= takeOverTime
 }
 
-// streamLives remembers how long streams may last that began under earlier configurations.
-type streamLives struct {
-	mu sync.Mutex
-	// kept are the present life and the longer ones that still matter, the longest first.
-	kept []streamLifeUntil
-}
+// streamLives remembers how long streams may last that began under earlier configurations: the present life
+// and the longer ones that still matter, the longest first.
+type streamLives []streamLifeUntil
 
 // streamLifeUntil is the life of streams, and until when one of them may be taken up.
 type streamLifeUntil struct {
@@ -159,11 +156,9 @@
 
 // longest records the present life of streams, and returns the longest one that still matters.
 func (l *streamLives) longest(now time.Time, life time.Duration) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.kept = slices.DeleteFunc(l.kept, func(k streamLifeUntil) bool { return k.life <= life || !now.Before(k.until) })
-	l.kept = append(l.kept, streamLifeUntil{life, now.Add(life + route.LateSplitTime)})
-	return l.kept[0].life
+	kept := slices.DeleteFunc(*l, func(k streamLifeUntil) bool { return k.life <= life || !now.Before(k.until) })
+	*l = append(kept, streamLifeUntil{life, now.Add(life + route.LateSplitTime)})
+	return (*l)[0].life
 }
 
 // streamLife returns how long a stream that may be under way may last. The node must be locked.
@@ -171,7 +166,7 @@
 	snap := s.n.Board().Snapshot()
 	if snap == nil {
 		// No stream has begun under a configuration that this node knows.
-		return streamLife(nil)
+		return defaultTimeout
 	}
 	return s.lives.longest(s.n.now(), streamLife(snap))
 }
@@ -180,9 +175,6 @@
 // caller.
 func streamLife(snap *policy.Snapshot) time.Duration {
 	life := time.Duration(0)
-	if snap == nil {
-		return defaultTimeout
-	}
 	for _, rt := range snap.Config.Routes {
 		if !rt.Resumable {
 			continue
