--- a/transport/unframed_test.go
+++ b/transport/unframed_test.go
@@ -31,17 +31,7 @@
 		"it has ended, without a body": {http.MethodHead, "", true, true, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer l.Close()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				r := bufio.NewReader(conn)
-				read(r)
+			l := serveOnce(t, func(conn net.Conn, l net.Listener) {
 				if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"+c.head+"\r\n"); err != nil {
 					return
 				}
@@ -51,7 +41,7 @@
 				if c.method != http.MethodHead {
 					_, _ = io.WriteString(conn, "part")
 				}
-			}()
+			})
 			opened := 0
 			// The connection that ended leaves room for the one that checks.
 			p := NewPool(WithOpened(func() { opened++ }), WithMaxConns(func(netip.AddrPort) int { return 1 }))
@@ -91,15 +81,7 @@
 		"a target at its limit resets it": {-1, reset, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer l.Close()
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				read(bufio.NewReader(conn))
+			l := serveOnce(t, func(conn net.Conn, l net.Listener) {
 				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart")
 				if c.lag == 0 {
 					l.Close()
@@ -109,7 +91,7 @@
 					time.Sleep(c.lag)
 					l.Close()
 				}
-			}()
+			})
 			var dials atomic.Int32
 			p := NewPool(WithDial(func(ctx context.Context, target netip.AddrPort) (net.Conn, error) {
 				if dials.Add(1) == 2 && c.second != nil {
@@ -129,3 +111,21 @@
 		})
 	}
 }
+
+// serveOnce accepts one connection, reads a request from it and lets answer do the rest. It returns the
+// listener, which is closed at the end of the test.
+func serveOnce(t *testing.T, answer func(conn net.Conn, l net.Listener)) net.Listener {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		read(bufio.NewReader(conn))
+		answer(conn, l)
+	}()
+	return l
+}
