node: a target that left the list unread is still used (DRAIN), failing test

What callers saw: a request reached a target 12.4 s after the store had acknowledged that it left. The record shows the near miss at the same moment: nodes whose own path to the store is cut keep a target whose entry went, for as long as the cut lasts and 2.0 to 2.6 s after.

TestUnlistedWhileUnread plays this with simulated nodes: an entry goes while some nodes cannot read the list, with and without relays, and with these nodes cut off from the others too.

--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -32,6 +32,8 @@
 	without route.Mechanisms
 	// noConfigs disables passing configurations between nodes.
 	noConfigs bool
+	// bounds changes the bounds of the installation, if it is set.
+	bounds func(*Bounds)
 }
 
 // Figures of a simulated fleet.
@@ -130,6 +132,9 @@
 	s.Callers, s.Readiness, s.Peers, s.Operators = addr, addr, addr, addr
 	s.Seeds, s.Power, s.Heartbeat = f.seeds, power, simHeartbeat
 	s.Bounds.Drain, s.Bounds.Apply, s.Bounds.Weights, s.Bounds.Contact = 4*time.Second, 4*time.Second, 12*time.Second, 5*time.Second
+	if f.bounds != nil {
+		f.bounds(&s.Bounds)
+	}
 	door := &simStoreClient{simStore: f.store, net: f.net, addr: addr.Addr()}
 	f.storeClients = append(f.storeClients, door)
 	suspended := new(atomic.Int64)
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -43,13 +43,24 @@
 	order     route.RolloutOrder
 	orderedAt int64
 	status    RolloutStatus
+	// unlisted are the engines whose entry is gone from the list although they run.
+	unlisted map[netip.AddrPort]bool
+}
+
+// list sets whether engines have an entry in the list.
+func (s *simStore) list(listed bool, engines ...netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, addr := range engines {
+		s.unlisted[addr] = !listed
+	}
 }
 
 func newSimStore(engines int) *simStore {
 	return &simStore{
 		engines: engines, began: time.Now(), rows: make(map[[2]string]fleet.Row), calls: make(map[string]int),
 		counter: 1, namedAt: 1, declaredAt: 1, revision: 1, text: "one",
-		named: "1", loaded: make(map[netip.AddrPort]*simEngine),
+		named: "1", loaded: make(map[netip.AddrPort]*simEngine), unlisted: make(map[netip.AddrPort]bool),
 	}
 }
 
@@ -278,6 +289,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for i := range s.engines {
+		if s.unlisted[simEngineAddr(i)] {
+			continue
+		}
 		e := s.engine(simEngineAddr(i))
 		id, revision := simEngineID(i, e.boot), beat+int64(e.boot)
 		if e.boot > 0 && time.Now().Before(e.startedAt) {
--- a/node/network_test.go
+++ b/node/network_test.go
@@ -139,6 +139,23 @@
 	s.cut[addr] = true
 }
 
+// restore ends the cut of a VM. Its connections, which lost data, are closed.
+func (s *simNetwork) restore(addr netip.Addr) {
+	s.mu.Lock()
+	wasCut := s.cut[addr]
+	delete(s.cut, addr)
+	var lost []*simConn
+	for _, c := range s.conns {
+		if wasCut && (c.out.from.addr == addr || c.out.to.addr == addr) {
+			lost = append(lost, c)
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range lost {
+		c.Close()
+	}
+}
+
 // close closes all connections and prevents new ones.
 func (s *simNetwork) close() {
 	s.mu.Lock()
