--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -72,6 +72,7 @@
 	PoolReached     Code = 321
 	TargetBrittle   Code = 322
 	ReleasesDivided Code = 323
+	TargetRetained  Code = 324
 
 	ConfigAdopted   Code = 401
 	ConfigConfirmed Code = 402
@@ -186,6 +187,7 @@
 	{PoolReached, "pool-reached", slog.LevelInfo, "A pool from which this process was cut off is reached again, or by no other node either; the detail has the pool and how long the cut lasted."},
 	{TargetBrittle, "target-brittle", slog.LevelInfo, "A target announced in its answers how many requests per second it can reject before it fails, changed that or no longer announces it; the detail has the number and its source. Nodes divide its slots among themselves meanwhile."},
 	{ReleasesDivided, "releases-divided", slog.LevelInfo, "The streams of a pool whose targets are of several releases are divided among these; the detail has the number of hash slots of each."},
+	{TargetRetained, "target-retained", slog.LevelInfo, "A reading of the list lacks a target, which is kept for a while because entries lapse while the store is unavailable; the detail has how old the reading before was."},
 
 	{ConfigAdopted, "config-adopted", slog.LevelInfo, "The process uses a new revision of the configuration."},
 	{ConfigConfirmed, "config-confirmed", slog.LevelInfo, "A revision was copied to the object store, which makes it confirmed."},
--- a/node/list.go
+++ b/node/list.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/policy"
 	"github.com/pathhead/pathhead/route"
 )
@@ -24,7 +25,7 @@
 	failing bool
 	// backAt is when the store became available again after a failure.
 	backAt time.Time
-	// refreshedAt is when the newest reading began.
+	// readAt is when the newest reading began.
 	readAt time.Time
 	// missing maps targets that are kept although the readings lack them to the time of the first
 	// reading without them.
@@ -58,14 +59,15 @@
 
 // merge applies a reading that began at the time at. Of two entries with the same address or id the
 // one with the higher revision of the list counts. After an outage of the store, targets that the
-// reading lacks are kept for a while, unless their entry exists but is invalid. A reading that
-// began before the newest one is ignored.
-func (l *targetList) merge(now, at time.Time, read Listing, relayed bool) {
+// reading lacks are kept for a while, unless their entry exists but is invalid; merge returns those
+// that the reading before had. A reading that began before the newest one is ignored.
+func (l *targetList) merge(now, at time.Time, read Listing, relayed bool) (retained []netip.AddrPort) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if at.Before(l.readAt) {
-		return
+		return nil
 	}
+	known := l.missing
 	longGap := !l.readAt.IsZero() && at.Sub(l.readAt) > outageGap
 	outage := l.failing
 	if relayed {
@@ -90,6 +92,12 @@
 	l.retainMissing(now, longGap, fresh, present)
 	l.targets = fresh
 	l.groupReserves()
+	for addr := range l.missing {
+		if _, ok := known[addr]; !ok {
+			retained = append(retained, addr)
+		}
+	}
+	return retained
 }
 
 // touch records a later reading that a relay reported as unchanged. It reports whether the reading
@@ -263,7 +271,10 @@
 // nodes receive the reading itself, without the targets that this node retains.
 func (n *Node) applyListing(at time.Time, read Listing, relayed bool) {
 	read.Targets = n.withoutStores(read.Targets)
-	n.list.merge(n.now(), at, read, relayed)
+	age := n.list.age(at)
+	for _, target := range n.list.merge(n.now(), at, read, relayed) {
+		n.events.Record(event.Event{Code: event.TargetRetained, Target: target.String(), Detail: "the reading before is " + age.Round(time.Millisecond).String() + " older"})
+	}
 	n.relays.publish(at, read.Targets)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		list := n.list.forBoard(b.HasTarget)
