--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -208,7 +208,7 @@
 	{RelayEnded, "relay-ended", slog.LevelInfo, "This process is no longer a relay."},
 	{RelayTaken, "relay-taken", slog.LevelInfo, "This process receives the data of the store and the engines from a relay, which the detail names."},
 	{RelayLost, "relay-lost", slog.LevelWarn, "No relay provides current data of the store; this process reads the store itself until one does."},
-	{ListBorrowed, "list-borrowed", slog.LevelInfo, "This process receives the list of targets from another one, which the detail names, since it cannot read it itself."},
+	{ListBorrowed, "list-borrowed", slog.LevelInfo, "This process receives the list of targets from another one, which the detail names, since it cannot read it itself. Logged once until it reads it again."},
 
 	{LeaseTaken, "lease-taken", slog.LevelInfo, "This process acquired a lease; the detail has its fencing token."},
 	{LeaseLost, "lease-lost", slog.LevelWarn, "This process no longer holds a lease."},
--- a/node/list.go
+++ b/node/list.go
@@ -37,8 +37,8 @@
 	conns map[string]int
 	// fixed are the targets named in the configuration.
 	fixed []*route.Entry
-	// lender is the node whose list is in use; empty if this node reads it.
-	lender string
+	// borrowed is set from the first list taken from another node until this node reads it itself.
+	borrowed bool
 	// heartbeats are the entry revisions last reported to the board.
 	heartbeats map[netip.AddrPort]int64
 }
@@ -149,7 +149,7 @@
 	if r.relayed {
 		l.relayedAt = r.at
 	} else {
-		l.lender = ""
+		l.borrowed = false
 	}
 }
 
--- a/node/list_peers.go
+++ b/node/list_peers.go
@@ -119,21 +119,21 @@
 	if !n.list.needs(begun, r, 0) {
 		return
 	}
-	if n.list.setLender(from.id) {
+	if n.list.beginBorrowing() {
 		n.events.Record(event.Event{Code: event.ListBorrowed, Detail: from.id})
 	}
 	n.list.intern(p.Entries)
 	n.applyListing(r, Listing{Targets: p.Entries})
 }
 
-// setLender sets the node whose list is taken until this node reads it itself. It reports whether
-// that is another one than before.
-func (l *targetList) setLender(id string) (changed bool) {
+// beginBorrowing records that the list is another node's until this node reads it itself. It reports
+// whether that is new.
+func (l *targetList) beginBorrowing() (begun bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	changed = l.lender != id
-	l.lender = id
-	return changed
+	begun = !l.borrowed
+	l.borrowed = true
+	return begun
 }
 
 // addLender records the list that a reporter offers to this relay.
