--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -70,6 +70,8 @@
 	sizes     simSizes
 	// refusals counts the answers of engines that did not run a request; nil if all engines run all.
 	refusals *simRefusals
+	// links are the nodes' links to the engines; nil if none fails.
+	links *simLinks
 }
 
 func newSimFleet(t *testing.T, s simSite) *simFleet {
@@ -140,7 +142,12 @@
 	suspended := new(atomic.Int64)
 	f.suspended = append(f.suspended, suspended)
 	now := func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
-	n, err := New(s, door, nil, f.store, WithClock(now), WithoutMechanisms(f.without), WithPeers(peer.NewClient(peerCallTimeout, nil, peer.WithDial(f.net.dial(addr.Addr())))))
+	opts := []Option{WithClock(now), WithoutMechanisms(f.without), WithPeers(peer.NewClient(peerCallTimeout, nil, peer.WithDial(f.net.dial(addr.Addr()))))}
+	var n *Node
+	if f.links != nil {
+		opts = append(opts, WithTargetDial(f.links.dial(func() *Node { return n })))
+	}
+	n, err := New(s, door, nil, f.store, opts...)
 	require.NoError(f.t, err)
 	return n
 }
@@ -182,13 +189,20 @@
 				{ID: fmt.Sprint("own-", n.settings().Name, id), Tokens: 2890},
 			},
 		}
+		if f.links != nil {
+			req.MaxTries = 2
+		}
 		f.loops.Go(func() {
+			arrived := time.Now()
 			n.queryHolders(f.work, req)
 			refusal := n.Serve(f.work, req, dispatch.NewCall(), func(ctx context.Context, a route.Attempt) route.Outcome {
 				out := route.Outcome{Request: a.Request, Attempt: a.ID, Kind: route.OutcomeDone}
-				if f.refusals != nil {
+				switch {
+				case f.refusals != nil:
 					f.runOrRefuse(ctx, n, a, &out)
 					return out
+				case f.links != nil:
+					return f.links.send(ctx, n, req, a)
 				}
 				pause(ctx, simRequestTime)
 				return out
@@ -196,6 +210,9 @@
 			if f.refusals != nil {
 				f.refusals.ended(refusal)
 			}
+			if f.links != nil {
+				f.links.ended(n, arrived, refusal)
+			}
 		})
 	}
 }
