route, node: nodes of a large fleet know which others are cut off

What callers saw: nodes that lost their links to all targets served far worse at the first try than the others, in a fleet with relays (RECOVER).

Cause: in a large fleet nobody passed on which nodes are cut off. A cut-off node chose another one of its own failure domain, which may be cut off as a whole, was refused, and after three such refusals refused its caller, though others reached the targets.

Every refusal named three nodes that were cut off.

Change: a node reports the pools that it does not reach with its address, and relays merge these reports (PeerState.CutOffRouters). Nodes that are known to be cut off are not asked, and if all others say that they are, the targets are at fault, as in a small fleet.

Ruled out as causes: slow recognition, since failures did not end with the contact time, and too few takers, since no taker refused for load.

--- a/node/handoff.go
+++ b/node/handoff.go
@@ -189,12 +189,14 @@
 	return r
 }
 
-// handoffPeers returns the nodes that take requests from this one.
-func (n *Node) handoffPeers(large bool) []route.HandoffPeer {
+// handoffPeers returns the nodes that take requests from this one. In a large fleet others is the
+// merged state of all other nodes.
+func (n *Node) handoffPeers(large bool, others route.PeerState) []route.HandoffPeer {
 	var out []route.HandoffPeer
 	if large {
+		cutOff := others.CutOffPools()
 		for _, m := range n.relays.handoffMembers() {
-			out = append(out, route.HandoffPeer{Addr: m.Addr, Zone: m.Zone})
+			out = append(out, route.HandoffPeer{Addr: m.Addr, Zone: m.Zone, CutOff: cutOff[m.Addr]})
 		}
 		return out
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -118,14 +118,17 @@
 		}
 		loaded = append(loaded, e.Payload.State.Loaded...)
 	}
-	var position route.Position
+	var (
+		position route.Position
+		others   route.PeerState
+	)
 	if large {
 		position = route.PositionAmong(n.relays.names(), n.settings().Name)
-		others := n.relays.othersState()
+		others = n.relays.othersState()
 		states[allOthers] = others
 		loaded = append(loaded, others.Loaded...)
 	}
-	takers := n.handoffPeers(large)
+	takers := n.handoffPeers(large, others)
 	n.Do(func(b *route.Board, now time.Time) []route.Action {
 		b.SetHandoffPeers(now, takers)
 		holds, pending, own := n.weights.announcement()
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -344,6 +344,7 @@
 	state := n.Board().State(now)
 	// Shared parts are sent to each relay once; see reportTo.
 	state.Fills, state.Kept, state.Shared = nil, nil, nil
+	state.ReportCutOff(n.settings().Peers)
 	_, _, state.Loaded = n.weights.announcement()
 	return state, n.adoption.Status(now)
 }
--- a/route/peers.go
+++ b/route/peers.go
@@ -57,6 +57,8 @@
 	Pools []PoolDemand
 	// CutOff are the pools of which no target responds to this router.
 	CutOff []string
+	// CutOffRouters are these pools with the routers that do not reach them, in a large fleet.
+	CutOffRouters []CutOffRouters
 }
 
 // Load is what a router has in flight at a target.
@@ -234,6 +236,7 @@
 	out.RatesDropped += dropped
 	out.Pools = joinPoolDemands(states)
 	out.Brittle = joinBrittle(states)
+	out.CutOffRouters = joinCutOff(states)
 	return out
 }
 
