node: nodes isolated from a large fleet with all seeds rejoin it

What callers saw: nothing reported. Found while isolated nodes of TestUnlistedWhileUnread were traced.

Cause: eight of 24 nodes, the seeds among them, are cut off from the others for 8 s. Each finds itself alone, takes its fleet for a small one, and after the cut gossips with the seeds, which are in its own group. The large group asks the seeds for relays and reports to them, and that message had no effect on a process of a small fleet. The groups stayed 8 and 16 nodes for as long as they were watched, 29 s, and divided limits and retry budgets on their own.

The question for relays says who asks.

TestIsolatedSeedsRejoin: red before in 2 of 2 cases, green in 3 runs, every node knows all 24 within the contact time (4 s). The mutant is killed. The rest of ./node, ./peer, ./event and ./dispatch without the race detector: green, one run.

--- a/node/relay.go
+++ b/node/relay.go
@@ -60,6 +60,8 @@
 	entries    *route.Feed[netip.AddrPort, *route.Entry]
 	heartbeats *route.Feed[netip.AddrPort, int64]
 	listAt     time.Time
+	// met are nodes of a large fleet that reported to this one, which is not part of it.
+	met map[netip.AddrPort]bool
 	// offers are the lists that reporters offered to this relay, by the reporter's id.
 	offers map[string]listLender
 	// members are the published members, as of the digest membersOf.
@@ -93,6 +95,7 @@
 		outbox:  newOutbox(),
 		echoes:  make(map[route.SentRequest]int),
 		offers:  make(map[string]listLender),
+		met:     make(map[netip.AddrPort]bool),
 
 		sharedSent: make(map[string]sharedCursor),
 		heartbeats: route.NewFeed[netip.AddrPort](func(a, b int64) bool { return a == b }),
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"maps"
 	"net/netip"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/pathhead/pathhead/fleet"
@@ -62,6 +64,7 @@
 // Relay implements [peer.RelayHandler].
 func (n *Node) Relay(in peer.RelayReport) peer.RelayAnswer {
 	n.events.Clock().Observe(in.Stamp)
+	n.relays.meet(in.Word.From)
 	if in.Brief {
 		out := n.relays.brief()
 		if in.Crashes != nil {
@@ -99,6 +102,28 @@
 	return out
 }
 
+// meet records a node that reports here although this one takes its fleet for a small one. Nodes that
+// were cut off from the rest of a large fleet gossip with each other alone until they meet another.
+func (r *relays) meet(from fleet.Member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.large && from.Addr.IsValid() && len(r.met) < maxMet {
+		r.met[from.Addr] = true
+	}
+}
+
+// maxMet bounds the nodes that meet records between two rounds of gossip.
+const maxMet = 4
+
+// takeMet returns the nodes that reported here since the last call.
+func (r *relays) takeMet() []netip.AddrPort {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := slices.Collect(maps.Keys(r.met))
+	clear(r.met)
+	return out
+}
+
 // brief answers with the relays only.
 func (r *relays) brief() peer.RelayAnswer {
 	r.mu.Lock()
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -185,7 +185,7 @@
 // askSeed asks a process of which only the address is known for the relays. Full reports and
 // answers would overload a seed that many nodes ask at once.
 func (r *relays) askSeed(ctx context.Context, addr netip.AddrPort) {
-	answer, err := r.n.peers.Relay(ctx, addr, peer.RelayReport{Stamp: r.n.events.Clock().Now(), Brief: true})
+	answer, err := r.n.peers.Relay(ctx, addr, r.briefReport())
 	if err != nil {
 		r.n.log.Debug("querying a seed failed", "seed", addr, "error", err)
 		return
@@ -195,6 +195,13 @@
 	r.roster.Hint(r.n.now(), append(answer.Word.Relays, answer.Word.From)...)
 }
 
+// briefReport returns a message that only tells who asks.
+func (r *relays) briefReport() peer.RelayReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return peer.RelayReport{Stamp: r.n.events.Clock().Now(), Brief: true, Word: r.roster.RelayMessage(r.n.now())}
+}
+
 // applyAnswer applies a relay's answer to a report that was sent at begun.
 func (r *relays) applyAnswer(ctx context.Context, begun time.Time, from fleet.Member, a peer.RelayAnswer) {
 	if a.News != nil {
