node: how steadily a list was read is told for the reading passed on; gauge of cut-off pools

A relay publishes a reading after it has merged it, and stated for the published one how long the merged one had been read without an outage, up to 0.75 s more at the bounds of large installations. A reporter could drop targets that much too early after an outage. Found by reading the diff; no test shows it.

--- a/node/list_gap_test.go
+++ b/node/list_gap_test.go
@@ -138,7 +138,7 @@
 	read := func(after time.Duration, relayed bool, steady time.Duration) time.Duration {
 		now = now.Add(after)
 		l.merge(listReading{at: now, relayed: relayed, steady: steady}, Listing{Targets: entries(a)})
-		return l.steady()
+		return l.steady(now)
 	}
 	require.Zero(t, read(0, false, 0))
 	require.Equal(t, time.Second, read(time.Second, false, 0))
--- a/node/list_pages.go
+++ b/node/list_pages.go
@@ -128,7 +128,7 @@
 		from++
 	}
 	to := min(from+listPageEntries, len(keys))
-	p := peer.ListPage{More: to < len(keys), News: peer.RelayUpdate{ListAge: n.now.Since(r.listAt), Steady: n.list.steady(), Cursor: r.cursor()}}
+	p := peer.ListPage{More: to < len(keys), News: peer.RelayUpdate{ListAge: n.now.Since(r.listAt), Steady: n.list.steady(r.listAt), Cursor: r.cursor()}}
 	for _, addr := range keys[from:to] {
 		if e, ok := r.entries.Get(addr); ok {
 			p.Entries = append(p.Entries, e)
--- a/node/list_peers.go
+++ b/node/list_peers.go
@@ -47,12 +47,12 @@
 	return !l.readAt.IsZero() && !l.partial && len(l.targets) <= largePoolSize
 }
 
-// steady returns for how long, up to the newest reading, the list was read without an outage of the
-// store.
-func (l *targetList) steady() time.Duration {
+// steady returns for how long, up to a reading that began at the time at, the list was read without an
+// outage of the store.
+func (l *targetList) steady(at time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.readAt.Sub(l.steadyFrom)
+	return max(0, at.Sub(l.steadyFrom))
 }
 
 // lend returns the list for a node that cannot read it.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -166,6 +166,11 @@
 		}
 		return 0
 	})
+	n.metrics.NewGauge("pathhead_pools_cut_off", func() float64 {
+		n.Lock()
+		defer n.Unlock()
+		return float64(n.Board().PoolsCutOff())
+	})
 	n.metrics.NewGauge("pathhead_callers_memory_bytes", func() float64 {
 		held, _ := n.memory.usage()
 		return float64(held)
--- a/node/relay.go
+++ b/node/relay.go
@@ -60,10 +60,6 @@
 	entries    *route.Feed[netip.AddrPort, *route.Entry]
 	heartbeats *route.Feed[netip.AddrPort, int64]
 	listAt     time.Time
-	// met are nodes of a large fleet that reported to this one, which is not part of it.
-	met map[netip.AddrPort]bool
-	// offers are the lists that reporters offered to this relay, by the reporter's id.
-	offers map[string]listLender
 	// members are the published members, as of the digest membersOf.
 	members   *route.Feed[string, fleet.Member]
 	membersOf uint64
@@ -75,6 +71,10 @@
 	// followed is the state received from the relay that this node follows.
 	followed followedRelay
 	outbox   outbox
+	// met are nodes of a large fleet that reported to this one, which takes its own for a small one.
+	met map[netip.AddrPort]bool
+	// offers are the lists that reporters offered to this relay, by the reporter's id.
+	offers map[string]listLender
 	// echoes counts the requests of this node that relays will send back to it.
 	echoes map[route.SentRequest]int
 	// sharedSent is the position up to which shared parts were sent to each relay.
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -189,7 +189,7 @@
 	if known.Epoch != epoch {
 		known = peer.RelayCursor{}
 	}
-	out := &peer.RelayUpdate{ListAge: now.Sub(r.listAt), Steady: r.n.list.steady()}
+	out := &peer.RelayUpdate{ListAge: now.Sub(r.listAt), Steady: r.n.list.steady(r.listAt)}
 	if out.Paged = r.entries.Len() > listPageEntries && !r.entries.Covers(known.Entries); out.Paged {
 		return out
 	}
--- a/route/handoff.go
+++ b/route/handoff.go
@@ -246,6 +246,16 @@
 	return !p.link.cutAt.IsZero()
 }
 
+// PoolsCutOff returns the number of pools from which this router is cut off.
+func (b *Board) PoolsCutOff() (count int) {
+	for _, p := range b.pools {
+		if !p.link.cutAt.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // reachedByPeers reports whether another router that takes requests reaches the pool.
 func (b *Board) reachedByPeers(p *pool) bool {
 	return slices.ContainsFunc(b.handoffs.peers, func(h HandoffPeer) bool { return h.reaches(p) })
