--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -43,7 +43,7 @@
 	order     route.RolloutOrder
 	orderedAt int64
 	status    RolloutStatus
-	// unlisted are the engines whose entry is gone from the list although they run.
+	// unlisted are the engines that run without an entry in the list.
 	unlisted map[netip.AddrPort]bool
 }
 
--- a/node/list.go
+++ b/node/list.go
@@ -68,8 +68,8 @@
 	at time.Time
 	// relayed is set if another node read it.
 	relayed bool
-	// steady is for how long, up to this reading, other nodes read the list without an outage of the
-	// store.
+	// steady is the time before this reading in which other nodes read the list without an outage of
+	// the store.
 	steady time.Duration
 }
 
--- a/node/list_gap_test.go
+++ b/node/list_gap_test.go
@@ -89,7 +89,7 @@
 }
 
 // A reading of another node, for which the store was available long enough for expired entries to be
-// back, shows that missing ones are gone, whether it arrives during this node's own failures or after
+// back, shows that missing targets left, whether it arrives during this node's own failures or after
 // its own reading.
 func TestListMergeSteady(t *testing.T) {
 	start := time.Unix(100, 0)
@@ -129,7 +129,7 @@
 	}
 }
 
-// For how long the list was read without an outage is passed on with it. A restore of the store from
+// The time without an outage is passed on with the list. A restore of the store from
 // an older copy counts as an outage.
 func TestListSteady(t *testing.T) {
 	now := time.Unix(100, 0)
@@ -153,7 +153,7 @@
 	require.Zero(t, read(0, false, 0))
 }
 
-// After a failed read of its own, a node takes an entry that went since another node's reading for
+// After a failed read, a node takes an entry that disappeared since another node's reading for
 // that of a target that left, unless that reading began before an outage.
 func TestListMergeOwnAfterRelayed(t *testing.T) {
 	start := time.Unix(100, 0)
--- a/node/list_pages.go
+++ b/node/list_pages.go
@@ -113,7 +113,7 @@
 
 // List implements [peer.ListHandler].
 func (n *Node) List(q peer.ListQuery) (peer.ListPage, bool) {
-	if q.Whole {
+	if q.Complete {
 		return n.list.lend(n.now())
 	}
 	r := n.relays
--- a/node/list_peers.go
+++ b/node/list_peers.go
@@ -12,9 +12,9 @@
 	"github.com/pathhead/pathhead/peer"
 )
 
-// A node that cannot read the list takes it from one that can. The entry of a target may go without
-// notice, and only a node that reads the list all along can tell one that left from one whose entry
-// expired while the store was down.
+// A node that cannot read the list takes it from one that can. The entry of a target may disappear
+// without notice, and only a node that reads the list throughout distinguishes a target that left from
+// one whose entry expired while the store was down.
 
 // lendAgeFraction is the age of the list, as a fraction of the drain bound, from which on a node
 // takes it from others: its own next reading is late by then.
@@ -47,8 +47,8 @@
 	return !l.readAt.IsZero() && !l.partial && len(l.targets) <= largePoolSize
 }
 
-// steady returns for how long, up to a reading that began at the time at, the list was read without an
-// outage of the store.
+// steady returns the time before a reading that began at the time at in which the list was read without
+// an outage of the store.
 func (l *targetList) steady(at time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -68,7 +68,7 @@
 }
 
 // needs reports whether this node needs a reading of another node: a newer one, if the known one is
-// older than maxAge, or one that shows which of the retained targets are gone.
+// older than maxAge, or one that shows which of the retained targets left.
 func (l *targetList) needs(now time.Time, r listReading, maxAge time.Duration) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,7 +110,7 @@
 // borrowListFrom takes the list from another node.
 func (n *Node) borrowListFrom(ctx context.Context, from listLender) {
 	begun := n.now()
-	p, err := n.peers.List(ctx, from.addr, peer.ListQuery{Whole: true})
+	p, err := n.peers.List(ctx, from.addr, peer.ListQuery{Complete: true})
 	if err != nil || p.More {
 		n.log.Debug("taking the list of another node failed", "node", from.id, "error", err)
 		return
@@ -146,7 +146,7 @@
 	r.offers[from.ID] = newListLender(from.ID, from.Addr, r.n.now(), o)
 }
 
-// lenders returns the reporters that offered their list lately.
+// lenders returns the reporters that recently offered their list.
 func (r *relays) lenders(now time.Time) []listLender {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/peers.go
+++ b/node/peers.go
@@ -19,7 +19,7 @@
 			every = reportInterval
 		} else {
 			n.gossip.Round(ctx)
-			n.gossip.ExchangeWith(ctx, n.relays.takeMet())
+			n.gossip.ExchangeWith(ctx, n.relays.partitionContacts())
 			every = n.gossip.Period(gossipInterval)
 		}
 		n.borrowList(ctx)
--- a/node/relay.go
+++ b/node/relay.go
@@ -71,8 +71,8 @@
 	// followed is the state received from the relay that this node follows.
 	followed followedRelay
 	outbox   outbox
-	// met are nodes of a large fleet that reported to this one, which takes its own for a small one.
-	met map[netip.AddrPort]bool
+	// otherPartition are nodes of a large fleet that reported to this one, whose own fleet is small.
+	otherPartition map[netip.AddrPort]bool
 	// offers are the lists that reporters offered to this relay, by the reporter's id.
 	offers map[string]listLender
 	// echoes counts the requests of this node that relays will send back to it.
@@ -88,14 +88,14 @@
 	now := n.now()
 	self := fleet.Member{ID: s.Name, Addr: s.Peers, Zone: s.Zone, Epoch: now.UnixNano(), Power: s.Power, TakesHandoffs: !n.disabled.Has(route.HandingOver)}
 	return &relays{
-		n:       n,
-		roster:  fleet.NewRoster(now, self, rosterTimeout, fleet.WithStateAging(route.PeerState.Aged)),
-		entries: route.NewFeed[netip.AddrPort](sameEntry),
-		members: route.NewFeed[string](func(a, b fleet.Member) bool { return a == b }),
-		outbox:  newOutbox(),
-		echoes:  make(map[route.SentRequest]int),
-		offers:  make(map[string]listLender),
-		met:     make(map[netip.AddrPort]bool),
+		n:              n,
+		roster:         fleet.NewRoster(now, self, rosterTimeout, fleet.WithStateAging(route.PeerState.Aged)),
+		entries:        route.NewFeed[netip.AddrPort](sameEntry),
+		members:        route.NewFeed[string](func(a, b fleet.Member) bool { return a == b }),
+		outbox:         newOutbox(),
+		echoes:         make(map[route.SentRequest]int),
+		offers:         make(map[string]listLender),
+		otherPartition: make(map[netip.AddrPort]bool),
 
 		sharedSent: make(map[string]sharedCursor),
 		heartbeats: route.NewFeed[netip.AddrPort](func(a, b int64) bool { return a == b }),
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -64,7 +64,7 @@
 // Relay implements [peer.RelayHandler].
 func (n *Node) Relay(in peer.RelayReport) peer.RelayAnswer {
 	n.events.Clock().Observe(in.Stamp)
-	n.relays.meet(in.Word.From)
+	n.relays.recordPartition(in.Word.From)
 	if in.Brief {
 		out := n.relays.brief()
 		if in.Crashes != nil {
@@ -102,25 +102,26 @@
 	return out
 }
 
-// meet records a node that reports here although this one takes its fleet for a small one. Nodes that
-// were cut off from the rest of a large fleet gossip with each other alone until they meet another.
-func (r *relays) meet(from fleet.Member) {
+// recordPartition records a node of a large fleet that reports to this one, whose own fleet is small:
+// the two are partitions of one fleet, which merge once this node gossips with the other.
+func (r *relays) recordPartition(from fleet.Member) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.large && from.Addr.IsValid() && len(r.met) < maxMet {
-		r.met[from.Addr] = true
+	if !r.large && from.Addr.IsValid() && len(r.otherPartition) < maxPartitionContacts {
+		r.otherPartition[from.Addr] = true
 	}
 }
 
-// maxMet bounds the nodes that meet records between two rounds of gossip.
-const maxMet = 4
+// maxPartitionContacts bounds the nodes of another partition that are recorded between two rounds of
+// gossip.
+const maxPartitionContacts = 4
 
-// takeMet returns the nodes that reported here since the last call.
-func (r *relays) takeMet() []netip.AddrPort {
+// partitionContacts returns the nodes of another partition that reported since the last call.
+func (r *relays) partitionContacts() []netip.AddrPort {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := slices.Collect(maps.Keys(r.met))
-	clear(r.met)
+	out := slices.Collect(maps.Keys(r.otherPartition))
+	clear(r.otherPartition)
 	return out
 }
 
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -25,7 +25,7 @@
 	// at is when the call with the last answer began; listAt and confirmedAt are the times of the
 	// relay's readings of the list and the declaration.
 	at, listAt, confirmedAt time.Time
-	// steady is for how long, up to listAt, the list was read without an outage of the store.
+	// steady is the time before listAt in which the list was read without an outage of the store.
 	steady time.Duration
 }
 
@@ -195,7 +195,7 @@
 	r.roster.Hint(r.n.now(), append(answer.Word.Relays, answer.Word.From)...)
 }
 
-// briefReport returns a message that only tells who asks.
+// briefReport returns a message that contains only the sender and the relays it knows.
 func (r *relays) briefReport() peer.RelayReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/peer/list.go
+++ b/peer/list.go
@@ -13,9 +13,9 @@
 type ListQuery struct {
 	// After is the last address of the previous page, invalid for the first page.
 	After netip.AddrPort
-	// Whole requests the whole list in one page from any process, as of the last reading that it
+	// Complete requests the complete list in one page from any process, as of the last reading that it
 	// has. A process without a list, or with a long one, refuses.
-	Whole bool
+	Complete bool
 }
 
 // ListOffer describes the list of targets that a process passes on to others; the zero value offers
@@ -23,7 +23,7 @@
 type ListOffer struct {
 	// Age is the time since the newest reading of the list began.
 	Age time.Duration
-	// Steady is for how long, up to that reading, the list was read without an outage of the store.
+	// Steady is the time before that reading in which the list was read without an outage of the store.
 	Steady time.Duration
 }
 
@@ -33,7 +33,7 @@
 	Entries []*route.Entry
 	More    bool
 	// News has the relay's cursor and the age of its list at this page. The changes since the
-	// first page's cursor, applied to all pages, complete the list. A whole list has no cursor.
+	// first page's cursor, applied to all pages, complete the list. A complete list has no cursor.
 	News RelayUpdate
 }
 
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -67,7 +67,7 @@
 	// ListAge is the time since the relay began the read of the list of targets that the
 	// changes reflect.
 	ListAge time.Duration
-	// Steady is for how long, up to that read, the list was read without an outage of the store.
+	// Steady is the time before that read in which the list was read without an outage of the store.
 	Steady time.Duration
 	// Entries are changed entries of the list, Beats the heartbeats of targets whose entry
 	// is unchanged; if the matching Full flag is set, they replace all earlier ones.
