--- a/node/unlisted_test.go
+++ b/node/unlisted_test.go
@@ -52,6 +52,9 @@
 		"most relays among them":           {site: large, cut: 23},
 		"most relays among them, isolated": {site: large, cut: 20, isolated: true},
 	} {
+		if raceDetector && c.site.nodes == large.nodes {
+			continue
+		}
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newSimFleet(t, c.site)
