node: the offer of a list and the lent list share one computation

offer and lend each decided whether the list may be passed on, and computed its age and its time without an outage. Both use currentOffer now. Behaviour stays as it is, but that a lent list states an age of at least 1 ns, as its offer did.

--- a/node/list_peers.go
+++ b/node/list_peers.go
@@ -36,17 +36,18 @@
 func (l *targetList) offer(now time.Time) peer.ListOffer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.mayBeLent() {
+	return l.currentOffer(now)
+}
+
+// currentOffer is offer for a caller that holds l.mu. A list that does not fit in one message is not
+// offered.
+func (l *targetList) currentOffer(now time.Time) peer.ListOffer {
+	if l.readAt.IsZero() || l.partial || len(l.targets) > largePoolSize {
 		return peer.ListOffer{}
 	}
 	return peer.ListOffer{Age: max(now.Sub(l.readAt), 1), Steady: l.readAt.Sub(l.steadyFrom)}
 }
 
-// mayBeLent reports whether there is a list that fits in one message. The caller holds l.mu.
-func (l *targetList) mayBeLent() bool {
-	return !l.readAt.IsZero() && !l.partial && len(l.targets) <= largePoolSize
-}
-
 // steady returns the time before a reading that began at the time at in which the list was read without
 // an outage of the store.
 func (l *targetList) steady(at time.Time) time.Duration {
@@ -59,10 +60,11 @@
 func (l *targetList) lend(now time.Time) (p peer.ListPage, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.mayBeLent() {
+	o := l.currentOffer(now)
+	if o.Age == 0 {
 		return p, false
 	}
-	p.News = peer.RelayUpdate{ListAge: now.Sub(l.readAt), Steady: l.readAt.Sub(l.steadyFrom)}
+	p.News = peer.RelayUpdate{ListAge: o.Age, Steady: o.Steady}
 	p.Entries = l.withoutRetained()
 	return p, true
 }
