review: case 3, a late copy of a refusal answers the second send of the request

Found by reading route/resend.go and transport/pool.go: the request goes out again with the same id on the connection that carried the refusal. Trials that did not show it: a frozen node, a node killed amid a change of weights, and routes with two attempts.

--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -29,6 +29,7 @@
 
 // drills are the cases by name.
 var drills = map[string]drill{
+	"surplus":   playSurplus,
 	"truncated": playTruncated,
 	"wall":      playWall,
 }
