node: the simulated fleet counts its loops where the node does

Cause: the harness kept the loops of a node in a group of the fleet and then waited for the node's own group. That was at zero when a loop that was still in a round began a call, and WaitGroup.Go from zero must not overlap Wait. Node.Run counts its loops in n.loops, so the product has no such moment.

Change: the harness counts them there as well.

--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -152,14 +152,15 @@
 	return n
 }
 
-// run runs a node's loops until the fleet stops.
+// run runs a node's loops until the fleet stops. Like [Node.Run] it counts them in n.loops, which must not
+// be empty while a loop may still start a call.
 func (f *simFleet) run(n *Node) {
 	l := f.net.listen(n.settings().Peers)
 	f.loops.Go(func() { _ = peer.Serve(l, &simHandler{Node: n, sizes: &f.sizes, noConfigs: f.noConfigs}) })
 	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.releases.loop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop} {
-		f.loops.Go(func() { loop(f.work) })
+		n.loops.Go(func() { loop(f.work) })
 	}
-	f.loops.Go(func() { n.Tick(f.work, tickInterval) })
+	n.loops.Go(func() { n.Tick(f.work, tickInterval) })
 	f.loops.Go(func() { f.callers(n) })
 	<-f.work.Done()
 	l.Close()
