transport, node: a request sent again takes another connection

Cause: an answer names its request, not the send that it belongs to. The pool gives the connection that was released last, which carried the refusal, and a late copy of the 421 on it was taken for the answer to the second send.

Change: transport.Sends records the connections that carried a request while it lasts; a later send takes another one, or a new one. A request that another node hands over after a target has received it gets a connection of its own, since earlier sends of it here belong to another record.

Why it holds: a late copy comes on the connection of its answer, and no send uses a connection that carried the request before. Other requests go on using it, where the copy has a foreign id. Closing each connection that carried a refusal was weighed and costs a new one for each, also where nothing is sent again.

--- a/node/forward.go
+++ b/node/forward.go
@@ -28,6 +28,8 @@
 	v    *callerRequest
 	req  route.Request
 	head http.Header
+	// sends are the connections on which the request was sent to targets.
+	sends transport.Sends
 	// answer is a complete response to be sent to the caller. It is sent after its attempt has ended,
 	// so that a caller that reads slowly does not occupy the target.
 	answer *bufferedAnswer
@@ -381,6 +383,9 @@
 	id := f.v.info.ID
 	return transport.Request{
 		Target: a.Target, Method: f.v.r.Method, URI: f.v.uri, Host: f.v.r.Host, Header: h, Body: f.v.body, Patient: true,
+		Sends: &f.sends,
+		// An earlier send of the request by this node, for the same other node, is not among f.sends.
+		Fresh:   f.req.HandedOver && f.req.Sent,
 		Matches: func(h http.Header) bool { return f.n.protocol.BelongsTo(h, id) },
 	}
 }
--- a/transport/dial_test.go
+++ b/transport/dial_test.go
@@ -22,7 +22,7 @@
 		return new(net.Dialer).DialContext(ctx, "tcp", target.String())
 	}))
 	defer p.Close()
-	c, err := p.get(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	c, err := p.get(t.Context(), netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), nil)
 	require.NoError(t, err)
 	defer c.discard()
 	require.Equal(t, int(userTimeout.Milliseconds()), socketOption(t, c, syscall.IPPROTO_TCP, tcpUserTimeout))
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -71,9 +72,11 @@
 	now         clock.Clock
 	dialTarget  DialFunc
 
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*conn
-	open   map[netip.AddrPort]int
+	mu   sync.Mutex
+	idle map[netip.AddrPort][]*conn
+	open map[netip.AddrPort]int
+	// dialed is the number of connections opened so far.
+	dialed uint64
 	closed bool
 }
 
@@ -122,6 +125,8 @@
 	net.Conn
 	pool   *Pool
 	target netip.AddrPort
+	// serial is unique among the pool's connections.
+	serial uint64
 	r      *bufio.Reader
 	// expiresAt is when an idle connection is closed.
 	expiresAt time.Time
@@ -130,11 +135,12 @@
 	used       bool
 }
 
-// get returns an idle connection that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, target netip.AddrPort) (*conn, error) {
+// get returns an idle connection that is still usable and that earlier does not contain, or a new one.
+func (p *Pool) get(ctx context.Context, target netip.AddrPort, earlier *Sends) (*conn, error) {
 	for {
-		c := p.takeIdle(target)
+		c := p.takeIdle(target, earlier)
 		if c == nil {
+			p.makeRoom(target)
 			return p.dial(ctx, target)
 		}
 		if c.noPendingInput() {
@@ -144,15 +150,20 @@
 	}
 }
 
-func (p *Pool) takeIdle(target netip.AddrPort) *conn {
+// takeIdle removes the connection that was released last from those that earlier does not contain.
+func (p *Pool) takeIdle(target netip.AddrPort, earlier *Sends) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[target]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		expired := !p.now().Before(c.expiresAt)
+		if !expired && earlier.contains(c) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		p.idle[target] = list
-		if p.now().Before(c.expiresAt) {
+		if !expired {
 			return c
 		}
 		p.closeLocked(c)
@@ -160,6 +171,18 @@
 	return nil
 }
 
+// makeRoom closes the connection to a target that has been idle for longest if no other may be opened.
+func (p *Pool) makeRoom(target netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit, list := p.maxConns(target), p.idle[target]
+	if limit <= 0 || p.open[target] < limit || len(list) == 0 {
+		return
+	}
+	p.idle[target] = list[1:]
+	p.closeLocked(list[0])
+}
+
 // closeLocked closes a connection that is not in the idle list; the caller holds the lock.
 func (p *Pool) closeLocked(c *conn) {
 	if p.open[c.target]--; p.open[c.target] <= 0 {
@@ -188,7 +211,11 @@
 		return nil, ErrUnsent.Errorf("target %s: %w", target, err)
 	}
 	p.opened()
-	return &conn{Conn: nc, pool: p, target: target, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	p.mu.Lock()
+	p.dialed++
+	serial := p.dialed
+	p.mu.Unlock()
+	return &conn{Conn: nc, pool: p, target: target, serial: serial, r: bufio.NewReaderSize(nc, readBuffer)}, nil
 }
 
 // tcpUserTimeout is the number of the TCP_USER_TIMEOUT option (linux/tcp.h), which package syscall lacks.
--- a/transport/send.go
+++ b/transport/send.go
@@ -31,6 +31,9 @@
 	// Fresh requests a new connection that no other request uses. If the target has just
 	// closed a reused one, a failed write does not show whether any byte was sent.
 	Fresh bool
+	// Sends holds the connections of earlier sends of this request, which this one does not use, and
+	// records its own.
+	Sends *Sends
 	// Patient leaves the end of the exchange to its context: the kernel does not end it, however long
 	// the target's machine responds to nothing.
 	Patient bool
@@ -56,15 +59,12 @@
 // [ErrUnsent] if no byte of the request was sent; after any other error the target may have
 // run it. Cancelling ctx closes the connection, also while the body is read.
 func (p *Pool) Send(ctx context.Context, req Request) (*Response, error) {
-	open := p.get
-	if req.Fresh {
-		open = p.dial
-	}
 	start := p.now()
-	c, err := open(ctx, req.Target)
+	c, err := p.connect(ctx, req)
 	if err != nil {
 		return nil, err
 	}
+	req.Sends.add(c)
 	if elapsed := p.now.Since(start); elapsed > p.dialTimeout {
 		// Opening ends within dialTimeout, so this process was suspended meanwhile. The caller's
 		// earlier checks may no longer hold, and nothing has been sent yet.
@@ -95,6 +95,14 @@
 	return resp, nil
 }
 
+// connect returns the connection on which a request is sent.
+func (p *Pool) connect(ctx context.Context, req Request) (*conn, error) {
+	if req.Fresh {
+		return p.dial(ctx, req.Target)
+	}
+	return p.get(ctx, req.Target, req.Sends)
+}
+
 // exchange is a request and its answer on one connection.
 type exchange struct {
 	conn *conn
--- a/transport/stalled_test.go
+++ b/transport/stalled_test.go
@@ -156,7 +156,7 @@
 	p := NewPool()
 	defer p.Close()
 	require.NoError(t, sendWithin(t, p, proxy.addr, 10*time.Second))
-	held, err := p.get(t.Context(), proxy.addr)
+	held, err := p.get(t.Context(), proxy.addr, nil)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
