policy, node: a model is identified by its pool and its name

What callers saw: nothing. Where two services of engines had one model, the requests to one of them arrived without Cache-Salt, Expect-Version and Priority.

Cause: policy.Compile kept one model for each name, the last in the list, and node.request took a request to any other pool for one without a model. The order of the services decides which one loses; no change of the configuration is needed.

Evidence: on TestPlatformModelAtTwoServices fails with the second service first ("same-5 at engines-2": no salt, "run same-8 used parts across the boundary of an isolated tenant") and with it last ("same-1 at engines"), and TestPlatformModelAtAddedService fails too. All pass now, also with new weights named while both services have the model.

The name alone is left to the models' API, where the validation makes it unique; the users' platform allows one model at several services, so that check is not called for it.

--- a/fleet/plan.go
+++ b/fleet/plan.go
@@ -378,7 +378,7 @@
 	if w.From == "" {
 		return true
 	}
-	m, _, ok := snap.Model(w.Model)
+	m, _, ok := snap.ModelAt(p.pool, w.Model)
 	if !ok {
 		return true
 	}
--- a/node/forward.go
+++ b/node/forward.go
@@ -156,7 +156,7 @@
 		req.Priority = 0
 	}
 	v.applyHanded(n.now(), &req)
-	if m, _, ok := v.snap.Model(v.info.Model); ok && m.Pool == req.Pool {
+	if m, _, ok := v.snap.ModelAt(req.Pool, v.info.Model); ok {
 		req.Model = m
 	}
 	return req
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -19,10 +19,13 @@
 	Revision int64
 	Config   *Config
 
-	orgs     map[string]*Org
-	keys     map[[sha256.Size]byte]compiledKey
-	pools    map[string]*CompiledPool
+	orgs  map[string]*Org
+	keys  map[[sha256.Size]byte]compiledKey
+	pools map[string]*CompiledPool
+	// models holds the models by name, pooled those of each pool. Callers of the models' API name a model
+	// alone, which is unique there; elsewhere the route decides the pool, and several may have one model.
 	models   map[string]*Model
+	pooled   map[modelKey]*Model
 	policies []compiledPolicy
 	calls    map[string]bool
 	// routes holds the routes of each host, those with the longest path first.
@@ -40,6 +43,9 @@
 	Priority    *int
 }
 
+// modelKey identifies a model in a pool.
+type modelKey struct{ pool, name string }
+
 // compiledKey is the hash of an API key with the organisation that it belongs to.
 type compiledKey struct {
 	sum [sha256.Size]byte
@@ -72,6 +78,7 @@
 		keys:     make(map[[sha256.Size]byte]compiledKey),
 		pools:    make(map[string]*CompiledPool),
 		models:   make(map[string]*Model),
+		pooled:   make(map[modelKey]*Model),
 		calls:    make(map[string]bool),
 		routes:   make(map[string][]*Route),
 	}
@@ -82,7 +89,9 @@
 		return nil, err
 	}
 	for i := range cfg.Models {
-		s.models[cfg.Models[i].Name] = &cfg.Models[i]
+		m := &cfg.Models[i]
+		s.models[m.Name] = m
+		s.pooled[modelKey{m.Pool, m.Name}] = m
 	}
 	s.compileRoutes()
 	for _, r := range cfg.Routes {
@@ -200,8 +209,18 @@
 // model:adapter.
 func (s *Snapshot) Model(name string) (m *Model, adapter string, ok bool) {
 	base, adapter, _ := strings.Cut(name, ":")
-	m, ok = s.models[base]
-	if !ok {
+	return withAdapter(s.models[base], adapter)
+}
+
+// ModelAt returns a model of a pool by the name that callers use.
+func (s *Snapshot) ModelAt(pool, name string) (m *Model, adapter string, ok bool) {
+	base, adapter, _ := strings.Cut(name, ":")
+	return withAdapter(s.pooled[modelKey{pool, base}], adapter)
+}
+
+// withAdapter checks that a model has an adapter, if one is named; m is nil if there is no such model.
+func withAdapter(m *Model, adapter string) (*Model, string, bool) {
+	if m == nil {
 		return nil, "", false
 	}
 	if adapter == "" {
