route, platform: every request to a target has a salt

What could be seen: isolated organisations share cached parts with others at any service of engines that the node does not take for one: its model is not declared there, or the configuration describes a plain service.

Cause: the salt came with the model. Without one Protocol.Header returned before it set Cache-Salt, and no salt is one text for all.

Change: the board gives each attempt a salt, of the organisation (where it is isolated) and the pool, and of model, adapter and weights where they are known. The name of a model that the caller states is left out: the hash does not withstand chosen texts. What depended on an attempt's salt depends on its model now. The salt names the pool, since kept parts belong to a service, and another one may have another size of KV cache under the same model name.

Why it holds: a salt follows from what every request has, so that no lookup can leave it out. The board's fuzz test checks it for plain requests as well.

Tried and taken back: the pool in the seed of the homes too.

--- a/route/arrive.go
+++ b/route/arrive.go
@@ -256,10 +256,9 @@
 	}
 	a.Attempt = Attempt{
 		ID: r.newAttempt(), Request: r.ID, Target: c.target.addr, Incarnation: c.target.incarnation,
-		Weights: c.weights, Resume: r.delivered, Fetch: c.fetchFrom, Number: r.tries, Reason: c.reason(now, r, len(b.scratch)),
+		Weights: c.weights, Salt: r.salt(c), Resume: r.delivered, Fetch: c.fetchFrom, Number: r.tries, Reason: c.reason(now, r, len(b.scratch)),
 	}
 	if c.chain != nil {
-		a.Salt = c.chain.salt
 		a.FirstToken = b.firstTokenIn(now, p, c, r)
 		a.uncached = c.uncached(r)
 		a.ahead, a.crowded = c.target.tokensAhead(now), c.target.inFlight() >= c.target.slots()
@@ -290,6 +289,14 @@
 	return Send{Attempt: a.Attempt}
 }
 
+// salt returns the salt for an attempt at a candidate.
+func (r *request) salt(c *candidate) string {
+	if c.chain != nil {
+		return c.chain.salt
+	}
+	return r.Salt("").String()
+}
+
 // recordExpectedFill records immediately what the target will have cached, so that requests
 // with the same uncached prefix are sent there instead of filling another cache.
 func (b *Board) recordExpectedFill(now time.Time, c *candidate) {
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -36,7 +36,7 @@
 	b.endFill(a)
 	a.target.prefill -= a.uncached
 	b.recordRecovery(a.target)
-	if a.Salt != "" {
+	if r.Model != nil {
 		b.recordFills(now, r, a)
 		return append(b.offerExport(now, r, a), b.dispatch(now)...)
 	}
@@ -173,7 +173,7 @@
 // engine reports.
 func (b *Board) learnFromUsage(now time.Time, r *request, a *attempt, u *Usage) {
 	b.recordRecovery(a.target)
-	if u == nil || a.Salt == "" || a.Resume {
+	if u == nil || r.Model == nil || a.Resume {
 		return
 	}
 	if a.heldTokens == 0 {
@@ -225,7 +225,7 @@
 		return
 	}
 	a.target.failedSends.add(now, 1)
-	if r, ok := b.requests[o.Request]; ok && a.Salt != "" {
+	if r, ok := b.requests[o.Request]; ok && r.Model != nil {
 		b.prefixes.forget(r.chain(a.Weights), a.target.slot)
 	}
 	switch {
--- a/route/board_test.go
+++ b/route/board_test.go
@@ -133,9 +133,6 @@
 		return fmt.Errorf("attempt %s was sent to %s, which is draining in the list", a.ID, a.Incarnation)
 	}
 	r := w.asked[a.Request]
-	if r.Model == nil {
-		return nil
-	}
 	if want := r.Salt(a.Weights).String(); a.Salt != want {
 		return fmt.Errorf("attempt %s has salt %s, want %s", a.ID, a.Salt, want)
 	}
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -1,6 +1,11 @@
 package route
 
-import "github.com/zeebo/xxh3"
+import (
+	"encoding/hex"
+	"strings"
+
+	"github.com/zeebo/xxh3"
+)
 
 // Block identifies a block of a prompt together with everything before it.
 //
@@ -23,9 +28,11 @@
 	return n
 }
 
-// Salt identifies the owner and the model state that cached blocks belong to.
+// Salt identifies the owner and the model state that cached blocks belong to. A model belongs to its pool:
+// another pool may have one of the same name, whose cached blocks have another size.
 type Salt struct {
 	Org     string
+	Pool    string
 	Model   string
 	Adapter string
 	Weights string
@@ -36,14 +43,12 @@
 
 // String returns the salt as it is sent to engines: a hash, which does not reveal the
 // organisation's name.
-func (s Salt) String() string {
-	sum := xxh3.HashString128(s.Org + fieldEnd + s.Model + fieldEnd + s.Adapter + fieldEnd + s.Weights).Bytes()
-	const digits = "0123456789abcdef"
-	out := make([]byte, 0, 2*len(sum))
-	for _, b := range sum {
-		out = append(out, digits[b>>4], digits[b&15])
-	}
-	return string(out)
+func (s Salt) String() string { return hashFields(s.Org, s.Model, s.Adapter, s.Weights, s.Pool) }
+
+// hashFields returns the hexadecimal hash of a list of names.
+func hashFields(names ...string) string {
+	sum := xxh3.HashString128(strings.Join(names, fieldEnd)).Bytes()
+	return hex.EncodeToString(sum[:])
 }
 
 // Chain hashes the full blocks of a prompt and returns every n-th one, where n is every. Size
--- a/route/request.go
+++ b/route/request.go
@@ -75,13 +75,19 @@
 	Sent       bool
 }
 
-// Salt returns the salt of the request's cached blocks under the given weights.
+// Salt returns the salt of the request's cached blocks under the given weights. It isolates the
+// organisation also where the model is unknown. The name that the caller gave is not part of it then, since
+// the hash does not withstand chosen texts.
 func (r *Request) Salt(weights string) Salt {
 	org := r.Org
 	if r.SharesCache {
 		org = ""
 	}
-	return Salt{Org: org, Model: r.Model.Name, Adapter: r.Adapter, Weights: weights}
+	s := Salt{Org: org, Pool: r.Pool}
+	if r.Model != nil {
+		s.Model, s.Adapter, s.Weights = r.Model.Name, r.Adapter, weights
+	}
+	return s
 }
 
 // SharedParts returns the fingerprints of the request's parts without the last one, which belongs to
@@ -118,8 +124,11 @@
 	Request     string
 	Target      netip.AddrPort
 	Incarnation Incarnation
-	Weights     string
-	Salt        string
+	// Weights are those that the target is expected to have; empty for a request without a known model.
+	Weights string
+	// Salt is set for every request that is sent to a target, which may cache prompts although the
+	// configuration does not say so.
+	Salt string
 	// Resume is set if the answer continues after the part that was delivered.
 	Resume bool
 	// Import is the kept prefix to import first; there is none if its Tokens is zero.
--- a/route/target_notices.go
+++ b/route/target_notices.go
@@ -396,7 +396,7 @@
 	case o.Incarnation == "" && o.Unavailable && o.Backoff == 0 && b.maybeLoading(t, r, a):
 		b.markLoading(now, t)
 		b.notice(now, TargetNotice{Kind: NoticeLoading, Target: t.key(), Model: r.Model.Name, Weights: b.NewestWeights(r.Model.Name)})
-	case o.Incarnation.Same(a.Incarnation) && a.Salt != "":
+	case o.Incarnation.Same(a.Incarnation) && r.Model != nil:
 		b.handleWeightsMismatch(now, a, o)
 	}
 }
@@ -440,7 +440,7 @@
 		return ""
 	case o.Incarnation != "" && !o.Incarnation.Same(a.Incarnation):
 		return fmt.Sprintf("; incarnation %s was expected and %s answered, last report %s old", a.Incarnation, o.Incarnation, ageText(now, a.target.reported))
-	case r.Model == nil || a.Salt == "" || o.Incarnation == "" && !o.Unavailable:
+	case r.Model == nil || o.Incarnation == "" && !o.Unavailable:
 		return ""
 	}
 	text := fmt.Sprintf("; weights %s were expected, last report %s old, the newest are %s", a.Weights, ageText(now, a.target.reported), b.NewestWeights(r.Model.Name))
