fleet: a rolling update counts the targets of a model for each pool

What could be seen: where two services have one model, new weights reach the targets of one only after those of the other, and in a small service all targets may load at once, since both share the slots for concurrent changes.

Change: they are counted by pool and model.

Why it holds: a pool's load is limited by its own replicas, and no pool waits for another's. With one service for each model nothing changes.

--- a/fleet/roll.go
+++ b/fleet/roll.go
@@ -14,8 +14,10 @@
 type UpdateTarget struct {
 	Addr        netip.AddrPort
 	Incarnation route.Incarnation
-	Model       string
-	Weights     string
+	// Pool is the pool of the target; targets of several pools may serve one model.
+	Pool    string
+	Model   string
+	Weights string
 	// Orders is the number of orders that the incarnation has accepted, or [OrdersUnknown] before
 	// it was read.
 	Orders int64
@@ -43,10 +45,15 @@
 
 func (t UpdateTarget) id() updateID { return updateID{t.Addr, t.Incarnation, t.Model} }
 
+// pooledModel identifies a model in a pool. The targets of each change independently of those of others.
+type pooledModel struct{ pool, model string }
+
+func (t UpdateTarget) pooledModel() pooledModel { return pooledModel{t.Pool, t.Model} }
+
 // UpdateSettings configures a [RollingUpdate].
 type UpdateSettings struct {
-	// MaxConcurrent and MaxConcurrentFraction limit how many targets of a model change at the same
-	// time, as a number and as a fraction of its targets; the greater limit applies.
+	// MaxConcurrent and MaxConcurrentFraction limit how many targets of a model in a pool change at
+	// the same time, as a number and as a fraction of its targets; the greater limit applies.
 	MaxConcurrent         int
 	MaxConcurrentFraction float64
 	// FirstOrderSpread is the time within which at most half of those slots go to targets that are
@@ -266,38 +273,38 @@
 
 // selectTargets selects the targets that are ordered next while slots are free.
 func (r *RollingUpdate) selectTargets(now time.Time, targets []UpdateTarget, older func(a, b string) bool) {
-	occupied, total, unreadable := make(map[string]int), make(map[string]int), make(map[string]int)
+	occupied, total, unreadable := make(map[pooledModel]int), make(map[pooledModel]int), make(map[pooledModel]int)
 	for _, t := range targets {
-		total[t.Model]++
+		total[t.pooledModel()]++
 	}
-	firstOrders := make(map[string]int)
+	firstOrders := make(map[pooledModel]int)
 	var due, alreadySelected []*targetUpdate
 	for _, c := range r.sorted() {
 		if now.Sub(c.firstSelectedAt) < r.settings.FirstOrderSpread {
-			firstOrders[c.target.Model]++
+			firstOrders[c.target.pooledModel()]++
 		}
 		switch {
 		case r.occupiesSlot(now, c):
-			occupied[c.target.Model]++
+			occupied[c.target.pooledModel()]++
 			if c.selected() {
 				alreadySelected = append(alreadySelected, c)
 			}
 		case c.target.Orders == OrdersUnknown && now.Sub(c.foundAt) > r.settings.AnswerTimeout:
-			unreadable[c.target.Model]++
+			unreadable[c.target.pooledModel()]++
 		case c.target.Orders != OrdersUnknown && c.loadingSince.IsZero() && r.orderDue(now, c):
 			due = append(due, c)
 		}
 	}
-	slots := func(model string) int {
+	slots := func(model pooledModel) int {
 		// A target that cannot be read serves nothing either and takes a slot. Together such
 		// targets take at most half of the slots, so that the rest can proceed.
 		n := r.settings.maxConcurrent(total[model])
 		return n - min(unreadable[model], n/2)
 	}
 	for _, c := range alreadySelected {
-		if occupied[c.target.Model] > slots(c.target.Model) {
+		if occupied[c.target.pooledModel()] > slots(c.target.pooledModel()) {
 			// Delayed orders have taken the slots in the meantime.
-			occupied[c.target.Model]--
+			occupied[c.target.pooledModel()]--
 			c.selectedAt = time.Time{}
 		}
 	}
@@ -314,7 +321,8 @@
 		)
 	})
 	for _, c := range due {
-		model, n := c.target.Model, slots(c.target.Model)
+		model := c.target.pooledModel()
+		n := slots(model)
 		if occupied[model] >= n || c.firstSelectedAt.IsZero() && firstOrders[model] >= (n+1)/2 {
 			continue
 		}
--- a/node/weights_updater.go
+++ b/node/weights_updater.go
@@ -201,7 +201,7 @@
 		for model, weights := range t.Report.Weights {
 			newest[model] = b.NewestWeights(model)
 			target := fleet.UpdateTarget{
-				Addr: t.Seen.Addr, Incarnation: t.Report.Incarnation, Model: model, Weights: weights,
+				Addr: t.Seen.Addr, Incarnation: t.Report.Incarnation, Pool: t.Seen.Labels[LabelPool], Model: model, Weights: weights,
 				Orders: fleet.OrdersUnknown,
 			}
 			if !d.n.disabled.Has(route.LeastLoaded) {
