node: an answer that is passed on has the bound of a buffered one

What callers saw: while many answers were buffered, the caller of a request whose target sends a body without length or end got it until the route's timeout, 8 s later, and others were refused for want of memory long after.

Cause: an answer that finds no memory is passed on as it arrives, and only a buffered one had a bound. What had been read of it counted towards the expected size of the route's answers, up to 4 MB for each, which later requests reserve.

TestPassThroughEndless does not end on (killed after 8 s).

Change: what is passed on is cut at 4 MB, as a buffered answer is. An answer without a stated size counts once it is whole.

Why it holds: an answer takes no longer than its first 4 MB, whoever sends it. TestPassThroughCounted guards the size of whole answers that are passed on.

--- a/node/forward.go
+++ b/node/forward.go
@@ -423,8 +423,8 @@
 	switch {
 	case err == nil:
 		f.n.memory.countAnswer(f.req.Route, int64(len(data)))
-	case errors.Is(err, errNoMemory):
-		f.n.memory.countAnswer(f.req.Route, min(maxBufferedAnswer, max(resp.Size, int64(len(data)))))
+	case errors.Is(err, errNoMemory) && resp.Size >= 0:
+		f.n.memory.countAnswer(f.req.Route, min(maxBufferedAnswer, resp.Size))
 	}
 	out.TargetError = resp.Status >= http.StatusInternalServerError
 	again := out.TargetError && !f.handedOver && f.req.Repeatable && (f.started || a.Number < f.req.MaxTries)
@@ -478,7 +478,8 @@
 
 // passThrough sends an answer on as it arrives, since there is no memory to buffer it. The request
 // has run, so its answer is worth more than the possibility to retry. The caller occupies the target
-// meanwhile, so it gets less time.
+// meanwhile, so it gets less time. An answer that is larger than any that is buffered is cut off: it may have
+// no end.
 func (f *forwarding) passThrough(a route.Attempt, resp *transport.Response, read []byte, out route.Outcome) route.Outcome {
 	f.firstAfter = f.n.now.Since(f.v.receivedAt)
 	if resp.Size >= 0 {
@@ -489,17 +490,24 @@
 	defer occupyTarget(f.v.r)()
 	out.Delivered = true
 	defer f.v.memory.shrink(int64(cap(read)))
+	size := len(read)
 	for buf := make([]byte, streamBuffer); ; {
 		if err := f.write(a, read); err != nil {
 			out.Kind, out.Detail = route.OutcomeBroken, "the caller left: "+err.Error()
 			return out
 		}
 		n, err := resp.Body.Read(buf)
+		size += n
 		switch read = buf[:n]; {
+		case size > maxBufferedAnswer:
+			return f.attemptFailed(a.Target, out, errTooLarge.Errorf("at most %d bytes are taken", maxBufferedAnswer))
 		case errors.Is(err, io.EOF):
 			if f.write(a, read) == nil {
 				f.complete()
 			}
+			if resp.Size < 0 {
+				f.n.memory.countAnswer(f.req.Route, int64(size))
+			}
 			out.Kind = route.OutcomeDone
 			return out
 		case err != nil:
--- a/node/pass_through_test.go
+++ b/node/pass_through_test.go
@@ -146,3 +146,38 @@
 		})
 	}
 }
+
+// endlessBody is a body without an end; it counts what was read of it.
+type endlessBody struct{ read int }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.read += len(p)
+	return len(p), nil
+}
+
+func (b *endlessBody) Close() error { return nil }
+
+// Guards against a caller who gets an endless answer of a faulty target until the route's timeout, and
+// against refusals of other requests, for which the memory of such an answer was reserved.
+func TestPassThroughEndless(t *testing.T) {
+	t.Parallel()
+	f, _ := newForwarding(t, 64<<10)
+	timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, always, func() {})
+	body := new(endlessBody)
+	out := f.bufferAnswer(route.Attempt{}, &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: -1, Body: body}, route.Outcome{}, timer)
+	require.Equal(t, route.OutcomeBroken, out.Kind)
+	require.True(t, out.Delivered)
+	require.False(t, f.done, "the answer must not look complete")
+	require.LessOrEqual(t, body.read, maxBufferedAnswer+streamBuffer)
+	require.Zero(t, f.n.memory.expectedAnswer(f.req.Route))
+}
+
+// Guards against answers that are always passed on, since their size is never learned.
+func TestPassThroughCounted(t *testing.T) {
+	t.Parallel()
+	f, _ := newForwarding(t, 0)
+	timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, always, func() {})
+	resp := &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: -1, Body: &slowBody{parts: 3}}
+	require.Equal(t, route.OutcomeDone, f.bufferAnswer(route.Attempt{}, resp, route.Outcome{}, timer).Kind)
+	require.EqualValues(t, len("partpartpart"), f.n.memory.expectedAnswer(f.req.Route))
+}
