transport, platform: what a target sends without end is bounded

The body of another request without end kept a call that may run once only waiting until its timeout.

Then the connection is closed, and the attempt is one without an answer: repeatable requests go elsewhere.

--- a/transport/pool.go
+++ b/transport/pool.go
@@ -128,6 +128,9 @@
 	// serial is unique among the pool's connections.
 	serial uint64
 	r      *bufio.Reader
+	// readingHead is set while the heads of answers are read, of which headLeft bytes may still come.
+	readingHead bool
+	headLeft    int
 	// expiresAt is when an idle connection is closed.
 	expiresAt time.Time
 	// releasedAt is when the connection last became idle.
@@ -215,7 +218,22 @@
 	p.dialed++
 	serial := p.dialed
 	p.mu.Unlock()
-	return &conn{Conn: nc, pool: p, target: target, serial: serial, r: bufio.NewReaderSize(nc, readBuffer)}, nil
+	c := &conn{Conn: nc, pool: p, target: target, serial: serial}
+	c.r = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
+}
+
+// Read implements [io.Reader] and bounds the heads of an answer.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(p)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLarge.Errorf("more than %d bytes", maxHeadBytes)
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // tcpUserTimeout is the number of the TCP_USER_TIMEOUT option (linux/tcp.h), which package syscall lacks.
--- a/transport/send.go
+++ b/transport/send.go
@@ -180,10 +180,23 @@
 	return append(b, "\r\n"...)
 }
 
+// Bounds of what may come before an answer, in bytes: its head with those of interim and foreign answers,
+// and the body of one foreign answer.
+const (
+	maxHeadBytes   = 64 << 10
+	maxForeignBody = 4 << 20
+)
+
+// errHeadTooLarge marks a target that sends bytes in place of an answer without end.
+var errHeadTooLarge = errs.Tag("the head of the answer is too large")
+
 // readHead reads heads until one belongs to the request.
 func (x *exchange) readHead(req Request) (*Response, error) {
+	x.conn.headLeft = maxHeadBytes
 	for range maxForeignAnswers {
+		x.conn.readingHead = true
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
+		x.conn.readingHead = false
 		if err != nil {
 			return nil, err
 		}
@@ -196,13 +209,22 @@
 		case unframed(resp):
 			return nil, errForeignAnswer.Errorf("answer to another request is delimited by the end of the connection")
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := discard(resp.Body); err != nil {
 			return nil, err
 		}
 	}
 	return nil, errForeignAnswer.Errorf("none of %d answers matches the request", maxForeignAnswers)
 }
 
+// discard reads the body of an answer to another request to its end.
+func discard(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBody+1))
+	if err == nil && n > maxForeignBody {
+		return errForeignAnswer.Errorf("its body has more than %d bytes", maxForeignBody)
+	}
+	return err
+}
+
 // unframed reports whether the end of the connection is the end of an answer's body, if it has one.
 func unframed(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
