transport: a reset that the write of the request got is not lost

Cause: a long body is written by a goroutine while the answer is read, and the kernel reports a reset once. If the write got it, the error was dropped, and the read saw the proper end of an answer without a length.

Change: at the end of such an answer the connection's state shows whether it has ended, and the write's error whether by a reset before the end. A reset that follows an end in order (EPIPE) leaves the answer whole, so that answers of targets that do not read the rest of a body are not lost.

--- a/transport/pool.go
+++ b/transport/pool.go
@@ -250,6 +250,28 @@
 	return errors.Join(ctlErr, err)
 }
 
+// tcpClose is the state of a connection that was reset or closed by both ends (include/net/tcp_states.h);
+// after the other end has closed its side in order, the state is another one.
+const tcpClose = 7
+
+// ended reports whether nothing can be read or written on the connection any more.
+func (c *conn) ended() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	state := 0
+	ctlErr := rc.Control(func(fd uintptr) {
+		// The state is the first byte of the answer.
+		state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	})
+	return ctlErr == nil && err == nil && byte(state) == tcpClose
+}
+
 // setSilenceTimeouts turns on or off that the kernel ends the connection when the target's machine
 // acknowledges nothing.
 func (c *conn) setSilenceTimeouts(on bool) error {
--- a/transport/send.go
+++ b/transport/send.go
@@ -112,8 +112,10 @@
 	startedAt time.Time
 	// written is set once the whole request was written.
 	written atomic.Bool
-	wrote   chan struct{}
-	done    bool
+	// wrote is closed once a long body was written or failed to be, with writeErr; nil for a short one.
+	wrote    chan struct{}
+	writeErr error
+	done     bool
 	// patient is set if the connection's silence timeouts are off during the exchange.
 	patient bool
 	// fresh says that the connection is closed after the exchange.
@@ -130,9 +132,8 @@
 			defer close(x.wrote)
 			// The body is not copied: it may wait for a slow target in each of many attempts.
 			parts := net.Buffers{head, req.Body}
-			if _, err := parts.WriteTo(x.conn.Conn); err == nil {
-				x.written.Store(true)
-			}
+			_, x.writeErr = parts.WriteTo(x.conn.Conn)
+			x.written.Store(x.writeErr == nil)
 		}()
 		return nil
 	}
@@ -310,6 +311,17 @@
 	endChecks = 3
 )
 
+// resetWhileWriting reports whether the connection was reset while the request was still being written.
+// The kernel reports a reset once. If the write gets it, the answer seems to end in order. A write on a
+// connection that has ended fails at once.
+func (x *exchange) resetWhileWriting() bool {
+	if x.wrote == nil || !x.conn.ended() {
+		return false
+	}
+	<-x.wrote
+	return errors.Is(x.writeErr, syscall.ECONNRESET)
+}
+
 // targetEnded reports whether the target refuses connections. A process that crashes closes its
 // connections as in order and its listener with them, sometimes a moment later: a connection that opens
 // meanwhile is reset. One that stays open serves the next request.
@@ -358,8 +370,12 @@
 	switch {
 	case errors.Is(err, io.EOF) && b.unframed:
 		// The connection ends with the answer.
+		reset := b.exchange.resetWhileWriting()
 		b.exchange.abort()
-		if b.exchange.targetEnded() {
+		switch {
+		case reset:
+			err = errs.Errorf("target %s: the request was still being written: %w", b.exchange.conn.target, syscall.ECONNRESET)
+		case b.exchange.targetEnded():
 			err = errTargetEnded.Errorf("target %s: %w", b.exchange.conn.target, io.ErrUnexpectedEOF)
 		}
 	case errors.Is(err, io.EOF):
