node, transport: an answer with a stated size is passed on whole

Found by reading; TestPassThroughStatedSize fails without the change (the answer is cut after 4 MB). The serial of a connection is given where it is counted, under one lock.

--- a/node/forward.go
+++ b/node/forward.go
@@ -478,8 +478,8 @@
 
 // passThrough sends an answer on as it arrives, since there is no memory to buffer it. The request
 // has run, so its answer is worth more than the possibility to retry. The caller occupies the target
-// meanwhile, so it gets less time. An answer that is larger than any that is buffered is cut off: it may have
-// no end.
+// meanwhile, so it gets less time. An answer without a stated size that is larger than any that is buffered is
+// cut off: it may have no end.
 func (f *forwarding) passThrough(a route.Attempt, resp *transport.Response, read []byte, out route.Outcome) route.Outcome {
 	f.firstAfter = f.n.now.Since(f.v.receivedAt)
 	if resp.Size >= 0 {
@@ -499,7 +499,7 @@
 		n, err := resp.Body.Read(buf)
 		size += n
 		switch read = buf[:n]; {
-		case size > maxBufferedAnswer:
+		case resp.Size < 0 && size > maxBufferedAnswer:
 			return f.attemptFailed(a.Target, out, errTooLarge.Errorf("at most %d bytes are taken", maxBufferedAnswer))
 		case errors.Is(err, io.EOF):
 			if f.write(a, read) == nil {
--- a/node/pass_through_test.go
+++ b/node/pass_through_test.go
@@ -181,3 +181,15 @@
 	require.Equal(t, route.OutcomeDone, f.bufferAnswer(route.Attempt{}, resp, route.Outcome{}, timer).Kind)
 	require.EqualValues(t, len("partpartpart"), f.n.memory.expectedAnswer(f.req.Route))
 }
+
+// Guards against a whole answer that is cut off although its size was stated.
+func TestPassThroughStatedSize(t *testing.T) {
+	t.Parallel()
+	const size = maxBufferedAnswer + 1<<20
+	f, w := newForwarding(t, 64<<10)
+	timer := newSilenceTimer(time.Now(), time.Now, func() bool { return false }, always, func() {})
+	body := io.NopCloser(io.LimitReader(new(endlessBody), size))
+	resp := &transport.Response{Status: http.StatusOK, Header: http.Header{}, Size: size, Body: body}
+	require.Equal(t, route.OutcomeDone, f.bufferAnswer(route.Attempt{}, resp, route.Outcome{}, timer).Kind)
+	require.Equal(t, size, w.Body.Len())
+}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -75,7 +75,7 @@
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*conn
 	open map[netip.AddrPort]int
-	// dialed is the number of connections opened so far.
+	// dialed is the number of connections that were opened or tried so far.
 	dialed uint64
 	closed bool
 }
@@ -202,6 +202,8 @@
 		return nil, ErrUnsent.Errorf("target %s: all %d connections are in use", target, limit)
 	}
 	p.open[target]++
+	p.dialed++
+	serial := p.dialed
 	p.mu.Unlock()
 	nc, err := p.dialTarget(ctx, target)
 	if err != nil {
@@ -214,10 +216,6 @@
 		return nil, ErrUnsent.Errorf("target %s: %w", target, err)
 	}
 	p.opened()
-	p.mu.Lock()
-	p.dialed++
-	serial := p.dialed
-	p.mu.Unlock()
 	c := &conn{Conn: nc, pool: p, target: target, serial: serial}
 	c.r = bufio.NewReaderSize(c, readBuffer)
 	return c, nil
