node: weights are rolled out whether or not a service declares the model

What could be seen: engines whose model the configuration does not declare (it declares another one, or a plain service, or the service is gone from it while its replicas are listed) never got newly named weights, without a log line.

Cause: the holder of the lease looked for outdated targets with the newest weights of the configured models alone, and took a target of any other model for up to date.

Change: newestWeights has the models that are configured and those of which weights were named. The store names weights for a model, so they need no configuration.

Why it holds: an update is due where a target reports older weights than were named, which is what the rule asks.

--- a/node/newest.go
+++ b/node/newest.go
@@ -96,8 +96,8 @@
 	n.applyNewest(newestFromWatch(before, named, from, by), "the store")
 }
 
-// newestWeights returns the newest known weights of each configured model, empty for a model
-// without any.
+// newestWeights returns the newest known weights of each model that is configured or has weights named,
+// empty for a model without any. Targets may serve a model that no pool declares.
 func (n *Node) newestWeights() map[string]string {
 	n.Lock()
 	defer n.Unlock()
@@ -108,7 +108,10 @@
 		return out
 	}
 	for _, m := range snap.Config.Models {
-		out[m.Name] = b.NewestWeights(m.Name)
+		out[m.Name] = ""
+	}
+	for _, model := range b.NamedModels() {
+		out[model] = b.NewestWeights(model)
 	}
 	return out
 }
--- a/route/weights.go
+++ b/route/weights.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -65,6 +66,9 @@
 	return list[len(list)-1].Weights
 }
 
+// NamedModels returns the models of which weights are known to have been named.
+func (b *Board) NamedModels() []string { return slices.Collect(maps.Keys(b.named)) }
+
 // NewestSpans returns the known spans of all models.
 func (b *Board) NewestSpans() []NewestSpan {
 	var out []NewestSpan
