route: the salt names the pool only where the model is unknown

Change: a known model's salt is what it was before: organisation, model, adapter and weights. Where no model is known the pool stands in for it, so that the salt still follows from what each request has. The seed of the homes is the salt's again.

Ruled out: to keep the pool and take other hashes for the choice of engines.

--- a/route/homes.go
+++ b/route/homes.go
@@ -51,7 +51,8 @@
 	if r.Model == nil || len(r.Parts) < 2 {
 		return
 	}
-	r.homes.setHash = xxh3.HashStringSeed(r.Parts[0].ID, r.homeSeed())
+	seed := xxh3.HashString(r.Salt("").String())
+	r.homes.setHash = xxh3.HashStringSeed(r.Parts[0].ID, seed)
 	r.homes.lastPartHash = r.lastPartHash()
 	r.homes.orderHash = r.homes.lastPartHash
 	r.homes.rate = b.hot.count(now, Block(r.homes.orderHash))
@@ -69,18 +70,10 @@
 	r.homes.setSize = minHomeEngines + rate/requestsPerHome
 }
 
-// homeSeed returns the seed of the hashes by which the engines of a pool are ranked for the request's parts.
-// It names no pool, since the ranks of different pools are not compared, so that routers of earlier releases
-// rank alike.
-func (r *Request) homeSeed() uint64 {
-	const noWeights = ""
-	return xxh3.HashString(hashFields(r.Salt("").Org, r.Model.Name, r.Adapter, noWeights))
-}
-
 // lastPartHash returns a hash of the request's last shared part that does not depend on the
 // weights.
 func (r *request) lastPartHash() uint64 {
-	return xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, r.homeSeed())
+	return xxh3.HashStringSeed(r.Parts[len(r.Parts)-2].ID, xxh3.HashString(r.Salt("").String()))
 }
 
 // sharedTokens returns the length of the request's shared parts in tokens.
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/hex"
-	"strings"
 
 	"github.com/zeebo/xxh3"
 )
@@ -28,14 +27,14 @@
 	return n
 }
 
-// Salt identifies the owner and the model state that cached blocks belong to. A model belongs to its pool:
-// another pool may have one of the same name, whose cached blocks have another size.
+// Salt identifies the owner and the model state that cached blocks belong to.
 type Salt struct {
 	Org     string
-	Pool    string
 	Model   string
 	Adapter string
 	Weights string
+	// Pool is set in place of the model where that is unknown.
+	Pool string
 }
 
 // fieldEnd separates the fields of a salt; names cannot contain it.
@@ -43,11 +42,12 @@
 
 // String returns the salt as it is sent to engines: a hash, which does not reveal the
 // organisation's name.
-func (s Salt) String() string { return hashFields(s.Org, s.Model, s.Adapter, s.Weights, s.Pool) }
-
-// hashFields returns the hexadecimal hash of a list of names.
-func hashFields(names ...string) string {
-	sum := xxh3.HashString128(strings.Join(names, fieldEnd)).Bytes()
+func (s Salt) String() string {
+	text := s.Org + fieldEnd + s.Model + fieldEnd + s.Adapter + fieldEnd + s.Weights
+	if s.Model == "" {
+		text += fieldEnd + s.Pool
+	}
+	sum := xxh3.HashString128(text).Bytes()
 	return hex.EncodeToString(sum[:])
 }
 
--- a/route/request.go
+++ b/route/request.go
@@ -83,11 +83,10 @@
 	if r.SharesCache {
 		org = ""
 	}
-	s := Salt{Org: org, Pool: r.Pool}
-	if r.Model != nil {
-		s.Model, s.Adapter, s.Weights = r.Model.Name, r.Adapter, weights
+	if r.Model == nil {
+		return Salt{Org: org, Pool: r.Pool}
 	}
-	return s
+	return Salt{Org: org, Model: r.Model.Name, Adapter: r.Adapter, Weights: weights}
 }
 
 // SharedParts returns the fingerprints of the request's parts without the last one, which belongs to
--- a/route/shared_test.go
+++ b/route/shared_test.go
@@ -79,7 +79,7 @@
 	require.Len(t, placed("calm"), 1)
 	r := p.request("a", shared[0], Part{"hot", 4000}, own)
 	peerParts := newHotParts()
-	require.Positive(t, peerParts.count(p.now, Block(xxh3.HashStringSeed("hot", r.homeSeed()))))
+	require.Positive(t, peerParts.count(p.now, Block(xxh3.HashStringSeed("hot", xxh3.HashString(r.Salt("").String())))))
 	state := PeerState{Hot: peerParts.report(p.now)}
 	require.Len(t, state.Hot, 1)
 	state.Hot[0].Rate = 60
