--- a/transport/pool.go
+++ b/transport/pool.go
@@ -254,20 +254,13 @@
 
 // ended reports whether nothing can be read or written on the connection any more.
 func (c *conn) ended() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	rc, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
 	state := 0
-	ctlErr := rc.Control(func(fd uintptr) {
+	err := c.controlSocket(func(fd int) (err error) {
 		// The state is the first byte of the answer.
-		state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		state, err = syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		return err
 	})
-	return ctlErr == nil && err == nil && byte(state) == tcpClose
+	return err == nil && byte(state) == tcpClose
 }
 
 // setSilenceTimeouts turns on or off that the kernel ends the connection when the target's machine
@@ -277,6 +270,16 @@
 	if on {
 		timeout, keepAlive = int(userTimeout.Milliseconds()), 1
 	}
+	return c.controlSocket(func(fd int) error {
+		return errors.Join(
+			syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, timeout),
+			syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, keepAlive),
+		)
+	})
+}
+
+// controlSocket calls f with the connection's socket, if it has one.
+func (c *conn) controlSocket(f func(fd int) error) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -285,12 +288,7 @@
 	if err != nil {
 		return err
 	}
-	ctlErr := rc.Control(func(fd uintptr) {
-		err = errors.Join(
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, timeout),
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, keepAlive),
-		)
-	})
+	ctlErr := rc.Control(func(fd uintptr) { err = f(int(fd)) })
 	return errors.Join(ctlErr, err)
 }
 
