node: closes of callers' connections are counted by reason

What callers saw: a request that was accepted ended without an answer. The log could not tell whether the node or the caller had closed the connection (both were answer-cut with the reason caller), nor what was in hand as a process ended.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -51,6 +51,8 @@
 	PartHeld          Code = 233
 	PartReleased      Code = 234
 
+	RequestUnanswerable Code = 235
+
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
 	TargetLeaving   Code = 303
@@ -127,7 +129,7 @@
 	{ProcessStarted, "process-started", slog.LevelInfo, "The process started with valid settings."},
 	{ProcessReady, "process-ready", slog.LevelInfo, "The process serves requests: it has a confirmed configuration."},
 	{ProcessDraining, "process-draining", slog.LevelInfo, "A planned stop has begun: the process reports not ready and completes the answers in flight."},
-	{ProcessStopped, "process-stopped", slog.LevelInfo, "The process has completed its last answer and ends."},
+	{ProcessStopped, "process-stopped", slog.LevelInfo, "The process has completed its last answer and ends; the detail of a node says what was left."},
 	{ProcessFenced, "process-fenced", slog.LevelWarn, "The router could not confirm its configuration with the stores or a peer; it refuses requests as not run."},
 	{SettingsReloaded, "settings-reloaded", slog.LevelInfo, "Changed settings are in effect, except addresses, which change only at a restart."},
 	{SettingsRejected, "settings-rejected", slog.LevelWarn, "Changed settings are invalid; the previous ones stay in effect."},
@@ -166,6 +168,7 @@
 	{StreamEndedInside, "stream-ended-inside", slog.LevelWarn, "A target closed the connection of a stream that has neither a length nor chunks, and part of an event is left over; the detail has its size."},
 	{PartHeld, "part-held", slog.LevelWarn, "Requests with a part in their prompts are held because targets crashed while running such requests; the detail has these targets and the part's fingerprint. Logged once by each process each time the part is held."},
 	{PartReleased, "part-released", slog.LevelInfo, "A part is no longer held: an answer with it went on, the hold expired, or an operator released it."},
+	{RequestUnanswerable, "request-unanswerable", slog.LevelWarn, "A request was read from a connection that this process had closed, so that no answer can reach the caller; the detail has the reason of the close and the method."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was discovered."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target has a new incarnation; the state known of the previous one was discarded."},
--- a/node/callers.go
+++ b/node/callers.go
@@ -103,9 +103,20 @@
 		return
 	}
 	v.info = ask
+	n.logUnanswerable(v)
 	n.serveCall(v)
 }
 
+// logUnanswerable records a request that was read from a connection that this node had closed.
+func (n *Node) logUnanswerable(v *callerRequest) {
+	reason := closeReasonOf(v.r)
+	if reason == "" {
+		return
+	}
+	n.counters.unanswerable(reason)
+	n.events.Record(event.Event{Code: event.RequestUnanswerable, Request: v.info.ID, Detail: string(reason) + ", " + v.r.Method})
+}
+
 // serveCall serves a request whose header was read.
 func (n *Node) serveCall(v *callerRequest) {
 	if !n.admit(v) || !n.admitHanded(v) || !n.reserveMemory(v) {
--- a/node/conns.go
+++ b/node/conns.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -24,8 +25,27 @@
 	stalled atomic.Bool
 	// occupied is set while the caller occupies a target.
 	occupied atomic.Pointer[occupiedTarget]
+	// closedFor is why this node closed the connection, empty if it did not. The mutex of conns guards it.
+	closedFor closeReason
 }
 
+// closeReason is the reason that this node closes a caller's connection between two requests.
+type closeReason string
+
+// Reasons for closing a caller's connection between two requests.
+const (
+	// closedIdle means that the connection was idle for longer than the configuration permits.
+	closedIdle closeReason = "idle"
+	// closedHeader means that a header took longer to arrive than the configuration permits.
+	closedHeader closeReason = "header"
+	// closedMemory means that there was no memory for so many idle connections.
+	closedMemory closeReason = "memory"
+	// closedCrowded means that no further connection could have been accepted.
+	closedCrowded closeReason = "crowded"
+	// closedStop means that the node stops.
+	closedStop closeReason = "stop"
+)
+
 // occupiedTarget counts how much a caller took while it occupied a target, and how long writes waited
 // for it. Only Write changes it.
 type occupiedTarget struct {
@@ -160,8 +180,31 @@
 	return ok && conn.stalled.Load()
 }
 
+// hasInput reports whether bytes of the caller were received that nobody has read yet.
+func (c *callerConn) hasInput() bool {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		// An error means that there is nothing to read.
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 // callerConns is the set of open caller connections.
 type callerConns struct {
+	// onClose is called for each connection that is closed between two requests, with whether it had
+	// received bytes that nobody had read.
+	onClose func(reason closeReason, unread bool)
+
 	mu   sync.Mutex
 	open map[*callerConn]bool
 	// maxOpen is the maximum number of open connections, zero for no limit.
@@ -228,11 +271,34 @@
 	}
 	if conn := c.oldestIdle(now); conn != nil {
 		c.setIdleSince(conn, time.Time{})
-		_ = conn.Conn.Close()
+		c.close(conn, closedCrowded)
 	}
 	return false
 }
 
+// close closes a connection. The caller holds the lock.
+func (c *callerConns) close(conn *callerConn, reason closeReason) {
+	if conn.closedFor == "" {
+		conn.closedFor = reason
+		if c.onClose != nil {
+			c.onClose(reason, conn.hasInput())
+		}
+	}
+	// The server's ConnState hook removes the connection from the set.
+	_ = conn.Conn.Close()
+}
+
+// closeReasonOf returns why this node closed the connection of a request, or an empty reason.
+func closeReasonOf(r *http.Request) closeReason {
+	conn, ok := connOf(r)
+	if !ok {
+		return ""
+	}
+	conn.conns.mu.Lock()
+	defer conn.conns.mu.Unlock()
+	return conn.closedFor
+}
+
 // oldestIdle returns the connection that has been idle longest, or nil if none has been for
 // minIdleTime. The caller holds the lock.
 func (c *callerConns) oldestIdle(now time.Time) *callerConn {
@@ -294,15 +360,24 @@
 	}
 }
 
-// closeStale closes connections that have been idle since before idle, and those whose header has
-// been arriving since before header.
-func (c *callerConns) closeStale(idle, header time.Time) {
+// closeIdle closes the connections that have been idle since before t.
+func (c *callerConns) closeIdle(t time.Time, reason closeReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.open {
+		if before(conn.idleSince, t) {
+			c.close(conn, reason)
+		}
+	}
+}
+
+// closeSlowHeaders closes the connections on which a header has been arriving since before t.
+func (c *callerConns) closeSlowHeaders(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn := range c.open {
-		if before(conn.idleSince, idle) || before(conn.headerSince, header) {
-			// The server's ConnState hook removes the connection from the set.
-			_ = conn.Conn.Close()
+		if before(conn.headerSince, t) {
+			c.close(conn, closedHeader)
 		}
 	}
 }
@@ -319,7 +394,7 @@
 			break
 		}
 		c.setIdleSince(oldest, time.Time{})
-		_ = oldest.Conn.Close()
+		c.close(oldest, closedMemory)
 	}
 	return closed
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -87,6 +87,16 @@
 	count("read", read)
 }
 
+// connClosed counts a caller's connection that this node closed between two requests.
+func (c counters) connClosed(reason closeReason, unread bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_caller_connections_closed_total{reason=%q,unread=%q}", string(reason), strconv.FormatBool(unread))).Inc()
+}
+
+// unanswerable counts a request that was read from a connection that this node had closed.
+func (c counters) unanswerable(reason closeReason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_unanswerable_requests_total{reason=%q}", string(reason))).Inc()
+}
+
 // cut counts a caller's connection that was closed without a complete answer.
 func (c counters) cut(reason cutReason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_answers_cut_total{reason=%q}", string(reason))).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -212,6 +212,7 @@
 	}
 	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventBufferSize), event.WithSample(sampleEvery))
 	n.counters = newCounters(n.metrics)
+	n.callers.onClose = n.counters.connClosed
 	if n.peers == nil {
 		n.peers = peer.NewClient(peerCallTimeout, nil, peer.WithObserver(n.countPeerBytes))
 	}
@@ -343,6 +344,7 @@
 		n.drain()
 	case err = <-failed:
 	}
+	left := fmt.Sprintf("%d requests, %d handed over by other nodes and %d connections of callers were left", n.Calls(), n.handed.inFlight.Load(), n.callers.count())
 	door.CloseAll(doors)
 	stop()
 	n.loops.Wait()
@@ -350,7 +352,7 @@
 	n.peers.Close()
 	n.conns.Close()
 	n.handoffs.Close()
-	n.events.Record(event.Event{Code: event.ProcessStopped})
+	n.events.Record(event.Event{Code: event.ProcessStopped, Detail: left})
 	return err
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -42,7 +42,7 @@
 // of the wait.
 func (n *Node) drained(end time.Time) bool {
 	for time.Now().Before(end) {
-		n.callers.closeStale(time.Now(), time.Time{})
+		n.callers.closeIdle(time.Now(), closedStop)
 		if n.Calls() == 0 && n.callers.count() == 0 {
 			return true
 		}
--- a/node/watch.go
+++ b/node/watch.go
@@ -231,7 +231,8 @@
 		n.conns.Sweep(n.list.has)
 		n.handoffs.Sweep(func(netip.AddrPort) bool { return true })
 		now, limits := time.Now(), n.callerLimits()
-		n.callers.closeStale(now.Add(-limits.IdleTime), now.Add(-limits.HeaderTime))
+		n.callers.closeIdle(now.Add(-limits.IdleTime), closedIdle)
+		n.callers.closeSlowHeaders(now.Add(-limits.HeaderTime))
 		n.counters.idleClosed.Add(n.callers.closeExcessIdle(now, n.memory.idleConns()))
 	}
 }
