internal/door: an error of accepting a connection does not end the process

What callers saw, in a run of our own: a node that had no descriptor left as another node connected ended at once, and with it every answer in flight. Found while looking for ways in which a process ends by itself; whether it is what was reported is not known.

Cause: peer.Serve returned on any error of Accept, and Node.Run ends when a listener does. EMFILE and ENFILE pass, and errors like EPROTO concern one connection; net/http tries the former again, our loop none.

Change: door.Listen wraps all listeners, of callers, peers and operators, of all programs. Accept fails only once the listener is closed; other errors are logged and tried again after 5 to 200 ms.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -144,7 +144,7 @@
 func (c *Controller) Run(ctx context.Context) error {
 	server := &http.Server{Handler: c.operatorsHandler(), ReadHeaderTimeout: orderTimeout}
 	doors, err := door.OpenAll(
-		func() (door.Listener, error) { return peer.Open(c.set.Peers, c.set.PeerServer, c) },
+		func() (door.Listener, error) { return peer.Open(c.set.Peers, c.set.PeerServer, c.log, c) },
 		func() (door.Listener, error) { return door.HTTP(c.set.Operators, server, c.set.PeerServer, c.log) },
 	)
 	if err != nil {
--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/zeebo/errs/v2"
 )
@@ -65,12 +66,38 @@
 	return l.wrap(c), nil
 }
 
-// Listen listens on a TCP address, with TLS if cfg is not nil.
-func Listen(addr netip.AddrPort, cfg *tls.Config, opts ...Option) (net.Listener, error) {
+// Intervals at which a listener that cannot accept a connection tries again.
+const (
+	minAcceptInterval = 5 * time.Millisecond
+	maxAcceptInterval = 200 * time.Millisecond
+)
+
+// retryingListener is a listener whose Accept fails only once it is closed. Other errors, as for want of
+// descriptors, concern the connection or pass, and must not end a process that serves others.
+type retryingListener struct {
+	net.Listener
+	log *slog.Logger
+}
+
+// Accept implements [net.Listener].
+func (l retryingListener) Accept() (net.Conn, error) {
+	for interval := minAcceptInterval; ; interval = min(2*interval, maxAcceptInterval) {
+		c, err := l.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
+		}
+		l.log.Warn("cannot accept a connection; trying again", "listener", l.Addr().String(), "after", interval.String(), "error", err.Error())
+		time.Sleep(interval)
+	}
+}
+
+// Listen listens on a TCP address, with TLS if cfg is not nil. Errors of accepting connections are logged.
+func Listen(addr netip.AddrPort, cfg *tls.Config, log *slog.Logger, opts ...Option) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, errs.Errorf("listener %s: %w", addr, err)
 	}
+	l = retryingListener{l, log}
 	for _, opt := range opts {
 		l = opt(l)
 	}
@@ -83,7 +110,7 @@
 // HTTP opens a listener for an HTTP server, with TLS if cfg is not nil. The server's
 // errors on callers' connections are logged at debug level.
 func HTTP(addr netip.AddrPort, s *http.Server, cfg *tls.Config, log *slog.Logger, opts ...Option) (Listener, error) {
-	l, err := Listen(addr, cfg, opts...)
+	l, err := Listen(addr, cfg, log, opts...)
 	if err != nil {
 		return Listener{}, err
 	}
--- a/node/conns_test.go
+++ b/node/conns_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -22,7 +23,7 @@
 // startCallersServer serves on a loopback address with the connections of callers tracked as in a node. Its
 // handler is called once the header of a request is read.
 func startCallersServer(t *testing.T, conns *callerConns, h http.HandlerFunc) netip.AddrPort {
-	l, err := door.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, door.WithConnWrapper(conns.track))
+	l, err := door.Listen(netip.MustParseAddrPort("127.0.0.1:0"), nil, slog.New(slog.DiscardHandler), door.WithConnWrapper(conns.track))
 	require.NoError(t, err)
 	server := &http.Server{
 		ConnState:   conns.connStateChanged,
--- a/node/node.go
+++ b/node/node.go
@@ -373,7 +373,9 @@
 			return door.HTTP(set.Callers, n.callersServer(), nil, n.log, door.WithConnWrapper(n.callers.track))
 		},
 		func() (door.Listener, error) { return n.internalDoor(set.Readiness, http.HandlerFunc(n.handleReady)) },
-		func() (door.Listener, error) { return peer.Open(set.Peers, nil, n, peer.WithHandoffs(n.handed.take)) },
+		func() (door.Listener, error) {
+			return peer.Open(set.Peers, nil, n.log, n, peer.WithHandoffs(n.handed.take))
+		},
 		n.handoffDoor,
 	}
 	if n.metricsAddr.IsValid() {
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log/slog"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -160,8 +161,8 @@
 }
 
 // Open opens the listener for peers; cfg is nil for plain TCP.
-func Open(addr netip.AddrPort, cfg *tls.Config, h Handler, opts ...ServeOption) (door.Listener, error) {
-	l, err := door.Listen(addr, cfg)
+func Open(addr netip.AddrPort, cfg *tls.Config, log *slog.Logger, h Handler, opts ...ServeOption) (door.Listener, error) {
+	l, err := door.Listen(addr, cfg, log)
 	if err != nil {
 		return door.Listener{}, err
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -270,7 +270,7 @@
 		func() (door.Listener, error) {
 			return r.httpDoor(r.set.Operators, r.operatorsHandler(), r.set.PeerServer)
 		},
-		func() (door.Listener, error) { return peer.Open(r.set.Peers, r.set.PeerServer, r) },
+		func() (door.Listener, error) { return peer.Open(r.set.Peers, r.set.PeerServer, r.log, r) },
 	)
 }
 
