node: a planned stop waits for answers to other nodes

What callers may see: a request that one node handed over to another, which stops at that moment, ends as if its target had broken off: 502, or a stream without its end.

Cause: the stop ended once the board had no call and no caller had a connection. A handed-over request leaves the board before its answer is written, and its connection is not a caller's.

Change: the stop also waits until no connection of another node is busy, by the phases of the connection set, which become idle only after the answer was flushed.

Evidence: TestStopAwaitsHandedAnswer fails without it (drained while the answer is being written).

--- a/node/conn_set.go
+++ b/node/conn_set.go
@@ -233,3 +233,10 @@
 	defer c.mu.Unlock()
 	return c.idle.Len()
 }
+
+// busyCount returns the number of open connections that are not idle.
+func (c *callerConns) busyCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) - c.idle.Len()
+}
--- a/node/conns_test.go
+++ b/node/conns_test.go
@@ -156,3 +156,17 @@
 	r = r.WithContext(context.WithValue(r.Context(), connKey{}, conn))
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { n.handleCall(httptest.NewRecorder(), r) })
 }
+
+// A planned stop waits for the answer to a request that another node handed over, also while it is written: the
+// board knows nothing of it any more then.
+func TestStopAwaitsHandedAnswer(t *testing.T) {
+	n, err := New(validSettings(), nil, parsingProtocol{}, nil)
+	require.NoError(t, err)
+	near, far := net.Pipe()
+	defer far.Close()
+	conn := n.handed.conns.track(near).(*callerConn)
+	require.True(t, conn.begin())
+	require.False(t, n.drained(time.Now().Add(5*tickInterval)), "the answer is being written")
+	n.handed.conns.connStateChanged(conn, http.StateIdle)
+	require.True(t, n.drained(time.Now().Add(5*tickInterval)))
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -38,12 +38,12 @@
 	n.drained(time.Now().Add(refusalTime))
 }
 
-// drained waits until no request and no connection of a caller is left, and reports false at the end
-// of the wait.
+// drained waits until no request, no connection of a caller and no answer to another node is left, and reports
+// false at the end of the wait.
 func (n *Node) drained(end time.Time) bool {
 	for time.Now().Before(end) {
 		n.callers.closeIdle(time.Now(), closedStop)
-		if n.Calls() == 0 && n.callers.count() == 0 {
+		if n.Calls() == 0 && n.callers.count() == 0 && n.handed.conns.busyCount() == 0 {
 			return true
 		}
 		time.Sleep(tickInterval)
