internal/soak: callers that rest, empty bodies and changing idle limits

The soak could not meet the race of idle closes: its limit was 15 s, no caller rested for more than 0.1 s, and each request had a body, which a node reads after the header.

Now the limit changes with each version (15, 1, 2.5 s), each caller has two more workers that rest for up to 3 s, and 0.3 of the bodies are empty.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -104,32 +104,42 @@
 	newConns  *http.Client
 }
 
-// concurrentCalls is the number of calls that a caller has in flight at once.
-const concurrentCalls = 2
+// concurrentCalls is the number of calls that a caller has in flight at once, besides those of restingCalls
+// workers that rest after each.
+const (
+	concurrentCalls = 2
+	restingCalls    = 2
+)
 
 func newCaller(s *cluster, b *balancer, name string) *caller {
 	client := func(keep bool) *http.Client {
 		return &http.Client{Transport: &http.Transport{
-			DialContext: b.dial, DisableCompression: true, DisableKeepAlives: !keep, MaxIdleConnsPerHost: concurrentCalls,
+			DialContext: b.dial, DisableCompression: true, DisableKeepAlives: !keep, MaxIdleConnsPerHost: concurrentCalls + restingCalls,
 		}}
 	}
 	return &caller{cluster: s, name: name, keepAlive: client(true), newConns: client(false)}
 }
 
-// The bounds of the pause between two consecutive calls of a worker.
+// The bounds of the pause between two consecutive calls of a worker, and of one that rests, whose connections may be
+// closed as idle.
 const (
 	minPause = 10 * time.Millisecond
 	maxPause = 100 * time.Millisecond
+	maxRest  = 3 * time.Second
 )
 
 // run sends calls until ctx ends. Calls in flight at that time are completed.
 func (c *caller) run(ctx context.Context) {
 	var all sync.WaitGroup
-	for f := range concurrentCalls {
+	for f := range concurrentCalls + restingCalls {
+		longest := maxPause
+		if f >= concurrentCalls {
+			longest = maxRest
+		}
 		all.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
 				c.call(fmt.Sprintf("%s.%d.%d", c.name, f, n))
-				wait(ctx, minPause+rand.N(maxPause-minPause))
+				wait(ctx, minPause+rand.N(longest-minPause))
 			}
 		})
 	}
@@ -148,10 +158,19 @@
 	{SafeCall, "/public/", 4}, {SafeCall, movedPath, 6}, {SafeCall, "", 12},
 }
 
+// Bodies repeat the name of their call, and a fraction of them are empty: nodes read nothing after the header then.
+const (
+	maxRepeats    = 20
+	emptyFraction = 0.3
+)
+
 // newCall returns the first attempt of a random call. Entries of callMix without a path
 // are sent to a route of a recent configuration version.
 func (c *caller) newCall(call string) Attempt {
-	a := Attempt{Call: call, Kind: SafeCall, Key: openKey, Body: strings.Repeat(call+" ", 1+rand.IntN(20))}
+	a := Attempt{Call: call, Kind: SafeCall, Key: openKey, Body: strings.Repeat(call+" ", 1+rand.IntN(maxRepeats))}
+	if rand.Float64() < emptyFraction {
+		a.Body = ""
+	}
 	total := 0
 	for _, m := range callMix {
 		total += m.weight
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -32,6 +32,10 @@
 // movedPath is a route that each version moves to the other one of the two plain services.
 const movedPath = "/move/"
 
+// idleLimitsMS are the limits for idle connections of callers in milliseconds, of one version after the other.
+// Callers rest for longer than the lower ones.
+var idleLimitsMS = []int64{15000, 1000, 2500}
+
 // configAt returns the configuration of a version. Each version adds a route and a key,
 // removes an older one of each, and moves a route to another service. The handling of a
 // request therefore shows which versions a node may be using.
@@ -62,7 +66,7 @@
 			{Name: spareName, HealthPath: "/healthz", MaxConns: 100},
 		},
 		Tenants: []platformtest.Tenant{{Name: openOrg, Keys: []string{openKey}}, {Name: isolatedOrg, Keys: []string{isolatedKey}, Isolated: true}},
-		Limits:  platformtest.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMS: 3000, IdleMS: 15000},
+		Limits:  platformtest.Limits{HeaderBytes: 16384, BodyBytes: 1 << 20, HeaderMS: 3000, IdleMS: idleLimitsMS[version%int64(len(idleLimitsMS))]},
 	}
 	for v := max(1, version-routesRetained+1); v <= version; v++ {
 		c.Routes = append(c.Routes, route(versionPath(v), "idempotent", plainName, 2))
