internal/cli: a reader that takes no log lines does not delay the end

What callers saw: nothing yet. A planned stop of a node whose standard output nobody reads never ended: closing the log waited for its lines for ever, after the listeners were closed. Who supervises it kills it at the end of the grace, and a balancer or a stop in turn waits for that.

Change: pending lines are written for 0.1 s at most when a process ends, within the 0.3 s that a node keeps before the end of its grace.

--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -6,8 +6,10 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog/diode"
+	"github.com/zeebo/errs/v2"
 )
 
 // maxPendingLogLines bounds the log lines that wait to be written; further ones are
@@ -16,7 +18,7 @@
 
 // StdoutLogger returns a logger that writes one line for each event to standard output,
 // as JSON or text. It never blocks: lines that can't be written, or not in time, are dropped,
-// and dropped is called with their number. Closing writes the pending lines. The process ignores
+// and dropped is called with their number. Closing writes the pending lines, for flushTime at most. The process ignores
 // SIGPIPE from then on, since the end of the log's reader would end it.
 func (c CommonFlags) StdoutLogger(process string, dropped func(n int)) (*slog.Logger, io.Closer) {
 	signal.Ignore(syscall.SIGPIPE)
@@ -26,7 +28,26 @@
 	if c.LogFormat == "text" {
 		h = slog.NewTextHandler(w, opts)
 	}
-	return slog.New(h).With("process", process), w
+	return slog.New(h).With("process", process), boundedCloser{w}
+}
+
+// flushTime bounds the writing of pending lines at the end of a process, so that a reader that takes
+// none does not keep the process from ending in time.
+const flushTime = 100 * time.Millisecond
+
+// boundedCloser closes a writer, or leaves it to the end of the process after flushTime.
+type boundedCloser struct{ io.Closer }
+
+// Close implements [io.Closer].
+func (c boundedCloser) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- c.Closer.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(flushTime):
+		return errs.Errorf("pending log lines were not written within %s", flushTime)
+	}
 }
 
 // lineWriter writes lines and reports each that can't be written.
