--- a/node/conn_set.go
+++ b/node/conn_set.go
@@ -12,10 +12,10 @@
 
 // callerConns is the set of open caller connections.
 type callerConns struct {
-	// closed and kept are called for each connection that is closed between two requests, with whether it
+	// closedHook and keptHook are called for each connection that is closed between two requests, with whether it
 	// had received bytes that nobody had read, and for each that stays open since it had. Either may be nil.
-	closed func(reason closeReason, unread bool)
-	kept   func(reason closeReason)
+	closedHook func(reason closeReason, unread bool)
+	keptHook   func(reason closeReason)
 
 	mu   sync.Mutex
 	open map[*callerConn]*list.Element
@@ -199,17 +199,17 @@
 	return closed
 }
 
-// onClose reports that a connection is closed between two requests.
-func (c *callerConns) onClose(reason closeReason, unread bool) {
-	if c.closed != nil {
-		c.closed(reason, unread)
+// reportClosed reports that a connection is closed between two requests.
+func (c *callerConns) reportClosed(reason closeReason, unread bool) {
+	if c.closedHook != nil {
+		c.closedHook(reason, unread)
 	}
 }
 
-// onKeep reports that a connection is not closed, since a request has arrived.
-func (c *callerConns) onKeep(reason closeReason) {
-	if c.kept != nil {
-		c.kept(reason)
+// reportKept reports that a connection is not closed, since a request has arrived.
+func (c *callerConns) reportKept(reason closeReason) {
+	if c.keptHook != nil {
+		c.keptHook(reason)
 	}
 }
 
--- a/node/conns.go
+++ b/node/conns.go
@@ -163,13 +163,13 @@
 	unread := c.hasInput()
 	if unread && phase == connIdle {
 		c.mu.Unlock()
-		c.conns.onKeep(reason)
+		c.conns.reportKept(reason)
 		return false
 	}
 	c.setPhase(connClosed)
 	c.closedFor = reason
 	c.mu.Unlock()
-	c.conns.onClose(reason, unread)
+	c.conns.reportClosed(reason, unread)
 	// This waits for the reader, which may wait for the lock. The server's ConnState hook removes the
 	// connection from the set.
 	_ = c.Conn.Close()
--- a/node/conns_test.go
+++ b/node/conns_test.go
@@ -94,7 +94,7 @@
 				closed  atomic.Int64
 				handled sync.Map
 			)
-			conns.closed = func(closeReason, bool) { closed.Add(1) }
+			conns.closedHook = func(closeReason, bool) { closed.Add(1) }
 			addr := startCallersServer(t, &conns, func(_ http.ResponseWriter, r *http.Request) { handled.Store(r.URL.Path[1:], true) })
 			all := make([]testCaller, callers)
 			unanswered, lost := 0, 0
--- a/node/node.go
+++ b/node/node.go
@@ -212,7 +212,7 @@
 	}
 	n.events = event.New(s.Name, event.WithLogger(n.log), event.WithSize(eventBufferSize), event.WithSample(sampleEvery))
 	n.counters = newCounters(n.metrics)
-	n.callers.closed, n.callers.kept = n.counters.connClosed, n.counters.connKept
+	n.callers.closedHook, n.callers.keptHook = n.counters.connClosed, n.counters.connKept
 	if n.peers == nil {
 		n.peers = peer.NewClient(peerCallTimeout, nil, peer.WithObserver(n.countPeerBytes))
 	}
