--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -211,12 +211,16 @@
 	a := c.newCall(call)
 	end := time.Now().Add(callTime)
 	for n := range maxAttempts {
+		left := time.Until(end)
+		if left <= 0 {
+			return
+		}
 		a.ID = fmt.Sprintf("%s.%d", call, n)
 		client := c.keepAlive
 		if n > 0 {
 			client = c.newConns
 		}
-		pause, events, retry := c.attempt(client, a, time.Until(end))
+		pause, events, retry := c.attempt(client, a, left)
 		if a.Kind == ResumeCall && events > 0 {
 			// A next attempt takes up what this one left.
 			a.Resumes, a.LastEvent = cmp.Or(a.Resumes, a.ID), a.LastEvent+events
@@ -234,7 +238,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	if a.Kind.streams() && rand.Float64() < abandonFraction {
-		t := time.AfterFunc(rand.N(left/8), cancel)
+		t := time.AfterFunc(rand.N(max(1, left/8)), cancel)
 		defer t.Stop()
 	}
 	index := 0
