--- a/internal/cli/log.go
+++ b/internal/cli/log.go
@@ -18,8 +18,8 @@
 
 // StdoutLogger returns a logger that writes one line for each event to standard output,
 // as JSON or text. It never blocks: lines that can't be written, or not in time, are dropped,
-// and dropped is called with their number. Closing writes the pending lines, for flushTime at most. The process ignores
-// SIGPIPE from then on, since the end of the log's reader would end it.
+// and dropped is called with their number. Closing writes the pending lines, for flushTime at
+// most. The process ignores SIGPIPE from then on, since the end of the log's reader would end it.
 func (c CommonFlags) StdoutLogger(process string, dropped func(n int)) (*slog.Logger, io.Closer) {
 	signal.Ignore(syscall.SIGPIPE)
 	w := diode.NewWriter(lineWriter{os.Stdout, dropped}, maxPendingLogLines, 0, dropped)
--- a/node/conns.go
+++ b/node/conns.go
@@ -81,43 +81,58 @@
 }
 
 // Read implements [net.Conn].
-func (c *callerConn) Read(p []byte) (n int, err error) {
+func (c *callerConn) Read(p []byte) (int, error) {
 	if c.socket == nil || len(p) == 0 {
-		n, err = c.Conn.Read(p)
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if !c.received(n) {
-			return 0, net.ErrClosed
-		}
-		return n, err
+		return c.readThenRecord(p)
+	}
+	n, err := c.readLocked(p)
+	switch {
+	case err != nil:
+		return 0, c.readError(err)
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// readThenRecord reads from a connection without a socket. What is read while the connection is closed is
+// dropped, since its request must not be served.
+func (c *callerConn) readThenRecord(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.received(n) {
+		return 0, net.ErrClosed
 	}
-	waitErr := c.socket.Read(func(fd uintptr) bool {
+	return n, err
+}
+
+// readLocked waits until there is something to read, and reads it under the lock. It returns zero bytes at the
+// end of the stream.
+func (c *callerConn) readLocked(p []byte) (n int, err error) {
+	waitErr := c.socket.Read(func(fd uintptr) (done bool) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.phase == connClosed {
 			err = net.ErrClosed
 			return true
 		}
-		n, err = readSocket(int(fd), p)
+		n, err = readAvailable(int(fd), p)
 		c.received(n)
 		return !errors.Is(err, syscall.EAGAIN)
 	})
 	var op *net.OpError
 	switch {
 	case errors.As(waitErr, &op):
-		return 0, c.readError(op.Err)
+		return 0, op.Err
 	case waitErr != nil:
-		return 0, c.readError(waitErr)
-	case err != nil:
-		return 0, c.readError(err)
-	case n == 0:
-		return 0, io.EOF
+		return 0, waitErr
 	}
-	return n, nil
+	return n, err
 }
 
-// readSocket reads what a socket has received, without waiting.
-func readSocket(fd int, p []byte) (int, error) {
+// readAvailable reads what a socket has received, without waiting.
+func readAvailable(fd int, p []byte) (int, error) {
 	for {
 		n, err := syscall.Read(fd, p)
 		switch {
