node, event, docs: answers that a planned stop cuts off are told apart

answer-cut had the longest silence of a target in the life of a request, but not whether it was silent when the answer was cut, nor when the request arrived with regard to the SIGTERM, so that neither hypothesis of the incident could be told from the others. The event has both now, and pathhead_stop_cut_total counts by state of the target (the bound is the last sixth of the grace, the platform's) and by whether the request arrived before or after the stop began. No decision changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -162,7 +162,7 @@
 	{PoolDrained, "pool-drained", slog.LevelInfo, "The backlog of a saturated pool is gone; requests are no longer refused for it."},
 	{CallerStalled, "caller-stalled", slog.LevelInfo, "A caller took nothing of its answer for some seconds; the connection was closed and the attempt cancelled."},
 	{MemoryExhausted, "memory-exhausted", slog.LevelWarn, "Requests are refused because the memory for callers is in use; the detail has the bytes. The organisation is the one that holds most. Logged once while refusals last."},
-	{AnswerCut, "answer-cut", slog.LevelWarn, "The connection of a caller was closed without a complete answer; the detail has the reason, for how long at most a target had sent nothing, and how long ago the configuration was adopted."},
+	{AnswerCut, "answer-cut", slog.LevelWarn, "The connection of a caller was closed without a complete answer; the detail has the reason, for how long at most a target had sent nothing, and how long ago the configuration was adopted. During a planned stop it also has when the request arrived and whether its target was still sending."},
 	{HandlerPanicked, "handler-panicked", slog.LevelError, "A programming error ended the handling of a request, whose connection was closed; the detail has the error and the stack."},
 	{RequestHandedOver, "request-handed-over", slog.LevelInfo, "A request was handed over to another node, since this one is cut off from its pool; the target is that node's address."},
 	{StreamEndedInside, "stream-ended-inside", slog.LevelWarn, "A target closed the connection of a stream that has neither a length nor chunks, and part of an event is left over; the detail has its size."},
--- a/node/callers.go
+++ b/node/callers.go
@@ -89,7 +89,7 @@
 		v.uri = r.URL.RequestURI()
 	}
 	defer n.logPanic(v)
-	if n.stopping.Load() || n.callers.crowded(n.memory.idleConns()) {
+	if n.stopping() || n.callers.crowded(n.memory.idleConns()) {
 		w.Header().Set("Connection", "close")
 	}
 	if size, most := headerSize(r), n.callerLimits().MaxHeader; size > most {
@@ -352,7 +352,7 @@
 // ready reports whether the node can serve: its configuration is confirmed for requests with keys,
 // and it knows a target.
 func (n *Node) ready() bool {
-	if n.stopping.Load() {
+	if n.stopping() {
 		return false
 	}
 	return n.configStatus().keysConfirmed && n.list.nonEmpty()
--- a/node/cut.go
+++ b/node/cut.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"runtime/debug"
@@ -30,6 +31,47 @@
 	f.silence, f.heardAt = max(f.silence, now.Sub(f.heardAt)), now
 }
 
+// attemptEnded records the end of an attempt with the given context.
+func (f *forwarding) attemptEnded(ctx context.Context) {
+	f.cancelled, f.silentFor = ctx.Err() != nil, f.n.now.Since(f.heardAt)
+	f.heard()
+}
+
+// stopCutState is the state of a request that a planned stop cuts off.
+type stopCutState string
+
+// States of a request that a planned stop cuts off.
+const (
+	// cutWorking means that its target was sending.
+	cutWorking stopCutState = "working"
+	// cutSilent means that its target sent nothing during the last part of the stop.
+	cutSilent stopCutState = "silent"
+	// cutWaiting means that it waited for a target.
+	cutWaiting stopCutState = "waiting"
+)
+
+// silentPart is the last part of a stop's grace in which a target that is at work sends something.
+const silentPart = 1.0 / 6
+
+// stopCut counts a request that is cut off during a planned stop, and describes it for the event.
+func (f *forwarding) stopCut(s *plannedStop, now time.Time) string {
+	state := cutWorking
+	switch {
+	case !f.cancelled:
+		state = cutWaiting
+	case f.silentFor >= fraction(s.grace, silentPart):
+		state = cutSilent
+	}
+	sinceStop := f.v.receivedAt.Sub(s.begunAt)
+	f.n.counters.stopCut(state, sinceStop >= 0)
+	text := fmt.Sprintf("; %s after the stop began, its request arrived %s after that, state %s", now.Sub(s.begunAt).Round(time.Millisecond),
+		sinceStop.Round(time.Millisecond), state)
+	if f.cancelled {
+		text += fmt.Sprintf(", the target sent nothing for the last %s", f.silentFor.Round(time.Millisecond))
+	}
+	return text
+}
+
 // cut records that the request ends without a complete answer and closes the caller's connection.
 func (f *forwarding) cut(reason cutReason, detail string) {
 	now := f.n.now()
@@ -47,6 +89,9 @@
 	if age, ok := f.n.configurationAge(now); ok {
 		text += fmt.Sprintf(", %s after the configuration was adopted", age.Round(time.Millisecond))
 	}
+	if s := f.n.stop.Load(); s != nil && reason == cutUnfinished {
+		text += f.stopCut(s, now)
+	}
 	f.n.counters.cut(reason)
 	f.n.events.Record(event.Event{Code: event.AnswerCut, Request: f.v.info.ID, Org: f.req.Org, Route: f.req.Route, Detail: text})
 	panic(http.ErrAbortHandler)
--- a/node/forward.go
+++ b/node/forward.go
@@ -51,6 +51,10 @@
 	// probe checks the target of the newest attempt once it has sent nothing for a while.
 	probe   *time.Timer
 	silence time.Duration
+	// cancelled is set if the newest attempt was cancelled, and silentFor is how long its target had sent
+	// nothing at its end.
+	cancelled bool
+	silentFor time.Duration
 	// handedOver is set during an attempt by way of another node.
 	handedOver bool
 }
@@ -77,7 +81,7 @@
 	n.queryHolders(v.r.Context(), f.req)
 	c := dispatch.NewCallWithID(v.info.ID)
 	refusal := n.Serve(v.r.Context(), f.req, c, func(ctx context.Context, a route.Attempt) route.Outcome {
-		defer f.heard()
+		defer f.attemptEnded(ctx)
 		return f.send(ctx, a)
 	})
 	if refusal == nil && f.answer != nil {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -107,6 +107,15 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_answers_cut_total{reason=%q}", string(reason))).Inc()
 }
 
+// stopCut counts a request that was cut off during a planned stop.
+func (c counters) stopCut(state stopCutState, arrivedAfter bool) {
+	arrived := "before"
+	if arrivedAfter {
+		arrived = "after"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_stop_cut_total{state=%q,arrived=%q}", string(state), arrived)).Inc()
+}
+
 // unframed counts a stream that had neither a length nor chunks and ended with its connection.
 func (c counters) unframed(insideEvent bool) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_unframed_streams_total{inside_event=%q}", strconv.FormatBool(insideEvent))).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -56,7 +56,8 @@
 	classes    atomic.Pointer[callerClasses]
 	probes     probeSet
 	peerZones  peerZones
-	stopping   atomic.Bool
+	// stop is the planned stop, once it has begun.
+	stop atomic.Pointer[plannedStop]
 	// fetching is set while a configuration is being fetched from a peer.
 	fetching atomic.Bool
 	// borrowing is set while the list is being taken from another node.
--- a/node/peers.go
+++ b/node/peers.go
@@ -63,7 +63,7 @@
 	state.Ordered = state.Ordered[:min(len(state.Ordered), route.MaxTargetKeys)]
 	return peer.Payload{
 		Kind:     peer.KindRouter,
-		Draining: n.stopping.Load(),
+		Draining: n.stopping(),
 		Door:     n.settings().Operators,
 		Zone:     n.settings().Zone,
 		Power:    n.settings().Power,
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -67,7 +67,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.n.now()
-	if r.n.stopping.Load() {
+	if r.n.stopping() {
 		r.roster.SetPower(0)
 	}
 	out := peer.RelayReport{Stamp: r.n.events.Clock().Now(), Config: status}
--- a/node/releases.go
+++ b/node/releases.go
@@ -92,7 +92,7 @@
 		due = s.due(pool) || due
 	}
 	switch {
-	case s.n.stopping.Load() || s.n.relays.followsRelay():
+	case s.n.stopping() || s.n.relays.followsRelay():
 	case due:
 		if err := s.write(ctx); err != nil && ctx.Err() == nil {
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -61,7 +61,7 @@
 	n.Lock()
 	known := n.Board().Rollouts(n.now())
 	n.Unlock()
-	if len(known) == 0 || n.relays.followsRelay() || n.stopping.Load() {
+	if len(known) == 0 || n.relays.followsRelay() || n.stopping() {
 		return nil, len(known) > 0
 	}
 	members := n.relays.known()
--- a/node/stop.go
+++ b/node/stop.go
@@ -18,12 +18,23 @@
 	refusalTime = 150 * time.Millisecond
 )
 
+// plannedStop is the planned stop of a node.
+type plannedStop struct {
+	// begunAt is when the node was told to stop, by its clock.
+	begunAt time.Time
+	// grace is the time from then until the platform ends the process.
+	grace time.Duration
+}
+
+// stopping reports whether a planned stop has begun.
+func (n *Node) stopping() bool { return n.stop.Load() != nil }
+
 // drain is the planned stop at the end of [Node.Run]. The node stops being ready and serves
 // requests for the balancer's lag. Then it refuses new requests as not run, since they could
 // outlast the grace period, and finishes those in flight. Requests that are not finished at its end
 // are refused as ones that may have run.
 func (n *Node) drain() {
-	n.stopping.Store(true)
+	n.stop.Store(&plannedStop{begunAt: n.now(), grace: n.settings().Bounds.Grace})
 	n.events.Record(event.Event{Code: event.ProcessDraining})
 	end := time.Now().Add(n.settings().Bounds.Grace - stopMargin)
 	time.Sleep(min(balancerLag, n.settings().Bounds.Grace/2))
--- a/node/weights_updater.go
+++ b/node/weights_updater.go
@@ -263,7 +263,7 @@
 	holds := d.lease.HoldsFor(now, leaseTime/2)
 	d.mu.Unlock()
 	switch {
-	case d.n.stopping.Load() && !d.update.Active():
+	case d.n.stopping() && !d.update.Active():
 		return idleInterval
 	case waiting:
 		return deferToLastHolder / 4
