route, node: a stopping node admits by the time of a request's arrival

What callers saw: a stream that a node accepted after it was told to stop ended in the middle, at the end of the grace, though it was sent more than 3 s after the SIGTERM, when the platform expects refusals.

Cause: a bound that starts at an event outside of the process was applied by a flag that a goroutine sets after a sleep. The signal, the wake-up and the lock come late, never early, and until then whatever comes is accepted, also what may run for longer than is left.

Change: the board knows the stop's times and compares them with the arrival.

Weighed: a margin before the flag alone (would refuse short calls earlier, too); refusing all streams that may outlast the stop from its beginning (with several nodes stopping, a caller's only retry often meets another of them).

--- a/route/arrive.go
+++ b/route/arrive.go
@@ -66,6 +66,9 @@
 	if b.closed != nil {
 		return b.closed
 	}
+	if refusal := b.drainRefusal(now, r); refusal != nil {
+		return refusal
+	}
 	if b.snap == nil {
 		return &Refusal{Cause: CauseFenced, RetryAfter: b.minRetryAfter, Detail: "no configuration is known yet"}
 	}
--- a/route/board.go
+++ b/route/board.go
@@ -67,6 +67,7 @@
 	// router and its peers left out of their reports.
 	ratesDropped, peerRatesDropped int
 	closed                         *Refusal
+	drain                          *Drain
 	// round numbers the scans that mark the targets they visit, and scratch is the reused slice
 	// of candidates.
 	round     uint64
