node: a stream that is silent at a planned stop goes on elsewhere while there is time

What callers saw: a stream whose target fell silent in the last two seconds of a planned stop ended in silence at the end of the grace, though another target could have gone on with it.

Change: during a stop a stream may pause for half of the time that is left, at least for the route's longest pause. As before, the attempt is given up only if another target has room and the retry is paid, so silence ends no answer sooner.

Left: a stream that may not be resumed, or has no attempt left, is cut with its target silent.

--- a/node/stream.go
+++ b/node/stream.go
@@ -46,7 +46,6 @@
 	var (
 		buffered []byte
 		buf      = make([]byte, streamBuffer)
-		gap      = f.maxGap(a)
 		first    = true
 		// hasEvent is set once an event arrived, not only comments.
 		hasEvent bool
@@ -55,7 +54,8 @@
 	)
 	defer func() { f.v.memory.shrink(int64(counted - commonEvents)) }()
 	for {
-		if timer.Stop(); gap > 0 {
+		timer.Stop()
+		if gap := f.maxGap(a); gap > 0 {
 			timer.Reset(gap)
 		}
 		n, err := resp.Body.Read(buf)
@@ -167,6 +167,11 @@
 	// minGap leaves time for a target that falls silent for a second, and for another one to
 	// continue: callers wait for two seconds at least.
 	minGap = 1500 * time.Millisecond
+	// stopGapFraction is the part of the time left in a planned stop, after which a stream that is silent is cut
+	// off in any case. The rest is for another target to continue.
+	stopGapFraction = 0.5
+	// minStopGap is longer than the pauses of a target that is at work.
+	minStopGap = 300 * time.Millisecond
 )
 
 // maxGap returns the maximum pause of a stream that can resume elsewhere; zero means no limit.
@@ -174,7 +179,13 @@
 	if !f.req.Resumable || a.Number >= f.req.MaxTries {
 		return 0
 	}
-	return max(gapFactor*time.Duration(f.v.route.MaxGap), minGap)
+	longest := time.Duration(f.v.route.MaxGap)
+	gap := max(gapFactor*longest, minGap)
+	if s := f.n.stop.Load(); s != nil {
+		left := fraction(s.end().Sub(f.n.now()), stopGapFraction)
+		gap = min(gap, max(left, longest, minStopGap))
+	}
+	return gap
 }
 
 // writeHeader writes the header of a response to the caller. A caller before HTTP/1.1 knows no chunks, so
