--- a/node/cut.go
+++ b/node/cut.go
@@ -17,8 +17,6 @@
 const (
 	// cutByCaller means that the caller disconnected or did not take the answer.
 	cutByCaller cutReason = "caller"
-	// cutByNode means that this node closed the connection between two requests.
-	cutByNode cutReason = "closed"
 	// cutUnfinished means that the answer ended after a part of it was sent.
 	cutUnfinished cutReason = "unfinished"
 	// cutByPanic means that the handler of the request panicked.
@@ -75,9 +73,6 @@
 // cut records that the request ends without a complete answer and closes the caller's connection.
 func (f *forwarding) cut(reason cutReason, detail string) {
 	now := f.n.now()
-	if closedFor := closeReasonOf(f.v.r); reason == cutByCaller && closedFor != "" {
-		reason, detail = cutByNode, string(closedFor)
-	}
 	text := string(reason)
 	if detail != "" {
 		text += ", " + detail
