node: a stopping node leaves new connections the time to send their request

What callers saw: a connection to a stopping node that opened, and was closed without an answer as the request was sent. A call that may run once is not repeated by every caller then; the others lose a try, often their only one.

Cause: from the third second of a stop on, while it finishes what is in flight, a node closed all idle connections each 20 ms, also those that it had accepted since. With a caller a few milliseconds away the request is still on its way. New connections come at that time where most nodes of a zone stop at once, as the balancer then uses all of them.

Change: a stop closes connections that have been idle for 0.2 s.

Weighed: keeping idle connections until the end of the stop (callers who keep one would find out then, all at the same moment).

--- a/node/stop.go
+++ b/node/stop.go
@@ -18,6 +18,9 @@
 	longFraction = 2.0 / 3
 	// stopMargin is how long before the end of the grace period the process ends by itself.
 	stopMargin = 300 * time.Millisecond
+	// newConnTime is how long a connection stays open without a request while the node finishes others: the
+	// request of a new one may be on its way.
+	newConnTime = 200 * time.Millisecond
 	// refusalTime is the part of stopMargin in which the requests that are left get their refusals.
 	refusalTime = 150 * time.Millisecond
 )
@@ -85,7 +88,7 @@
 // false at the end of the wait.
 func (n *Node) drained(end time.Time) bool {
 	for n.now().Before(end) {
-		n.callers.closeIdle(time.Now(), closedStop)
+		n.callers.closeIdle(time.Now().Add(-newConnTime), closedStop)
 		if n.Calls() == 0 && n.callers.count() == 0 && n.handed.conns.busyCount() == 0 {
 			return true
 		}
