--- a/node/cut.go
+++ b/node/cut.go
@@ -46,15 +46,19 @@
 	cutSilent stopCutState = "silent"
 	// cutWaiting means that it waited for a target.
 	cutWaiting stopCutState = "waiting"
+	// cutCaller means that its caller left, or did not take the answer until the end.
+	cutCaller stopCutState = "caller"
 )
 
 // silentPart is the last part of a stop's grace in which a target that is at work sends something.
 const silentPart = 1.0 / 6
 
 // stopCut counts a request that is cut off during a planned stop, and describes it for the event.
-func (f *forwarding) stopCut(s *plannedStop, now time.Time) string {
+func (f *forwarding) stopCut(s *plannedStop, reason cutReason, now time.Time) string {
 	state := cutWorking
 	switch {
+	case reason == cutByCaller:
+		state = cutCaller
 	case !f.cancelled:
 		state = cutWaiting
 	case f.silentFor >= fraction(s.grace, silentPart):
@@ -84,8 +88,8 @@
 	if age, ok := f.n.configurationAge(now); ok {
 		text += fmt.Sprintf(", %s after the configuration was adopted", age.Round(time.Millisecond))
 	}
-	if s := f.n.stop.Load(); s != nil && reason == cutUnfinished {
-		text += f.stopCut(s, now)
+	if s := f.n.stop.Load(); s != nil {
+		text += f.stopCut(s, reason, now)
 	}
 	f.n.counters.cut(reason)
 	f.n.events.Record(event.Event{Code: event.AnswerCut, Request: f.v.info.ID, Org: f.req.Org, Route: f.req.Route, Detail: text})
