node, event, docs: what is known of a stream that its caller takes up is logged

Refusals alone were in the log, so that neither the share that goes on nor its sources could be told, nor whether a refusal was right. stream-taken-up (236) has the release and what told it, or the doubt, and the slots of the listed targets by release. No logic changes.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -52,6 +52,7 @@
 	PartReleased      Code = 234
 
 	RequestUnanswerable Code = 235
+	StreamTakenUp       Code = 236
 
 	TargetSeen      Code = 301
 	TargetRestarted Code = 302
@@ -169,6 +170,7 @@
 	{PartHeld, "part-held", slog.LevelWarn, "Requests with a part in their prompts are held because targets crashed while running such requests; the detail has these targets and the part's fingerprint. Logged once by each process each time the part is held."},
 	{PartReleased, "part-released", slog.LevelInfo, "A part is no longer held: an answer with it went on, the hold expired, or an operator released it."},
 	{RequestUnanswerable, "request-unanswerable", slog.LevelWarn, "A request was read from a connection that this process had closed, so that no answer can reach the caller; it does not run. The detail has the reason of the close and the method."},
+	{StreamTakenUp, "stream-taken-up", slog.LevelInfo, "A caller takes up a stream that broke off; the detail has the release that began it and what told it, or why it is not known, and the slots of the listed targets by release."},
 
 	{TargetSeen, "target-seen", slog.LevelInfo, "A target was discovered."},
 	{TargetRestarted, "target-restarted", slog.LevelWarn, "A target has a new incarnation; the state known of the previous one was discarded."},
--- a/node/releases.go
+++ b/node/releases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/pathhead/pathhead/event"
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/peer"
 	"github.com/pathhead/pathhead/policy"
@@ -326,6 +328,7 @@
 func (s *releases) pinContinuation(v *callerRequest, req *route.Request) *route.Refusal {
 	release, by, doubt := s.releaseOf(v.r.Context(), req.Pool, v.info.Resumes)
 	s.n.counters.resumed(by)
+	s.logTakenUp(v, req.Pool, release, by, doubt)
 	if by == releaseUnknown {
 		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: undividedRetry, Detail: "the release that began the stream is not known: " + doubt}
 	}
@@ -336,6 +339,22 @@
 	return nil
 }
 
+// logTakenUp records what is known of the release of a stream that its caller resumes.
+func (s *releases) logTakenUp(v *callerRequest, pool, release string, by releaseSource, doubt string) {
+	n := s.n
+	n.Lock()
+	listed := n.Board().ListedReleases(pool)
+	n.Unlock()
+	known := release + " by " + string(by)
+	if by == releaseUnknown {
+		known = "unknown: " + doubt
+	}
+	n.events.Record(event.Event{
+		Code: event.StreamTakenUp, Request: v.info.ID, Route: v.route.Name,
+		Detail: fmt.Sprintf("%s, stream %s; slots listed: %s", known, v.info.Resumes, listed),
+	})
+}
+
 // releaseOf returns the release that began the stream of a request, and why it is not known. A node that has
 // just started waits for what it reads first.
 func (s *releases) releaseOf(ctx context.Context, pool, id string) (release string, by releaseSource, doubt string) {
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -1,8 +1,10 @@
 package route
 
 import (
+	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pathhead/pathhead/event"
@@ -111,6 +113,19 @@
 	return ok && p.streams.several()
 }
 
+// ListedReleases returns the slots of a pool's listed targets that are not draining, by release, for operators.
+func (b *Board) ListedReleases(pool string) string {
+	p, ok := b.pools[pool]
+	if !ok {
+		return "no pool"
+	}
+	var out []string
+	for _, release := range slices.Sorted(maps.Keys(p.streams.listed)) {
+		out = append(out, fmt.Sprintf("%s %.0f", release, p.streams.listed[release]))
+	}
+	return strings.Join(out, ", ")
+}
+
 // HasPool reports whether the configuration has a pool.
 func (b *Board) HasPool(pool string) bool {
 	_, ok := b.pools[pool]
