node, peer, platform: the releases of streams are recorded while slots move

Cause: while slots move, the split answers for no stream, and who began what was remembered by single processes, which are the very ones that have ended when a stream breaks off. A large fleet's node asked nobody. The class: what must outlast a process is in its memory alone.

One node, the recorder, now writes to the store which release began each stream of a pool with several releases; the others pass theirs on to it five times a second, in a large fleet through their relays. Whoever is asked for a stream that nobody remembers reads the record. It holds facts alone, so that a lost or late row leaves a stream unknown, as before.

Why it holds: a stream is taken up only if its caller has an event of it, which takes longer than the 0.2 to 0.4 s until it is recorded; what a recorder that dies has not written, the nodes that began it pass on to the next one. With one release nothing is written or sent.

The simulated store of package node returned all rows to any range, in any order; it returns what was asked for now. The simulated fleet runs the new loop.

--- a/node/fleet_sim_test.go
+++ b/node/fleet_sim_test.go
@@ -157,7 +157,7 @@
 func (f *simFleet) run(n *Node) {
 	l := f.net.listen(n.settings().Peers)
 	f.loops.Go(func() { _ = peer.Serve(l, &simHandler{Node: n, sizes: &f.sizes, noConfigs: f.noConfigs}) })
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.releases.loop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.releases.loop, n.releases.record.loop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop} {
 		n.loops.Go(func() { loop(f.work) })
 	}
 	n.loops.Go(func() { n.Tick(f.work, tickInterval) })
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -107,6 +108,14 @@
 	return d.simStore.Range(ctx, part, after, limit)
 }
 
+// Remove implements [Store].
+func (d *simStoreClient) Remove(ctx context.Context, rows ...fleet.Row) error {
+	if err := d.checkUp(ctx); err != nil {
+		return err
+	}
+	return d.simStore.Remove(ctx, rows...)
+}
+
 // Watch implements [Store].
 func (d *simStoreClient) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
 	if err := d.checkUp(ctx); err != nil {
@@ -149,16 +158,39 @@
 }
 
 // Range implements [fleet.Table].
-func (s *simStore) Range(_ context.Context, part, _ string, _ int) (rows []fleet.Row, err error) {
+func (s *simStore) Range(_ context.Context, part, after string, limit int) (rows []fleet.Row, err error) {
 	s.call("get")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, r := range s.rows {
-		if key[0] == part {
+		if key[0] == part && key[1] > after {
 			rows = append(rows, r)
 		}
 	}
-	return rows, nil
+	slices.SortFunc(rows, func(a, b fleet.Row) int { return cmp.Compare(a.Sort, b.Sort) })
+	return rows[:min(limit, len(rows))], nil
+}
+
+// put writes a row that does not exist.
+func (s *simStore) put(part, sort string, data []byte) error {
+	_, err := s.Commit(context.Background(), "", fleet.Write{Part: part, Sort: sort, Data: data})
+	return err
+}
+
+// Remove implements [Store].
+func (s *simStore) Remove(_ context.Context, rows ...fleet.Row) error {
+	s.call("remove")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		if s.rows[[2]string{r.Part, r.Sort}].Rev != r.Rev {
+			return fleet.ErrConflict.Errorf("%s", r.Sort)
+		}
+	}
+	for _, r := range rows {
+		delete(s.rows, [2]string{r.Part, r.Sort})
+	}
+	return nil
 }
 
 // Commit implements [fleet.Table].
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -126,6 +126,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_resumed_streams_total{release=%q}", string(by))).Inc()
 }
 
+// recordedStreams counts streams whose release was recorded in the store.
+func (c counters) recordedStreams(n int) {
+	c.set.GetOrCreateCounter("pathhead_recorded_streams_total").Add(n)
+}
+
 // fetched counts a fetch of the configuration from another node by result.
 func (c counters) fetched(end string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf("pathhead_config_fetches_total{end=%q}", end)).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -331,7 +331,7 @@
 	n.events.Record(event.Event{Code: event.ProcessStarted, Detail: n.startDetail()})
 	// The loops outlive ctx because requests in flight need them while draining.
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
-	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.releases.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop, n.reprobeLoop} {
+	for _, loop := range []func(context.Context){n.watchLoop, n.listLoop, n.gossipLoop, n.weights.loop, n.rollouts.loop, n.releases.loop, n.releases.record.loop, n.sweepLoop, n.placedLoop, n.recentLoop, n.noticeLoop, n.crashLoop, n.recordLoop, n.reprobeLoop} {
 		n.loops.Go(func() { loop(work) })
 	}
 	n.loops.Go(func() { n.Tick(work, tickInterval) })
--- a/node/ports.go
+++ b/node/ports.go
@@ -166,6 +166,8 @@
 type Store interface {
 	fleet.Table
 	RolloutRecord
+	// Remove removes rows of the table if they are as they were read.
+	Remove(ctx context.Context, rows ...fleet.Row) error
 	// Watch returns the changes to the declaration after a cursor, or none after wait. A zero
 	// cursor reads the whole declaration.
 	Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error)
--- a/node/relay.go
+++ b/node/relay.go
@@ -179,6 +179,18 @@
 	return r.large && !r.acting && r.n.now.Since(r.followed.at) <= followTimeout
 }
 
+// followedRelay returns the relay that this node follows.
+func (r *relays) followedRelay() (relay fleet.Member, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	relays := r.roster.Relays(r.n.now())
+	i := slices.IndexFunc(relays, func(m fleet.Member) bool { return m.ID == r.followed.id })
+	if i < 0 {
+		return fleet.Member{}, false
+	}
+	return relays[i], true
+}
+
 // isRelay reports whether this node is a relay.
 func (r *relays) isRelay() bool {
 	r.mu.Lock()
--- a/node/releases.go
+++ b/node/releases.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,7 @@
 	releaseBySplit  releaseSource = "split"
 	releaseByMemory releaseSource = "memory"
 	releaseByPeer   releaseSource = "peer"
+	releaseByRecord releaseSource = "store"
 	releaseUnknown  releaseSource = "unknown"
 )
 
@@ -50,6 +52,8 @@
 type releases struct {
 	n     *Node
 	begun *streamMemory
+	// record makes the releases of streams outlast this process.
+	record *streamRecord
 
 	mu sync.Mutex
 	// readAt and listedAt are when the last read of the row and of the list began of which the board has
@@ -68,7 +72,7 @@
 }
 
 func newReleases(n *Node) *releases {
-	return &releases{n: n, begun: newStreamMemory(), neededSince: make(map[string]time.Time)}
+	return &releases{n: n, begun: newStreamMemory(), record: newStreamRecord(n), neededSince: make(map[string]time.Time)}
 }
 
 // loop keeps the splits until ctx ends. It does nothing while all pools have one release.
@@ -138,12 +142,18 @@
 		since = n.now()
 		s.neededSince[pool] = since
 	}
-	members := n.relays.known()
+	_, owns := s.owner(pool)
+	return owns || n.now.Since(since) >= takeOverTime
+}
+
+// owner returns the node that is chosen for a duty among those that read the store, by rendezvous hashing.
+func (s *releases) owner(duty string) (owner fleet.Member, self bool) {
+	members := s.n.relays.known()
 	if members == nil {
-		members = n.gossipMembers()
+		members = s.n.gossipMembers()
 	}
-	owner, ok := fleet.RendezvousOwner(members, xxh3.HashString(pool))
-	return !ok || owner.ID == n.settings().Name || n.now.Since(since) >= takeOverTime
+	owner, ok := fleet.RendezvousOwner(members, xxh3.HashString(duty))
+	return owner, !ok || owner.ID == s.n.settings().Name
 }
 
 // streamLives remembers how long streams may last that began under earlier configurations: the present life
@@ -320,10 +330,17 @@
 		return &route.Refusal{Cause: route.CauseNoTarget, RetryAfter: fencedRetry, Detail: "the splits of the pool may have changed"}
 	}
 	req.Pin = route.PinTo(release)
-	s.begun.add(n.now(), v.info.ID, release)
+	s.remember(req.Pool, v.info.ID, release)
 	return nil
 }
 
+// remember keeps the release of a stream that this node begins or resumes.
+func (s *releases) remember(pool, id, release string) {
+	now := s.n.now()
+	s.begun.add(now, id, release)
+	s.record.add(now, pool, id, release)
+}
+
 // pinContinuation pins a stream that its caller resumes to the release that began it.
 func (s *releases) pinContinuation(v *callerRequest, req *route.Request) *route.Refusal {
 	release, by, doubt := s.releaseOf(v.r.Context(), req.Pool, v.info.Resumes)
@@ -334,7 +351,7 @@
 	}
 	req.Pin = route.PinTo(release)
 	if v.info.Resumes != "" {
-		s.begun.add(s.n.now(), v.info.Resumes, release)
+		s.remember(req.Pool, v.info.Resumes, release)
 	}
 	return nil
 }
@@ -441,76 +458,90 @@
 	return true
 }
 
-// ask queries the other nodes of a small fleet for the release that began a stream. It is unknown if their
-// answers differ.
+// ask queries other nodes and the record for the release that began a stream. It is unknown if answers differ.
 func (s *releases) ask(ctx context.Context, id string) (release string, by releaseSource) {
+	release, by, differ := s.askAll(ctx, s.rememberers(), id)
+	if by != releaseUnknown || differ {
+		return release, by
+	}
+	if s.n.relays.followsRelay() {
+		return s.askRecord(ctx, id)
+	}
+	if release, ok := s.record.release(ctx, id); ok {
+		return release, releaseByRecord
+	}
+	return "", releaseUnknown
+}
+
+// rememberers returns the other nodes that remember streams for others: all of a small fleet, or the relays.
+func (s *releases) rememberers() (out []netip.AddrPort) {
 	n := s.n
 	if _, large := n.relays.size(); large {
-		return "", releaseUnknown
+		for _, m := range n.relays.known() {
+			if m.ID != n.settings().Name {
+				out = append(out, m.Addr)
+			}
+		}
+		return out
 	}
+	for _, e := range n.gossip.Live() {
+		out = append(out, e.Addr)
+	}
+	return out
+}
+
+// askAll queries nodes for what they remember.
+func (s *releases) askAll(ctx context.Context, addrs []netip.AddrPort, id string) (release string, by releaseSource, differ bool) {
 	ctx, cancel := context.WithTimeout(ctx, streamQueryTime)
 	defer cancel()
-	peers := n.gossip.Live()
-	answers := make(chan peer.StreamAnswer, len(peers))
-	for _, e := range peers {
+	answers := make(chan peer.StreamAnswer, len(addrs))
+	for _, addr := range addrs {
 		go func() {
 			// A node that does not answer knows nothing.
-			a, _ := n.peers.Stream(ctx, e.Addr, peer.StreamQuery{ID: id})
+			a, _ := s.n.peers.Stream(ctx, addr, peer.StreamQuery{ID: id})
 			answers <- a
 		}()
 	}
 	by = releaseUnknown
-	for range peers {
+	for range addrs {
 		switch a := <-answers; {
 		case !a.Known:
 		case by == releaseByPeer && a.Release != release:
-			return "", releaseUnknown
+			return "", releaseUnknown, true
 		default:
 			release, by = a.Release, releaseByPeer
 		}
 	}
-	return release, by
+	return release, by, false
 }
 
-// Stream implements [peer.StreamHandler].
-func (n *Node) Stream(q peer.StreamQuery) peer.StreamAnswer {
-	release, ok := n.releases.begun.get(q.ID)
-	return peer.StreamAnswer{Known: ok, Release: release}
-}
-
-// maxStreamsKept bounds the remembered streams in each of two generations.
-const maxStreamsKept = 2048
-
-// streamMemory holds the releases of the streams that this node began or resumed, in two generations.
-type streamMemory struct {
-	mu           sync.Mutex
-	recent, past map[string]string
-	// begun is when the recent generation began.
-	begun time.Time
-}
-
-func newStreamMemory() *streamMemory { return &streamMemory{recent: make(map[string]string)} }
-
-// generationTime is the longest duration of a generation; the streams of two are remembered.
-const generationTime = 30 * time.Second
-
-func (m *streamMemory) add(now time.Time, id, release string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if len(m.recent) >= maxStreamsKept || now.Sub(m.begun) >= generationTime {
-		m.past, m.recent, m.begun = m.recent, make(map[string]string), now
+// askRecord has the relay that this node follows look into the record, which would be too much to read for each
+// node of a large fleet.
+func (s *releases) askRecord(ctx context.Context, id string) (release string, by releaseSource) {
+	relay, ok := s.n.relays.followedRelay()
+	if !ok {
+		return "", releaseUnknown
 	}
-	m.recent[id] = release
+	ctx, cancel := context.WithTimeout(ctx, recordReadTime)
+	defer cancel()
+	a, err := s.n.peers.Stream(ctx, relay.Addr, peer.StreamQuery{ID: id, Recorded: true})
+	if err != nil || !a.Known {
+		return "", releaseUnknown
+	}
+	return a.Release, releaseByRecord
 }
 
-func (m *streamMemory) get(id string) (release string, ok bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if release, ok = m.recent[id]; ok {
-		return release, true
+// Stream implements [peer.StreamHandler].
+func (n *Node) Stream(q peer.StreamQuery) peer.StreamAnswer {
+	s := n.releases
+	release, ok := s.begun.get(q.ID)
+	if !ok {
+		release, ok = s.record.remembered(q.ID)
 	}
-	release, ok = m.past[id]
-	return release, ok
+	if !ok && q.Recorded {
+		release, ok = s.record.release(context.Background(), q.ID)
+	}
+	return peer.StreamAnswer{Known: ok, Release: release}
 }
 
 var _ peer.StreamHandler = (*Node)(nil)
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -82,7 +82,7 @@
 	out := []fleet.Member{{ID: n.settings().Name, Power: n.settings().Power}}
 	for _, e := range n.gossip.Live() {
 		if !e.Payload.Draining {
-			out = append(out, fleet.Member{ID: e.ID, Power: e.Payload.Power})
+			out = append(out, fleet.Member{ID: e.ID, Addr: e.Addr, Epoch: e.Epoch, Power: e.Payload.Power})
 		}
 	}
 	return out
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -117,11 +117,14 @@
 	return invoke[HoldersAnswer](ctx, p, addr, "Holders", &q)
 }
 
-// StreamQuery requests the release at which the stream of a request began.
-type StreamQuery struct{ ID string }
+// StreamQuery requests the release at which the stream of a request began. Recorded asks the process to look
+// into the record in the store as well.
+type StreamQuery struct {
+	ID       string
+	Recorded bool
+}
 
-// StreamAnswer is the answer to a [StreamQuery]. Known is set if the process began that stream or resumed
-// it.
+// StreamAnswer is the answer to a [StreamQuery]. Known is set if the process remembers that stream.
 type StreamAnswer struct {
 	Known   bool
 	Release string
@@ -145,6 +148,33 @@
 	return invoke[StreamAnswer](ctx, p, addr, "Stream", &q)
 }
 
+// BegunStreams are streams that began at one release. Keys are hashes of the ids of their requests.
+type BegunStreams struct {
+	Pool    string
+	Release string
+	Keys    []uint64
+}
+
+// BegunNotice passes on streams of pools with several releases.
+type BegunNotice struct{ Streams []BegunStreams }
+
+// BegunHandler processes notices of streams that began; a [Handler] may implement it.
+type BegunHandler interface{ Begun(w BegunNotice) }
+
+// Begun processes a notice of streams that began.
+func (s peerService) Begun(in *BegunNotice, _ *bool) error {
+	if h, ok := s.handler.(BegunHandler); ok {
+		h.Begun(*in)
+	}
+	return nil
+}
+
+// Begun notifies the process at addr of streams that began.
+func (p *Client) Begun(ctx context.Context, addr netip.AddrPort, w BegunNotice) error {
+	_, err := invoke[bool](ctx, p, addr, "Begun", &w)
+	return err
+}
+
 // peerName is the service's name in net/rpc.
 const peerName = "Peer"
 
