--- a/node/releases_test.go
+++ b/node/releases_test.go
@@ -253,3 +253,34 @@
 		require.Equal(t, route.PinTo("b"), req.Pin)
 	})
 }
+
+// Guards against nodes that have all just started and take each other's answers for the splits, which none of them
+// has read: a stream of a release whose targets have left would go on at the one that the list still shows.
+func TestStartedNodesVouchForNothing(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{4, 84} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, simSite{nodes: nodes, engines: 4, perSecond: 1})
+				f.start()
+				defer f.end()
+				for _, c := range f.storeClients {
+					c.down.Store(true)
+				}
+				time.Sleep(simSettleTime)
+				for _, n := range f.nodes {
+					require.NotEqual(t, contactFew, n.releases.contact(), n.settings().Name)
+					require.False(t, n.releases.started(), n.settings().Name)
+				}
+				for _, c := range f.storeClients[:nodes/2] {
+					c.down.Store(false)
+				}
+				time.Sleep(simSettleTime)
+				for _, n := range f.nodes {
+					require.True(t, n.releases.started(), "%s knows what others have read", n.settings().Name)
+				}
+			})
+		})
+	}
+}
