node, peer: a node that has just started vouches for no splits

Two nodes took up streams for 30 to 50 ms before they had the row, by the only release in their list.

Cause: a node counted as knowing the splits once most other nodes had answered it. After a restart of all nodes these know nothing either. The class: the absence of knowledge at others was taken for knowledge that there is nothing.

Nodes say now whether they know the splits: since they read the row, or had them from one that did. Only that lets another one count as started. One that nobody tells reads the row itself after 3 s, as beside nodes of an earlier release of this program.

It holds since a chain of nodes that say so ends at one that has read the row since it started.

--- a/node/peers.go
+++ b/node/peers.go
@@ -23,9 +23,10 @@
 			every = n.gossip.Period(gossipInterval)
 		}
 		n.borrowList(ctx)
-		contacts := n.releases.contacts()
+		contacts, known := n.releases.contacts(), n.releases.othersKnow()
 		n.updateBoard()
 		n.releases.setContacts(contacts)
+		n.releases.setKnown(known)
 		n.probeLinks()
 	}
 }
@@ -72,6 +73,7 @@
 
 		TakesHandoffs: !n.disabled.Has(route.HandingOver),
 		PinsReleases:  true,
+		KnowsReleases: n.releases.known(),
 		List:          n.list.offer(now),
 	}
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -56,6 +56,8 @@
 	largeAt time.Time
 	// contactAt is when the last call to a relay began that was answered.
 	contactAt time.Time
+	// knowsReleases is set once a relay that knew the splits of releases answered.
+	knowsReleases bool
 	// entries and heartbeats are the published list, read at listAt. Only relays have them.
 	entries    *route.Feed[netip.AddrPort, *route.Entry]
 	heartbeats *route.Feed[netip.AddrPort, int64]
@@ -139,6 +141,13 @@
 	return r.large, r.contactAt
 }
 
+// knowReleases reports whether a relay that knew the splits of releases answered this node.
+func (r *relays) knowReleases() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.knowsReleases
+}
+
 // known returns the relays, or nil in a small fleet.
 func (r *relays) known() []fleet.Member {
 	r.mu.Lock()
--- a/node/relay_answer.go
+++ b/node/relay_answer.go
@@ -85,6 +85,7 @@
 	own, status := n.relayState()
 	out := n.relays.answer(in, own)
 	out.Config = status
+	out.KnowsReleases = n.releases.known()
 	out.Newest = n.newestUpdates(n.now())
 	out.Crashes = n.crashes.HandleRequest(in.Crashes)
 	n.Lock()
--- a/node/relay_report.go
+++ b/node/relay_report.go
@@ -123,15 +123,16 @@
 	r.sharedSent[to.ID] = sent
 	r.mu.Unlock()
 	r.applyAnswer(ctx, begun, to, answer)
-	r.recordContact(begun)
+	r.recordContact(begun, answer.KnowsReleases)
 	r.n.applyConfigStatus(ctx, begun, to.Addr, answer.Config)
 	r.n.receiveNewest(begun, "relay "+to.ID, answer.Newest)
 }
 
-// recordContact records an answered call to a relay.
-func (r *relays) recordContact(begun time.Time) {
+// recordContact records an answered call to a relay, which may know the splits of releases.
+func (r *relays) recordContact(begun time.Time, knowsReleases bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.knowsReleases = r.knowsReleases || knowsReleases
 	if begun.After(r.contactAt) {
 		r.contactAt = begun
 	}
--- a/node/releases.go
+++ b/node/releases.go
@@ -59,6 +59,8 @@
 	// readAt and listedAt are when the last read of the row and of the list began of which the board has
 	// the result.
 	readAt, listedAt time.Time
+	// fromOthers is set once the board has the splits from a node that knew them.
+	fromOthers bool
 	// contactAt are the beginnings of the calls to other nodes that were answered lately and of which
 	// the board has the result; in a large fleet those to relays.
 	contactAt []time.Time
@@ -90,6 +92,12 @@
 func (s *releases) round(ctx context.Context) bool {
 	contact := s.contact()
 	pools := s.several()
+	if !s.known() && s.n.now.Since(s.n.startedAt) > startTime {
+		// Neither a relay nor another node has told it, as where these are of an earlier release of this program.
+		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
+			s.n.log.Debug("reading the splits of releases failed", "error", err)
+		}
+	}
 	if len(pools) == 0 {
 		return false
 	}
@@ -440,12 +448,37 @@
 	return candidates[0], ""
 }
 
-// started reports whether this node has read the row since it started, or has the splits that most other nodes have.
+// started reports whether this node has read the row since it started, or has the splits of a node that did and
+// those that most other nodes have.
 func (s *releases) started() bool {
 	s.mu.Lock()
-	read := !s.readAt.IsZero()
+	read, fromOthers := !s.readAt.IsZero(), s.fromOthers
 	s.mu.Unlock()
-	return read || s.contact() != contactFew
+	return read || fromOthers && s.contact() != contactFew
+}
+
+// known reports whether this node has the splits as they were in the row since it started. What a node that has
+// just started does not know is no evidence that there is nothing to know.
+func (s *releases) known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.readAt.IsZero() || s.fromOthers
+}
+
+// othersKnow reports whether another node that this one received from knows the splits.
+func (s *releases) othersKnow() bool {
+	n := s.n
+	if n.relays.knowReleases() {
+		return true
+	}
+	return slices.ContainsFunc(n.gossip.Live(), func(e peer.Entry) bool { return e.Payload.KnowsReleases })
+}
+
+// setKnown records that the board has the splits of a node that knows them.
+func (s *releases) setKnown(known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fromOthers = s.fromOthers || known
 }
 
 // othersPinReleases reports whether all other nodes that are known begin streams by the splits.
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -40,7 +40,10 @@
 	TakesHandoffs bool
 	// PinsReleases is set if the process begins streams by the splits of releases.
 	PinsReleases bool
-	List         ListOffer
+	// KnowsReleases is set once the process has read the splits of releases since it started, or has them from one
+	// that had.
+	KnowsReleases bool
+	List          ListOffer
 }
 
 // Entry is the gossip entry of one process.
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -59,6 +59,8 @@
 	Newest  []route.NewestUpdate
 	News    *RelayUpdate
 	Crashes *CrashMessage
+	// KnowsReleases is as in [Payload].
+	KnowsReleases bool
 }
 
 // RelayUpdate holds the changes at a relay since a cursor.
