route: splits that are learned before the configuration are kept

Cause: a node reads that row and the configuration at the same moment as it starts. A board without the configuration has no pools, so that it dropped the splits, and the row counted as read. The only release in the list then passed for the one that had always been there.

The board keeps the splits of pools that the configuration does not have yet, and of those that it drops and may get back.

TestSplitsReadBeforeConfiguration fails without the change: the stream goes on at release b. It holds since splits reach a board in one place alone. Other state that is read at the start (weights, held requests, roll-outs) is kept without pools, by reading.

--- a/node/releases_test.go
+++ b/node/releases_test.go
@@ -284,3 +284,28 @@
 		})
 	}
 }
+
+// Guards against splits that are lost since a node reads their row before it has the configuration: it would take the
+// only release that its list shows for the one that has always been there.
+func TestSplitsReadBeforeConfiguration(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		store := newSimStore(1)
+		n, err := New(validSettings(), store, plainProtocol{}, store)
+		require.NoError(t, err)
+		replaced := route.ReleaseHistory{Number: 1, Splits: []route.ReleaseSplit{route.WholeSplit(time.Time{}, "a"), route.WholeSplit(time.Now().Add(-time.Second), "b")}}
+		row := fleet.Row{Sort: releasesRow, Rev: 1, Data: encodeReleases(store.Clock(), map[string]route.ReleaseHistory{simPool: replaced})}
+		n.releases.applyRead(n.now(), []fleet.Row{row})
+		declared, err := store.Parse(1, "one")
+		require.NoError(t, err)
+		n.adopt(*declared, "the store")
+		n.Do(func(b *route.Board, now time.Time) []route.Action {
+			return b.SetTargets(now, []route.ListedTarget{{Addr: simEngineAddr(0), Labels: map[string]string{LabelPool: simPool}, Release: "b"}})
+		})
+		n.releases.setListed(n.now())
+		v, req := continuation("id")
+		refusal := n.pinRelease(v, req)
+		require.NotNil(t, refusal, "the stream may have begun at either release, and goes on at %+v", req.Pin)
+		require.Contains(t, refusal.Detail, "a, b")
+	})
+}
--- a/route/board.go
+++ b/route/board.go
@@ -25,11 +25,13 @@
 	slots    map[uint32]*target
 	lastSlot uint32
 	// marks holds the targets that are known to be draining.
-	marks    map[TargetKey]bool
-	pools    map[string]*pool
-	orgs     map[string]*orgState
-	requests map[string]*request
-	prefixes *prefixIndex
+	marks map[TargetKey]bool
+	pools map[string]*pool
+	// unconfigured are the splits of pools that the configuration does not have, or not yet.
+	unconfigured map[string]ReleaseHistory
+	orgs         map[string]*orgState
+	requests     map[string]*request
+	prefixes     *prefixIndex
 	// partHolders indexes targets by the named parts that their cache events report.
 	partHolders partIndex
 	shared      sharedParts
@@ -237,16 +239,17 @@
 // NewBoard returns a board that has no configuration and therefore refuses every request.
 func NewBoard(opts ...Option) *Board {
 	b := &Board{
-		rng:      rand.New(rand.NewPCG(1, 1)),
-		place:    Predict,
-		onEvent:  func(event.Event) {},
-		targets:  make(map[netip.AddrPort]*target),
-		slots:    make(map[uint32]*target),
-		marks:    make(map[TargetKey]bool),
-		pools:    make(map[string]*pool),
-		orgs:     make(map[string]*orgState),
-		requests: make(map[string]*request),
-		prefixes: newPrefixIndex(),
+		rng:          rand.New(rand.NewPCG(1, 1)),
+		place:        Predict,
+		onEvent:      func(event.Event) {},
+		targets:      make(map[netip.AddrPort]*target),
+		slots:        make(map[uint32]*target),
+		marks:        make(map[TargetKey]bool),
+		pools:        make(map[string]*pool),
+		unconfigured: make(map[string]ReleaseHistory),
+		orgs:         make(map[string]*orgState),
+		requests:     make(map[string]*request),
+		prefixes:     newPrefixIndex(),
 
 		partHolders:   make(partIndex),
 		shared:        newSharedParts(),
@@ -312,11 +315,16 @@
 			p = &pool{queue: newFairQueue(), throughput: newMeter(throughputWindow), arrivals: newMeter(demandWindow), retries: newRetryBudget(now), releases: make(map[string]bool), asked: newDemandMeter(now), joint: newJointDemand()}
 			p.throughput.at, p.arrivals.at = now, now
 			b.pools[cp.Name] = p
+			if h, known := b.unconfigured[cp.Name]; known {
+				b.setReleases(p, cp.Name, h)
+				delete(b.unconfigured, cp.Name)
+			}
 		}
 		p.compiled, p.urgentAim = cp, aims[cp.Name]
 	}
 	for name := range b.pools {
 		if _, ok := b.snap.Pool(name); !ok && !b.poolUsed(name) {
+			b.keepUnconfigured(name, b.pools[name].streams.history)
 			delete(b.pools, name)
 		}
 	}
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -174,18 +174,43 @@
 // begin under a new split before the other routers had the time to learn of it, also if this router is the
 // first to learn of it, long after it was written. The split before is remembered for longer than that.
 func (b *Board) AdoptReleases(now time.Time, pool string, h ReleaseHistory) bool {
-	p, ok := b.pools[pool]
-	if !ok || len(h.Splits) == 0 || h.Number <= p.streams.history.Number {
+	if len(h.Splits) == 0 {
 		return false
 	}
 	if now.Sub(h.newest().From) < LateSplitTime-splitSpreadTime {
 		h.begin = now.Add(splitSpreadTime)
 	}
-	p.streams.history = h
-	b.emit(event.Event{Code: event.ReleasesDivided, Detail: pool + ": " + h.newest().String()})
+	p, ok := b.pools[pool]
+	if !ok {
+		b.keepUnconfigured(pool, h)
+		return false
+	}
+	if h.Number <= p.streams.history.Number {
+		return false
+	}
+	b.setReleases(p, pool, h)
 	return true
 }
 
+// setReleases sets a pool's splits.
+func (b *Board) setReleases(p *pool, name string, h ReleaseHistory) {
+	p.streams.history = h
+	b.emit(event.Event{Code: event.ReleasesDivided, Detail: name + ": " + h.newest().String()})
+}
+
+// maxUnconfigured bounds the pools without a configuration whose splits are kept.
+const maxUnconfigured = 64
+
+// keepUnconfigured keeps the splits of a pool for when the configuration has it. A router that has just started may
+// learn them first.
+func (b *Board) keepUnconfigured(pool string, h ReleaseHistory) {
+	before, ok := b.unconfigured[pool]
+	if h.Number <= before.Number || !ok && len(b.unconfigured) >= maxUnconfigured {
+		return
+	}
+	b.unconfigured[pool] = h
+}
+
 // NextReleases returns the splits of a pool once they have to change; ok is false while they do not.
 // Before the first change, the split that has been in effect is added.
 func (b *Board) NextReleases(now time.Time, pool string, life time.Duration) (next ReleaseHistory, ok bool) {
