--- a/node/stream_record.go
+++ b/node/stream_record.go
@@ -32,7 +32,7 @@
 const (
 	// recordInterval is the time between two notices and between two writes. Callers take up streams of which
 	// they have an event, so that most of these are recorded if it is shorter than targets take for the first.
-	recordInterval = 200 * time.Millisecond
+	recordInterval = 100 * time.Millisecond
 	// recordNoticeTime bounds a notice, and unreportedTime is the age from which a node records what it could not
 	// pass on.
 	recordNoticeTime = 500 * time.Millisecond
