route, node: the only release of a pool is recorded as well

Cause: the row of splits was written once the list showed a second release. Until then a pool's release was in the memory of processes alone, and one that starts took the only release in the list for the one that had always been there. The class is that of the record of streams: what must outlast a process is in its memory alone.

One node writes the only release of each pool of resumable streams, once. A pool of one release pays that write now; until now the design said that it pays nothing.

--- a/node/releases.go
+++ b/node/releases.go
@@ -99,6 +99,7 @@
 		}
 	}
 	if len(pools) == 0 {
+		s.writeFirst(ctx)
 		return false
 	}
 	due := false
@@ -119,6 +120,24 @@
 	return true
 }
 
+// writeFirst has one node record the pools whose only release nothing in the store tells. Processes remember it until
+// they end.
+func (s *releases) writeFirst(ctx context.Context) {
+	n := s.n
+	n.Lock()
+	first := n.Board().FirstReleases()
+	n.Unlock()
+	if len(first) == 0 || !s.known() || n.stopping() || n.relays.followsRelay() {
+		return
+	}
+	if _, owns := s.owner(releasesRow); !owns {
+		return
+	}
+	if err := s.write(ctx); err != nil && ctx.Err() == nil {
+		n.log.Debug("recording the releases of pools failed", "error", err)
+	}
+}
+
 // several returns the pools with several releases, without splits that are no longer needed.
 func (s *releases) several() []string {
 	n := s.n
--- a/node/releases_row.go
+++ b/node/releases_row.go
@@ -180,7 +180,7 @@
 	return row, histories, nil
 }
 
-// write records the splits that have to change, and takes them over. It fails if another node wrote at the
+// write records the splits that have to change and those that have none yet, and takes them over. It fails if another node wrote at the
 // same time or the store is unavailable; the next round tries again.
 func (s *releases) write(ctx context.Context) error {
 	n := s.n
@@ -203,6 +203,9 @@
 			histories[pool], changed[pool] = next, next
 		}
 	}
+	for pool, first := range b.FirstReleases() {
+		histories[pool], changed[pool] = first, first
+	}
 	for pool := range histories {
 		if !b.HasPool(pool) {
 			delete(histories, pool)
--- a/route/release_state.go
+++ b/route/release_state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pathhead/pathhead/event"
+	"github.com/pathhead/pathhead/policy"
 )
 
 // ReleasePin restricts a request to the targets of one release. The zero value restricts nothing.
@@ -239,6 +240,40 @@
 	return next.without(now.Add(-life - LateSplitTime)), true
 }
 
+// FirstReleases returns splits for the pools of resumable streams that have none and whose targets have all been of
+// one release. Routers that start after that release was replaced must not take the other one for the only one.
+func (b *Board) FirstReleases() map[string]ReleaseHistory {
+	if b.snap == nil {
+		return nil
+	}
+	out := make(map[string]ReleaseHistory)
+	for _, r := range b.snap.Config.Routes {
+		if !r.Resumable {
+			continue
+		}
+		for _, name := range poolsOfRoute(r) {
+			if p, ok := b.pools[name]; ok && p.streams.unrecorded() {
+				out[name] = ReleaseHistory{Number: 1, Splits: []ReleaseSplit{WholeSplit(time.Time{}, p.streams.sole)}}
+			}
+		}
+	}
+	return out
+}
+
+// poolsOfRoute returns the pools to which a route leads.
+func poolsOfRoute(r policy.Route) []string {
+	out := []string{r.Pool}
+	for _, s := range r.Split {
+		out = append(out, s.Pool)
+	}
+	return out
+}
+
+// unrecorded reports whether no split of the pool is known, and a first one can be given.
+func (s *releaseState) unrecorded() bool {
+	return s.known && len(s.history.Splits) == 0 && !s.several()
+}
+
 // releaseWeights returns the shares of new streams that the releases of a pool are to get: those of the
 // listed targets, changed by a roll-out.
 func (b *Board) releaseWeights(now time.Time, p *pool) map[string]float64 {
