--- a/node/stream_record.go
+++ b/node/stream_record.go
@@ -37,8 +37,8 @@
 	// pass on.
 	recordNoticeTime = 500 * time.Millisecond
 	unreportedTime   = time.Second
-	// recordReadTime bounds a read of the record, for which a caller waits, and recordRetry is the time after
-	// a failed one in which callers do not wait for another.
+	// recordReadTime bounds a read of the record, for which a caller waits. recordRetry is the time after a failed
+	// read in which callers do not wait for another, and after a failed write until the next one.
 	recordReadTime = 800 * time.Millisecond
 	recordRetry    = time.Second
 	// recordDelay is how long after its time a row may appear in the store.
@@ -221,6 +221,7 @@
 		}
 		if err := r.write(ctx, pools, life, self); err != nil && ctx.Err() == nil {
 			r.n.log.Debug("recording streams failed", "error", err)
+			every = recordRetry
 		}
 		if err := r.remove(ctx, len(pools) > 0, life, self); err != nil && ctx.Err() == nil {
 			r.n.log.Debug("removing recorded streams failed", "error", err)
