--- a/route/release_state.go
+++ b/route/release_state.go
@@ -199,8 +199,8 @@
 	b.emit(event.Event{Code: event.ReleasesDivided, Detail: name + ": " + h.newest().String()})
 }
 
-// maxUnconfigured bounds the pools without a configuration whose splits are kept.
-const maxUnconfigured = 64
+// maxUnconfigured bounds the pools without a configuration whose splits are kept; a row of splits has room for fewer.
+const maxUnconfigured = 1024
 
 // keepUnconfigured keeps the splits of a pool for when the configuration has it. A router that has just started may
 // learn them first.
