--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs/v2"
+
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/policy"
 	"github.com/pathhead/pathhead/route"
@@ -177,9 +179,15 @@
 	return err
 }
 
+// simCallEntries is the largest number of conditions and rows in a call that writes.
+const simCallEntries = 100
+
 // Remove implements [Store].
 func (s *simStore) Remove(_ context.Context, rows ...fleet.Row) error {
 	s.call("remove")
+	if 2*len(rows) > simCallEntries {
+		return errs.Errorf("%d rows and their conditions in one call", len(rows))
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, r := range rows {
--- a/node/stream_record.go
+++ b/node/stream_record.go
@@ -48,9 +48,10 @@
 	// streamsPerRow and rowsPerWrite keep a row under 32 KB and a write under 1 MB on the wire.
 	streamsPerRow = 2048
 	rowsPerWrite  = 24
-	// removeInterval is the time between two removals of old rows, of at most rowsPerRemoval each.
+	// removeInterval is the time between two removals of old rows, unless more are left. rowsPerRemoval rows and
+	// their conditions are as many entries as a call to the store may have.
 	removeInterval = 5 * time.Second
-	rowsPerRemoval = 90
+	rowsPerRemoval = 50
 	// maxStreamsRecorded bounds the streams that wait to be recorded, and those that are remembered from notices
 	// and reads, in each of two generations.
 	maxStreamsRecorded = 1 << 15
@@ -414,7 +415,8 @@
 	}
 }
 
-// remove has the recorder remove the rows whose streams are over, also those of nodes that have gone. Rows that are left when all nodes stop are removed in the next change.
+// remove has the recorder remove the rows whose streams are over, also those of nodes that have gone. Rows that are
+// left when all nodes stop are removed in the next change.
 func (r *streamRecord) remove(ctx context.Context, several bool, life time.Duration, recorder bool) error {
 	now := r.n.now()
 	r.mu.Lock()
@@ -440,5 +442,13 @@
 	if len(old) == 0 {
 		return nil
 	}
-	return r.n.store.Remove(ctx, old...)
+	if err := r.n.store.Remove(ctx, old...); err != nil {
+		return err
+	}
+	if len(old) == rowsPerRemoval {
+		r.mu.Lock()
+		r.removedAt = time.Time{}
+		r.mu.Unlock()
+	}
+	return nil
 }
--- a/node/stream_record_test.go
+++ b/node/stream_record_test.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Guards against rows that stay for ever since there are more than one call to the store may remove, and against a
+// removal that is slower than the recorder writes.
+func TestStreamRecordRemovesManyRows(t *testing.T) {
+	t.Parallel()
+	const rows = 600
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, simSite{nodes: 3, engines: 4, perSecond: 1})
+		f.settle()
+		defer f.end()
+		for i := range rows {
+			require.NoError(t, f.store.put(partStreams, fmt.Sprintf("%s/ended/%d", recordTime(time.Since(f.store.began)), i), encodeStreams(nil)))
+		}
+		f.divide()
+		time.Sleep(simStreamLife + recordDelay + rows*recordInterval)
+		require.Zero(t, f.store.recordedRows())
+	})
+}
+
 // Guards against a node of a large fleet that asks nobody, or only its own relay's memory, for a stream of a node
 // that has ended.
 func TestLargeFleetAsksForStream(t *testing.T) {
