internal/cutoff: a test of targets that stop within their head behind a hand-over

TestPlatformHeadCut has real processes, but no node that hands its requests over to another. Not a fault; no change of logic.

--- a/internal/cutoff/handoff_test.go
+++ b/internal/cutoff/handoff_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +144,37 @@
 		require.NotContains(t, name, "Handoff")
 	}
 }
+
+// Guards against an answer that looks whole to a caller of a cut-off node, since the replica stopped within its head
+// at the node that took the request.
+func TestHandoffHeadCut(t *testing.T) {
+	const calls = 160
+	f := startCutoffFleet(t, 2, rareHeartbeat)
+	cut := f.nodes[0]
+	cut.link.set(linkRefusedReset, addrs(f.engines, f.plain)...)
+	stop := f.startCallers()
+	time.Sleep(cutoffContact)
+	stop()
+	var runs, cuts atomic.Int64
+	for _, r := range slices.Concat(f.engines, f.plain) {
+		r.SetScript(func(*http.Request) platformtest.Fault {
+			if runs.Add(1)%3 == 0 {
+				cuts.Add(1)
+				return platformtest.HeadCut
+			}
+			return platformtest.NoFault
+		})
+	}
+	outcomes := make(map[string]int)
+	for i := range calls {
+		k := callKinds[i%len(callKinds)]
+		c := f.call(cut, k, fmt.Sprintf("head-cut-%d", i), fmt.Sprintf("a1:50,b%x:50", i))
+		f.end(c)
+		outcomes[c.outcome()]++
+		require.NotZero(t, c.status, "%s has no answer: %v", c.id, c.err)
+	}
+	t.Logf("%d heads of %d cut: %v", cuts.Load(), runs.Load(), outcomes)
+	require.Greater(t, cuts.Load(), int64(calls/5))
+	require.Greater(t, outcomes["served"], calls/4)
+	f.checkSafe()
+}
