node: the list is taken from the node that has read it last

Cause: where one node of eight can read the list, the others take it from a node drawn at random among all whose reading is newer than their own. A reading that passes through several nodes ages with each, by up to half of the drain bound, and the reading of the next node then is late.

The node with the newest reading lends.

--- a/node/list_peers.go
+++ b/node/list_peers.go
@@ -100,9 +100,8 @@
 	if len(lenders) == 0 || !n.borrowing.CompareAndSwap(false, true) {
 		return
 	}
-	n.Lock()
-	from := lenders[n.rng.IntN(len(lenders))]
-	n.Unlock()
+	// Readings that pass through several nodes age on the way.
+	from := slices.MaxFunc(lenders, func(a, b listLender) int { return a.at.Compare(b.at) })
 	n.loops.Go(func() {
 		defer n.borrowing.Store(false)
 		n.borrowListFrom(ctx, from)
