node, peer: another node records streams while the recorder cannot

The others had passed their streams on, and counted them as recorded.

Cause: a notice that was answered passed for a stream that is in the store.

A recorder that cannot write says so in its answer, and is passed over for 15 s, as is one that does not answer; it passes over itself too. All choose the next one by the same rendezvous hashing, and everything that is not over is passed on again to it. A relay that cannot write still takes its followers' streams, and passes them on. If no node can write, the first one tries once a second, as before, and each other one once in 15 s.

The simulated store's client let a node that was cut off write, so that no test had a node that could not; it fails now.

--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -118,6 +118,14 @@
 	return d.simStore.Remove(ctx, rows...)
 }
 
+// Commit implements [fleet.Table].
+func (d *simStoreClient) Commit(ctx context.Context, token string, writes ...fleet.Write) (int64, error) {
+	if err := d.checkUp(ctx); err != nil {
+		return 0, err
+	}
+	return d.simStore.Commit(ctx, token, writes...)
+}
+
 // Watch implements [Store].
 func (d *simStoreClient) Watch(ctx context.Context, after int64, wait time.Duration) (Changes, error) {
 	if err := d.checkUp(ctx); err != nil {
--- a/node/releases.go
+++ b/node/releases.go
@@ -175,10 +175,19 @@
 
 // owner returns the node that is chosen for a duty among those that read the store, by rendezvous hashing.
 func (s *releases) owner(duty string) (owner fleet.Member, self bool) {
-	members := s.n.relays.known()
-	if members == nil {
-		members = s.n.gossipMembers()
+	return s.ownerAmong(s.members(), duty)
+}
+
+// members returns the nodes that read the store: all of a small fleet, or the relays.
+func (s *releases) members() []fleet.Member {
+	if relays := s.n.relays.known(); relays != nil {
+		return relays
 	}
+	return s.n.gossipMembers()
+}
+
+// ownerAmong returns the node that is chosen for a duty among some.
+func (s *releases) ownerAmong(members []fleet.Member, duty string) (owner fleet.Member, self bool) {
 	owner, ok := fleet.RendezvousOwner(members, xxh3.HashString(duty))
 	return owner, !ok || owner.ID == s.n.settings().Name
 }
--- a/node/stream_record.go
+++ b/node/stream_record.go
@@ -21,8 +21,9 @@
 // The release of a stream has to be known after the process that began it has ended. While the slots of a pool move
 // between releases, the split alone does not tell it, so the streams that begin meanwhile are recorded in the
 // store. One node, the recorder, writes them for all, since calls to the store are dear; the nodes of a large fleet
-// reach it through their relays. What cannot be passed on in time a node writes itself. A row is written once and
-// removed when no stream in it can be under way any more. All rows are facts, so that one that is late or missing
+// reach it through their relays. Another one records while the chosen one does not answer or cannot reach the store, and
+// what cannot be passed on in time a node writes itself. A row is written once and removed when no stream in it can be
+// under way any more. All rows are facts, so that one that is late or missing
 // makes a stream unknown and never places it wrongly.
 
 // partStreams is the table part of the recorded streams.
@@ -41,6 +42,8 @@
 	// read in which callers do not wait for another, and after a failed write until the next one.
 	recordReadTime = 800 * time.Millisecond
 	recordRetry    = time.Second
+	// unableTime is how long a node is not chosen as recorder that did not answer or could not write.
+	unableTime = 15 * time.Second
 	// recordDelay is how long after its time a row may appear in the store.
 	recordDelay = 10 * time.Second
 	// recordPage is the number of rows in a read.
@@ -87,13 +90,15 @@
 	readAt, failedAt time.Time
 	readTo           time.Duration
 	reading          chan struct{}
+	// unable are the nodes that could not record streams lately, by name, and when they could not.
+	unable map[string]time.Time
 	// removing is set while there may be rows to remove, removedAt is when rows were removed last.
 	removing  bool
 	removedAt time.Time
 }
 
 func newStreamRecord(n *Node) *streamRecord {
-	r := &streamRecord{n: n, reported: newStreamMemory(), read: newStreamMemory()}
+	r := &streamRecord{n: n, reported: newStreamMemory(), read: newStreamMemory(), unable: make(map[string]time.Time)}
 	r.reported.limit, r.read.limit = maxStreamsRecorded, maxStreamsRecorded
 	return r
 }
@@ -114,10 +119,11 @@
 }
 
 // Begun implements [peer.BegunHandler].
-func (n *Node) Begun(w peer.BegunNotice) {
+func (n *Node) Begun(w peer.BegunNotice) (unable bool) {
 	for _, s := range w.Streams {
 		n.releases.record.takeReported(n.now(), s)
 	}
+	return n.releases.record.isUnable(n.settings().Name)
 }
 
 // takeReported adds streams that another node passed on. What this node knows already is left out, so that two
@@ -169,7 +175,35 @@
 			return relay, false
 		}
 	}
-	return r.n.releases.owner(partStreams)
+	members := r.n.releases.members()
+	able := slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool { return r.isUnable(m.ID) })
+	if len(able) == 0 {
+		able = members
+	}
+	return r.n.releases.ownerAmong(able, partStreams)
+}
+
+// setUnable records whether a node could not record streams.
+func (r *streamRecord) setUnable(id string, unable bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !unable {
+		delete(r.unable, id)
+		return
+	}
+	r.unable[id] = r.n.now()
+}
+
+// isUnable reports whether a node could not record streams lately.
+func (r *streamRecord) isUnable(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.unable[id]
+	if ok && r.n.now().Sub(at) >= unableTime {
+		delete(r.unable, id)
+		return false
+	}
+	return ok
 }
 
 // pass passes streams on to another node.
@@ -179,11 +213,19 @@
 	if len(due) == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, recordNoticeTime)
+	timed, cancel := context.WithTimeout(ctx, recordNoticeTime)
 	defer cancel()
-	if err := r.n.peers.Begun(ctx, to.Addr, peer.BegunNotice{Streams: beginningsOf(due)}); err != nil {
+	unable, err := r.n.peers.Begun(timed, to.Addr, peer.BegunNotice{Streams: beginningsOf(due)})
+	if ctx.Err() == nil {
+		r.setUnable(to.ID, unable || err != nil)
+	}
+	switch {
+	case err != nil:
 		return err
+	case unable && !r.n.relays.followsRelay():
+		return errs.Errorf("it cannot write to the store")
 	}
+	// A relay that cannot write passes on to the next recorder what its followers passed to it.
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, b := range due {
@@ -222,7 +264,9 @@
 		}
 		if err := r.write(ctx, pools, life, self); err != nil && ctx.Err() == nil {
 			r.n.log.Debug("recording streams failed", "error", err)
-			every = recordRetry
+			if _, self = r.next(); self {
+				every = recordRetry
+			}
 		}
 		if err := r.remove(ctx, len(pools) > 0, life, self); err != nil && ctx.Err() == nil {
 			r.n.log.Debug("removing recorded streams failed", "error", err)
@@ -231,9 +275,12 @@
 }
 
 // write records the streams that are not recorded yet: all of them at the recorder, elsewhere those that could not
-// be passed on. What fails is written again in the next round.
+// be passed on, unless this node could not write lately. What fails is written again in the next round.
 func (r *streamRecord) write(ctx context.Context, pools []string, life time.Duration, recorder bool) error {
-	now := r.n.now()
+	now, self := r.n.now(), r.n.settings().Name
+	if !recorder && r.isUnable(self) {
+		return nil
+	}
 	due := r.pending(pools, life, func(b *begunStream) bool {
 		return !b.recorded && (recorder || b.passedTo == nodeStart{} && now.Sub(b.at) >= unreportedTime)
 	})
@@ -248,10 +295,14 @@
 	_, at := clock.ToStore(now)
 	var writes []fleet.Write
 	for streams := range slices.Chunk(due, streamsPerRow) {
-		sort := fmt.Sprintf("%s/%s/%d", recordTime(at), r.n.settings().Name, len(writes))
+		sort := fmt.Sprintf("%s/%s/%d", recordTime(at), self, len(writes))
 		writes = append(writes, fleet.Write{Part: partStreams, Sort: sort, Data: encodeStreams(streams)})
 	}
-	if _, err := r.n.store.Commit(ctx, rand.Text(), writes...); err != nil {
+	_, err := r.n.store.Commit(ctx, rand.Text(), writes...)
+	if ctx.Err() == nil {
+		r.setUnable(self, err != nil)
+	}
+	if err != nil {
 		return err
 	}
 	r.n.counters.recordedStreams(len(due))
--- a/node/stream_record_test.go
+++ b/node/stream_record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,6 +107,41 @@
 	})
 }
 
+// Guards against streams that are in no row since the node that records them for all cannot reach the store, and against
+// calls to the store by every node meanwhile.
+func TestStreamRecordRecorderWithoutStore(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{2, 6, 84} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, simSite{nodes: nodes, engines: 4, perSecond: 1})
+				f.settle()
+				defer f.end()
+				f.divide()
+				owner, _ := f.nodes[0].releases.owner(partStreams)
+				recorder := slices.IndexFunc(f.nodes, func(n *Node) bool { return n.settings().Name == owner.ID })
+				f.storeClients[recorder].down.Store(true)
+				for i, n := range f.nodes {
+					n.releases.remember(simPool, fmt.Sprint("stream-", i), "gone")
+				}
+				time.Sleep(recordInterval + recordNoticeTime + unreportedTime + recordRetry + simCallTimeout)
+				before := f.store.commits()
+				reader := f.nodes[(recorder+1)%nodes]
+				for i := range f.nodes {
+					_, ok := newStreamRecord(reader).release(t.Context(), fmt.Sprint("stream-", i))
+					require.True(t, ok, "the stream of node %d; %d is the recorder", i, recorder)
+				}
+				for range 20 {
+					reader.releases.remember(simPool, fmt.Sprint("later-", time.Now()), "gone")
+					time.Sleep(recordInterval)
+				}
+				require.LessOrEqual(t, f.store.commits()-before, 20+2, "one node writes for all")
+			})
+		})
+	}
+}
+
 // Guards against a node of a large fleet that asks nobody, or only its own relay's memory, for a stream of a node
 // that has ended.
 func TestLargeFleetAsksForStream(t *testing.T) {
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -161,21 +161,24 @@
 // BegunNotice passes on streams of pools with several releases.
 type BegunNotice struct{ Streams []BegunStreams }
 
-// BegunHandler processes notices of streams that began; a [Handler] may implement it.
-type BegunHandler interface{ Begun(w BegunNotice) }
+// BegunHandler processes notices of streams that began; a [Handler] may implement it. It reports whether the
+// process cannot write to the store at present.
+type BegunHandler interface {
+	Begun(w BegunNotice) (unable bool)
+}
 
 // Begun processes a notice of streams that began.
-func (s peerService) Begun(in *BegunNotice, _ *bool) error {
+func (s peerService) Begun(in *BegunNotice, unable *bool) error {
 	if h, ok := s.handler.(BegunHandler); ok {
-		h.Begun(*in)
+		*unable = h.Begun(*in)
 	}
 	return nil
 }
 
-// Begun notifies the process at addr of streams that began.
-func (p *Client) Begun(ctx context.Context, addr netip.AddrPort, w BegunNotice) error {
-	_, err := invoke[bool](ctx, p, addr, "Begun", &w)
-	return err
+// Begun notifies the process at addr of streams that began. It reports whether that process has them but cannot
+// write to the store at present.
+func (p *Client) Begun(ctx context.Context, addr netip.AddrPort, w BegunNotice) (unable bool, err error) {
+	return invoke[bool](ctx, p, addr, "Begun", &w)
 }
 
 // peerName is the service's name in net/rpc.
