route: a stream that its caller takes up is continued like one of the node's own

Cause: an answer that has begun was one only within a request.

TestTakenUpBeforeNew: red in three of four cases before, green now.

--- a/route/admission.go
+++ b/route/admission.go
@@ -59,10 +59,10 @@
 	o.idle = o.idle || memory && c.wait == 0
 }
 
-// judgesAim reports whether admission decides about the request. An answer that has begun is
-// continued in any case, since giving up would also waste the part that was delivered.
+// judgesAim reports whether admission decides about the request. An answer that has begun, also one that its
+// caller takes up, is continued in any case, since giving up would also waste the part that was delivered.
 func (b *Board) judgesAim(r *request) bool {
-	return r.Model != nil && r.hasAim() && !r.delivered && !b.disabled.Has(AimAdmission)
+	return r.Model != nil && r.hasAim() && !r.continues() && !b.disabled.Has(AimAdmission)
 }
 
 // hasAim reports whether the configuration states an aim for the request.
--- a/route/admission_test.go
+++ b/route/admission_test.go
@@ -72,6 +72,64 @@
 	require.Equal(t, []string{r.ID}, f.sentRequests(actions))
 }
 
+// Guards against a stream that its caller takes up and that is refused where new ones begin: it was judged by the aim of
+// its first part, which had come, and new requests took the memory left at the targets of its release.
+func TestTakenUpBeforeNew(t *testing.T) {
+	t.Parallel()
+	const aim = 300 * time.Millisecond
+	takenUp := func(f *partsBoard) Request {
+		r := f.requestWithAim(aim, Part{"taken up", 1000})
+		r.Resumable, r.Repeatable, r.Continues = true, true, true
+		return r
+	}
+	// occupy has a peer's requests take a fraction of the engine's memory.
+	occupy := func(f *partsBoard, fraction float64) []Action {
+		return f.b.MergePeers(f.now, map[string]PeerState{"x": {Loads: []Load{{Target: f.b.targets[testAddr(0)].key(), InFlight: 9, Tokens: int(fraction * partsMemory)}}}}, 2)
+	}
+	t.Run("late", func(t *testing.T) {
+		t.Parallel()
+		f := newPartsBoard(t, 1)
+		require.NotNil(t, f.place(f.requestWithAim(time.Second, Part{"ahead", 20000})))
+		f.now = f.now.Add(poolLoadInterval)
+		r := takenUp(f)
+		require.Equal(t, []string{r.ID}, f.sentRequests(f.b.Arrive(f.now, r)))
+	})
+	t.Run("memory", func(t *testing.T) {
+		t.Parallel()
+		f := newPartsBoard(t, 1)
+		occupy(f, memoryFraction)
+		require.Empty(t, f.sentRequests(f.b.Arrive(f.now, f.requestWithAim(time.Second, Part{"new", 1000}))))
+		r := takenUp(f)
+		require.Equal(t, []string{r.ID}, f.sentRequests(f.b.Arrive(f.now, r)))
+	})
+	t.Run("order and patience", func(t *testing.T) {
+		t.Parallel()
+		f := newPartsBoard(t, 1)
+		occupy(f, continuedMemoryFraction)
+		other := f.requestWithAim(2*aim, Part{"new", 1000})
+		require.Empty(t, f.sentRequests(f.b.Arrive(f.now, other)))
+		r := takenUp(f)
+		require.Empty(t, f.sentRequests(f.b.Arrive(f.now, r)))
+		f.now = f.now.Add(aim + 50*time.Millisecond)
+		require.Empty(t, refusals(f.b.Tick(f.now)), "the aim of its first part is over")
+		sent := f.sentRequests(occupy(f, 0))
+		require.NotEmpty(t, sent)
+		require.Equal(t, r.ID, sent[0])
+	})
+	t.Run("no room", func(t *testing.T) {
+		t.Parallel()
+		f := newPartsBoard(t, 1)
+		occupy(f, continuedMemoryFraction)
+		r := takenUp(f)
+		f.b.Arrive(f.now, r)
+		f.now = f.now.Add(releasePatience)
+		got := refusals(f.b.Tick(f.now))
+		require.Contains(t, got, r.ID)
+		require.Equal(t, NotRun, got[r.ID].Verdict)
+		require.Positive(t, got[r.ID].RetryAfter)
+	})
+}
+
 // TestUrgentRoom checks that a less urgent prompt is not sent behind another one where an urgent
 // one would then be late, while an urgent one is.
 func TestUrgentRoom(t *testing.T) {
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -46,7 +46,7 @@
 	b.requests[r.ID] = r
 	b.emit(event.Event{Code: event.RequestArrived, Request: r.ID, Org: r.Org, Route: r.Route, Tokens: r.promptTokens(), Revision: b.snap.Revision})
 	r.queueDeadline = now.Add(b.maxQueueTime(r))
-	if r.HandedOver {
+	if r.HandedOver || r.Continues {
 		r.queueDeadline = b.retryQueueDeadline(now, r)
 	}
 	r.urgent = b.Urgent(r.Pool, r.Aim) && !r.AimAssumed
@@ -108,7 +108,7 @@
 // queueRefusal returns a refusal if this router's queue does not reach the request in time. It is
 // for pools whose capacity is not divided jointly.
 func (b *Board) queueRefusal(now time.Time, p *pool, r *request) *Refusal {
-	if b.judgesAim(r) && p.urgentAim > 0 {
+	if b.judgesAim(r) && p.urgentAim > 0 || r.Continues {
 		return nil
 	}
 	wait := p.queue.wait(r.Org, b.weight(r.Org), p.throughput.rate(now))
--- a/route/memory.go
+++ b/route/memory.go
@@ -16,6 +16,10 @@
 // docs/design/measures.md.
 const memoryFraction = 0.7
 
+// continuedMemoryFraction is the fraction that requests may occupy whose answer has begun. Only they get memory beyond
+// memoryFraction, so that new requests do not take what is left at the targets of their release.
+const continuedMemoryFraction = 0.85
+
 // peerMemoryTTL is how long a request that a peer has just sent counts at least: the greatest age of
 // the loads reported over relays.
 const peerMemoryTTL = 750 * time.Millisecond
@@ -24,6 +28,9 @@
 // that are running.
 func (t *target) hasMemory(now time.Time, p *pool, r *request) bool {
 	limit := memoryFraction * float64(p.compiled.CacheTokens)
+	if r.continues() {
+		limit = continuedMemoryFraction * float64(p.compiled.CacheTokens)
+	}
 	if limit == 0 {
 		return true
 	}
--- a/route/queue.go
+++ b/route/queue.go
@@ -206,12 +206,16 @@
 	return cost
 }
 
-// rank orders requests by priority, and those of one priority by whether they are urgent.
+// rank orders requests by priority, and those of one priority by whether their answer has begun or they are urgent.
 func (r *request) rank() int {
-	if r.urgent {
-		return 2*r.Priority + 1
+	switch rank := 3 * r.Priority; {
+	case r.continues():
+		return rank + 2
+	case r.urgent:
+		return rank + 1
+	default:
+		return rank
 	}
-	return 2 * r.Priority
 }
 
 // requestHeap orders the requests of an organisation by rank, then by arrival.
--- a/route/wait.go
+++ b/route/wait.go
@@ -74,8 +74,11 @@
 	if r.Aim == 0 {
 		return now.Add(min(r.QueueTime, r.Deadline.Sub(now)))
 	}
-	if r.delivered {
+	switch {
+	case r.delivered:
 		return b.continueDeadline(now, r)
+	case r.Continues:
+		return r.takenUpDeadline()
 	}
 	recheck := now.Add(fillRecheckInterval)
 	if latest := r.arrived.Add(b.maxQueueTime(r)); latest.After(recheck) {
@@ -84,6 +87,15 @@
 	return recheck
 }
 
+// takenUpDeadline returns until when an answer that its caller takes up waits for a target. Its first part came in
+// time or did not, so that the aim no longer counts.
+func (r *request) takenUpDeadline() time.Time {
+	if until := r.arrived.Add(releasePatience); until.Before(r.Deadline) {
+		return until
+	}
+	return r.Deadline
+}
+
 // extendQueueDeadline sets the queue deadline to the given time if it is earlier.
 func (r *request) extendQueueDeadline(until time.Time) {
 	if until.After(r.queueDeadline) {
