node: followers pass streams on less often the more of them a relay has

Each node passes the streams that it began on every 0.1 s while a pool has several releases.

Streams that began in the 0.3 s before a kill of all nodes that remember them are then unknown, where it was 0.1 s. Fleets with up to ten followers a relay do as before.

--- a/node/stream_record.go
+++ b/node/stream_record.go
@@ -34,6 +34,8 @@
 	// recordInterval is the time between two notices and between two writes. Callers take up streams of which
 	// they have an event, so that most of these are recorded if it is shorter than targets take for the first.
 	recordInterval = 100 * time.Millisecond
+	// noticesPerSecond bounds the notices that a relay receives from its followers.
+	noticesPerSecond = 100
 	// recordNoticeTime bounds a notice, and unreportedTime is the age from which a node records what it could not
 	// pass on.
 	recordNoticeTime = 500 * time.Millisecond
@@ -253,7 +255,7 @@
 	every := idleInterval
 	for pause(ctx, r.n.jitter(every)) {
 		pools, life := r.scope()
-		if every = recordInterval; len(pools) == 0 {
+		if every = r.interval(); len(pools) == 0 {
 			every = idleInterval
 		}
 		to, self := r.next()
@@ -274,6 +276,21 @@
 	}
 }
 
+// interval returns the time between two notices or writes of this node.
+func (r *streamRecord) interval() time.Duration {
+	if !r.n.relays.followsRelay() {
+		return recordInterval
+	}
+	nodes, _ := r.n.relays.size()
+	return followerInterval(nodes, len(r.n.relays.known()))
+}
+
+// followerInterval returns the time between two notices of a follower in a fleet of some nodes.
+func followerInterval(nodes, relays int) time.Duration {
+	followers := float64(nodes-relays) / float64(max(1, relays))
+	return max(recordInterval, fraction(time.Second, followers/noticesPerSecond))
+}
+
 // write records the streams that are not recorded yet: all of them at the recorder, elsewhere those that could not
 // be passed on, unless this node could not write lately. What fails is written again in the next round.
 func (r *streamRecord) write(ctx context.Context, pools []string, life time.Duration, recorder bool) error {
--- a/node/stream_record_test.go
+++ b/node/stream_record_test.go
@@ -177,6 +177,20 @@
 	})
 }
 
+// Guards against relays that spend their processor time on notices: with 30 followers each, ten notices a second of each
+// would take them some 4% of a core.
+func TestFollowerInterval(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct{ nodes, relays int }{
+		"few nodes": {17, 4}, "two years from now": {390, 13}, "one relay": {30, 1}, "no relay known": {30, 0}, "relays alone": {5, 5},
+	} {
+		every := followerInterval(c.nodes, c.relays)
+		require.GreaterOrEqual(t, every, recordInterval, name)
+		received := float64(c.nodes-c.relays) / float64(max(1, c.relays)) / every.Seconds()
+		require.LessOrEqual(t, received, float64(noticesPerSecond)+0.01, name)
+	}
+}
+
 // Guards against a guess where rows or notices name different releases for one stream.
 func TestStreamRecordDiffers(t *testing.T) {
 	t.Parallel()
