--- a/route/wait.go
+++ b/route/wait.go
@@ -87,8 +87,8 @@
 	return recheck
 }
 
-// takenUpDeadline returns until when an answer that its caller takes up waits for a target. Its first part came in
-// time or did not, so that the aim no longer counts.
+// takenUpDeadline returns until when an answer that its caller takes up waits for a target. The aim does not bound it,
+// since the first part has come.
 func (r *request) takenUpDeadline() time.Time {
 	if until := r.arrived.Add(releasePatience); until.Before(r.Deadline) {
 		return until
