--- a/internal/soak/verify.go
+++ b/internal/soak/verify.go
@@ -42,7 +42,7 @@
 	LimitHintFollowed    Guarantee = "targets get no more than the limit that they name"
 	BackoffHintFollowed  Guarantee = "targets that ask for rest get it"
 	StreamReleaseKept    Guarantee = "streams stay at their release"
-	TakenUpGoesOn        Guarantee = "streams that callers take up go on"
+	ResumedGoesOn        Guarantee = "streams that callers resume go on"
 )
 
 // Violation is one case in which a guarantee did not hold.
@@ -78,7 +78,7 @@
 	for _, check := range []func(){
 		v.checkAnswers, v.checkRequests, v.checkAtMostOnce, v.checkAttempts, v.checkConfigs, v.checkDenied, v.checkDraining, v.checkOrders, v.checkWeights, v.checkConvergence,
 		v.checkPlannedStops, v.checkKeepAlive, v.checkTimeliness, v.checkRecovery, v.checkExits, v.checkSuspects, v.checkHeldRequests,
-		v.checkDrainingHints, v.checkLimitHints, v.checkBackoffHints, v.checkReleases, v.checkTakenUp,
+		v.checkDrainingHints, v.checkLimitHints, v.checkBackoffHints, v.checkReleases, v.checkResumed,
 	} {
 		check()
 	}
--- a/internal/soak/verify_streams.go
+++ b/internal/soak/verify_streams.go
@@ -33,21 +33,21 @@
 	return release
 }
 
-// Streams that callers take up are judged if there are minTakenUp of them whose release has minServing targets. The share
+// Streams that callers resume are judged if there are minResumed of them whose release has minServing targets. The share
 // of these that goes on must be minGoOnFraction of the share of new streams that begin.
 const (
-	minTakenUp      = 12
+	minResumed      = 12
 	minServing      = 2
 	minGoOnFraction = 0.5
 )
 
-// checkTakenUp checks that callers who take streams up at nodes in contact fare about as well as those with new ones.
-func (v *verifier) checkTakenUp() {
+// checkResumed checks that callers who resume streams at nodes in contact fare about as well as those with new ones.
+func (v *verifier) checkResumed() {
 	releases := make(map[string]string)
 	for _, r := range v.Runs {
 		releases[r.Replica] = r.Release
 	}
-	var asked, begun, takenUp int
+	var asked, begun, resumed int
 	var refused []Attempt
 	for _, a := range v.Attempts {
 		if a.Kind != ResumeCall || a.Deadly || a.Left || a.Done.IsZero() || !v.inContact(a.Node, a.Sent, a.Done) {
@@ -61,18 +61,18 @@
 		case a.Resumes == "":
 			asked++
 		case v.serving(a, releases) >= minServing:
-			if takenUp++; !served {
+			if resumed++; !served {
 				refused = append(refused, a)
 			}
 		}
 	}
-	wentOn := takenUp - len(refused)
-	if takenUp >= minTakenUp && float64(wentOn)*float64(asked) < minGoOnFraction*float64(begun)*float64(takenUp) {
-		v.addViolation(TakenUpGoesOn, refused[0].Done, refused[0].ID, "%d of %d streams that were taken up went on, %d of %d new ones began", wentOn, takenUp, begun, asked)
+	wentOn := resumed - len(refused)
+	if resumed >= minResumed && float64(wentOn)*float64(asked) < minGoOnFraction*float64(begun)*float64(resumed) {
+		v.addViolation(ResumedGoesOn, refused[0].Done, refused[0].ID, "%d of %d resumed streams went on, %d of %d new ones began", wentOn, resumed, begun, asked)
 	}
 }
 
-// serving counts the engines of a stream's release that could serve an attempt to take it up, by the releases of targets.
+// serving counts the engines of a stream's release that could serve an attempt to resume it, by the releases of targets.
 func (v *verifier) serving(a Attempt, releases map[string]string) (n int) {
 	release := v.releaseOf(a.Resumes)
 	for _, t := range v.Targets {
--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -113,8 +113,8 @@
 	}
 	// addResumed adds a stream of which two events came from release v1, and whose next run is one of an
 	// attempt at a release.
-	// takeUp adds 12 streams of release v1, all of which are taken up again, and some of which go on.
-	takeUp := func(r *Record, goOn int) {
+	// resumeSome adds 12 streams of release v1, all of which their callers resume, and some of which go on.
+	resumeSome := func(r *Record, goOn int) {
 		for n := range 12 {
 			id := fmt.Sprint("t", n)
 			a := Attempt{ID: id + ".0", Call: id, Kind: ResumeCall, Path: "/resume/t", Key: openKey, Parts: "ab:1"}
@@ -293,14 +293,14 @@
 			addResumed(r, "v.1", "v1.1")
 			r.Runs[len(r.Runs)-1].Events = 0
 		}, ""},
-		"few streams that are taken up go on":  {func(r *Record) { takeUp(r, 5) }, TakenUpGoesOn},
-		"most streams that are taken up go on": {func(r *Record) { takeUp(r, 6) }, ""},
-		"they are taken up at a node that stops": {func(r *Record) {
-			takeUp(r, 0)
+		"few resumed streams go on":  {func(r *Record) { resumeSome(r, 5) }, ResumedGoesOn},
+		"most resumed streams go on": {func(r *Record) { resumeSome(r, 6) }, ""},
+		"they are resumed at a node that stops": {func(r *Record) {
+			resumeSome(r, 0)
 			r.Faults = append(r.Faults, injectedFault(ScopeNode, Stop, "a", 39, 47))
 		}, ""},
 		"one engine of their release is left": {func(r *Record) {
-			takeUp(r, 0)
+			resumeSome(r, 0)
 			r.Targets[1].DrainingSince = at(40.5)
 		}, ""},
 		"too many attempts": {func(r *Record) {
--- a/route/admission.go
+++ b/route/admission.go
@@ -60,7 +60,7 @@
 }
 
 // judgesAim reports whether admission decides about the request. An answer that has begun, also one that its
-// caller takes up, is continued in any case, since giving up would also waste the part that was delivered.
+// caller resumes, is continued in any case, since giving up would also waste the part that was delivered.
 func (b *Board) judgesAim(r *request) bool {
 	return r.Model != nil && r.hasAim() && !r.continues() && !b.disabled.Has(AimAdmission)
 }
--- a/route/admission_test.go
+++ b/route/admission_test.go
@@ -72,13 +72,13 @@
 	require.Equal(t, []string{r.ID}, f.sentRequests(actions))
 }
 
-// Guards against a stream that its caller takes up and that is refused where new ones begin: it was judged by the aim of
+// Guards against a stream that its caller resumes and that is refused where new ones begin: it was judged by the aim of
 // its first part, which had come, and new requests took the memory left at the targets of its release.
-func TestTakenUpBeforeNew(t *testing.T) {
+func TestResumedBeforeNew(t *testing.T) {
 	t.Parallel()
 	const aim = 300 * time.Millisecond
-	takenUp := func(f *partsBoard) Request {
-		r := f.requestWithAim(aim, Part{"taken up", 1000})
+	resumed := func(f *partsBoard) Request {
+		r := f.requestWithAim(aim, Part{"resumed", 1000})
 		r.Resumable, r.Repeatable, r.Continues = true, true, true
 		return r
 	}
@@ -91,7 +91,7 @@
 		f := newPartsBoard(t, 1)
 		require.NotNil(t, f.place(f.requestWithAim(time.Second, Part{"ahead", 20000})))
 		f.now = f.now.Add(poolLoadInterval)
-		r := takenUp(f)
+		r := resumed(f)
 		require.Equal(t, []string{r.ID}, f.sentRequests(f.b.Arrive(f.now, r)))
 	})
 	t.Run("memory", func(t *testing.T) {
@@ -99,7 +99,7 @@
 		f := newPartsBoard(t, 1)
 		occupy(f, memoryFraction)
 		require.Empty(t, f.sentRequests(f.b.Arrive(f.now, f.requestWithAim(time.Second, Part{"new", 1000}))))
-		r := takenUp(f)
+		r := resumed(f)
 		require.Equal(t, []string{r.ID}, f.sentRequests(f.b.Arrive(f.now, r)))
 	})
 	t.Run("order and patience", func(t *testing.T) {
@@ -108,7 +108,7 @@
 		occupy(f, continuedMemoryFraction)
 		other := f.requestWithAim(2*aim, Part{"new", 1000})
 		require.Empty(t, f.sentRequests(f.b.Arrive(f.now, other)))
-		r := takenUp(f)
+		r := resumed(f)
 		require.Empty(t, f.sentRequests(f.b.Arrive(f.now, r)))
 		f.now = f.now.Add(aim + 50*time.Millisecond)
 		require.Empty(t, refusals(f.b.Tick(f.now)), "the aim of its first part is over")
@@ -120,7 +120,7 @@
 		t.Parallel()
 		f := newPartsBoard(t, 1)
 		occupy(f, continuedMemoryFraction)
-		r := takenUp(f)
+		r := resumed(f)
 		f.b.Arrive(f.now, r)
 		f.now = f.now.Add(releasePatience)
 		got := refusals(f.b.Tick(f.now))
--- a/route/attempt.go
+++ b/route/attempt.go
@@ -328,7 +328,7 @@
 }
 
 // releasePatience is how long an answer that has begun waits for a target of its release, where the pool
-// has several, and how long one waits that its caller takes up. Callers abandon a stream that is silent for two seconds.
+// has several, and how long one waits that its caller resumes. Callers abandon a stream that is silent for two seconds.
 const releasePatience = 1500 * time.Millisecond
 
 // continueDeadline returns until when an answer that has begun waits for a target that continues it.
--- a/route/wait.go
+++ b/route/wait.go
@@ -78,7 +78,7 @@
 	case r.delivered:
 		return b.continueDeadline(now, r)
 	case r.Continues:
-		return r.takenUpDeadline()
+		return r.resumedDeadline()
 	}
 	recheck := now.Add(fillRecheckInterval)
 	if latest := r.arrived.Add(b.maxQueueTime(r)); latest.After(recheck) {
@@ -87,9 +87,9 @@
 	return recheck
 }
 
-// takenUpDeadline returns until when an answer that its caller takes up waits for a target. The aim does not bound it,
+// resumedDeadline returns until when an answer that its caller resumes waits for a target. The aim does not bound it,
 // since the first part has come.
-func (r *request) takenUpDeadline() time.Time {
+func (r *request) resumedDeadline() time.Time {
 	if until := r.arrived.Add(releasePatience); until.Before(r.Deadline) {
 		return until
 	}
