node, internal/soak: one choice of a duty's node for roll-outs, splits and the record

Read again as a whole, the change had written some pieces twice. No behaviour changes: which nodes may have a duty, and which of them rendezvous hashing chooses, stood in rollout.go and in releases.go; both, and the record of streams, call Node.dutyMembers and Node.dutyOwner now. The two readings of the row of splits in a round are releases.refresh. Tests of the record set their fleets up in one function. A comment in verify_test.go stood above the wrong function.

Looked at and left: beginningsOf and encodeStreams group streams by pool and release and by release alone; the imports that test files share; the three lines with which tests of hand-overs cut a node off.

--- a/internal/soak/verify_test.go
+++ b/internal/soak/verify_test.go
@@ -111,8 +111,6 @@
 			r.Arrivals = append(r.Arrivals, seen)
 		}
 	}
-	// addResumed adds a stream of which two events came from release v1, and whose next run is one of an
-	// attempt at a release.
 	// resumeSome adds 12 streams of release v1, all of which their callers resume, and some of which go on.
 	resumeSome := func(r *Record, goOn int) {
 		for n := range 12 {
@@ -130,6 +128,8 @@
 			}
 		}
 	}
+	// addResumed adds a stream of which two events came from release v1, and whose next run is one of an
+	// attempt at a release.
 	addResumed := func(r *Record, id, release string) {
 		a := Attempt{ID: "v.0", Call: "v", Kind: ResumeCall, Path: "/resume/v", Key: openKey, Parts: "ab:1"}
 		add(r, a, 40, "e1")
--- a/node/releases.go
+++ b/node/releases.go
@@ -94,9 +94,7 @@
 	pools := s.several()
 	if !s.known() && s.n.now.Since(s.n.startedAt) > startTime {
 		// Neither a relay nor another node has told it, as where these are of an earlier release of this program.
-		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
-			s.n.log.Debug("reading the splits of releases failed", "error", err)
-		}
+		s.refresh(ctx)
 	}
 	if len(pools) == 0 {
 		s.writeFirst(ctx)
@@ -113,13 +111,18 @@
 			s.n.log.Debug("recording the splits of releases failed", "error", err)
 		}
 	case contact == contactFew:
-		if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
-			s.n.log.Debug("reading the splits of releases failed", "error", err)
-		}
+		s.refresh(ctx)
 	}
 	return true
 }
 
+// refresh reads the row, which the next round does again if it fails.
+func (s *releases) refresh(ctx context.Context) {
+	if _, _, err := s.read(ctx); err != nil && ctx.Err() == nil {
+		s.n.log.Debug("reading the splits of releases failed", "error", err)
+	}
+}
+
 // writeFirst has one node record the pools whose only release nothing in the store tells. Processes remember it until
 // they end.
 func (s *releases) writeFirst(ctx context.Context) {
@@ -175,21 +178,7 @@
 
 // owner returns the node that is chosen for a duty among those that read the store, by rendezvous hashing.
 func (s *releases) owner(duty string) (owner fleet.Member, self bool) {
-	return s.ownerAmong(s.members(), duty)
-}
-
-// members returns the nodes that read the store: all of a small fleet, or the relays.
-func (s *releases) members() []fleet.Member {
-	if relays := s.n.relays.known(); relays != nil {
-		return relays
-	}
-	return s.n.gossipMembers()
-}
-
-// ownerAmong returns the node that is chosen for a duty among some.
-func (s *releases) ownerAmong(members []fleet.Member, duty string) (owner fleet.Member, self bool) {
-	owner, ok := fleet.RendezvousOwner(members, xxh3.HashString(duty))
-	return owner, !ok || owner.ID == s.n.settings().Name
+	return s.n.dutyOwner(s.n.dutyMembers(), xxh3.HashString(duty))
 }
 
 // streamLives remembers how long streams may last that began under earlier configurations: the present life
--- a/node/rollout.go
+++ b/node/rollout.go
@@ -64,19 +64,30 @@
 	if len(known) == 0 || n.relays.followsRelay() || n.stopping() {
 		return nil, len(known) > 0
 	}
-	members := n.relays.known()
-	if members == nil {
-		members = n.gossipMembers()
-	}
+	members := n.dutyMembers()
 	for _, u := range known {
-		// A node that is alone or not yet a member has no other node to leave it to.
-		if owner, ok := fleet.RendezvousOwner(members, uint64(u.Order.Revision)); !ok || owner.ID == n.settings().Name {
+		if _, self := n.dutyOwner(members, uint64(u.Order.Revision)); self {
 			out = append(out, u.Order)
 		}
 	}
 	return out, true
 }
 
+// dutyMembers returns the nodes that read the store: all of a small fleet, or the relays.
+func (n *Node) dutyMembers() []fleet.Member {
+	if relays := n.relays.known(); relays != nil {
+		return relays
+	}
+	return n.gossipMembers()
+}
+
+// dutyOwner returns the member that rendezvous hashing chooses for a duty, and whether it is this node, which has no
+// other one to leave the duty to while it is alone or not yet a member.
+func (n *Node) dutyOwner(members []fleet.Member, duty uint64) (owner fleet.Member, self bool) {
+	owner, ok := fleet.RendezvousOwner(members, duty)
+	return owner, !ok || owner.ID == n.settings().Name
+}
+
 // gossipMembers returns the live nodes of a small fleet, including this one.
 func (n *Node) gossipMembers() []fleet.Member {
 	out := []fleet.Member{{ID: n.settings().Name, Power: n.settings().Power}}
--- a/node/stream_record.go
+++ b/node/stream_record.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zeebo/errs/v2"
+	"github.com/zeebo/xxh3"
 
 	"github.com/pathhead/pathhead/fleet"
 	"github.com/pathhead/pathhead/peer"
@@ -23,8 +24,8 @@
 // store. One node, the recorder, writes them for all, since calls to the store are dear; the nodes of a large fleet
 // reach it through their relays. Another one records while the chosen one does not answer or cannot reach the store, and
 // what cannot be passed on in time a node writes itself. A row is written once and removed when no stream in it can be
-// under way any more. All rows are facts, so that one that is late or missing
-// makes a stream unknown and never places it wrongly.
+// under way any more. All rows are facts, so that one that is late or missing makes a stream unknown and never places it
+// wrongly.
 
 // partStreams is the table part of the recorded streams.
 const partStreams = "streams"
@@ -177,12 +178,12 @@
 			return relay, false
 		}
 	}
-	members := r.n.releases.members()
+	members := r.n.dutyMembers()
 	able := slices.DeleteFunc(slices.Clone(members), func(m fleet.Member) bool { return r.isUnable(m.ID) })
 	if len(able) == 0 {
 		able = members
 	}
-	return r.n.releases.ownerAmong(able, partStreams)
+	return r.n.dutyOwner(able, xxh3.HashString(partStreams))
 }
 
 // setUnable records whether a node could not record streams.
--- a/node/stream_record_test.go
+++ b/node/stream_record_test.go
@@ -36,6 +36,14 @@
 // simStreamLife is how long streams last in the tests of the record.
 const simStreamLife = 15 * time.Second
 
+// newDividedFleet starts a fleet whose nodes know each other and two splits of the pool.
+func newDividedFleet(t *testing.T, nodes int) *simFleet {
+	f := newSimFleet(t, simSite{nodes: nodes, engines: 4, perSecond: 1})
+	f.settle()
+	f.divide()
+	return f
+}
+
 // divide gives all nodes two splits of the pool, under a configuration whose streams last for simStreamLife.
 func (f *simFleet) divide() {
 	for _, n := range f.nodes {
@@ -67,10 +75,8 @@
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				f := newSimFleet(t, simSite{nodes: nodes, engines: 4, perSecond: 1})
-				f.settle()
+				f := newDividedFleet(t, nodes)
 				defer f.end()
-				f.divide()
 				before := f.store.commits()
 				for range seconds {
 					for i, n := range f.nodes {
@@ -127,10 +133,8 @@
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				f := newSimFleet(t, simSite{nodes: nodes, engines: 4, perSecond: 1})
-				f.settle()
+				f := newDividedFleet(t, nodes)
 				defer f.end()
-				f.divide()
 				owner, _ := f.nodes[0].releases.owner(partStreams)
 				recorder := slices.IndexFunc(f.nodes, func(n *Node) bool { return n.settings().Name == owner.ID })
 				f.storeClients[recorder].down.Store(true)
@@ -162,10 +166,8 @@
 		t.Skip("played without the race detector, with which it takes minutes")
 	}
 	synctest.Test(t, func(t *testing.T) {
-		f := newSimFleet(t, simSite{nodes: largeSimFleet, engines: 4, perSecond: 1})
-		f.settle()
+		f := newDividedFleet(t, largeSimFleet)
 		defer f.end()
-		f.divide()
 		follower := f.nodes[0]
 		for _, n := range f.nodes {
 			if n.relays.followsRelay() {
