review: a model with a tag in its name runs on memory of other versions

Case 7 of the second review. What comes after a colon in a model's name is taken for an adapter, so that the model counts as unknown: requests carry no Expect-Version, and one salt for all versions. After new weights are named, requests on them use parts that the old ones made.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -29,18 +29,20 @@
 	"4": serviceName,
 	"5": lastTenantRemoved,
 	"6": reloadedLease,
+	"7": modelNameWithTag,
 }
 
 func main() {
 	node := flag.String("node", "target/pathhead-node", "program of the nodes")
 	record := flag.String("record", "record.txt", "file that receives the record of the case")
 	trouble := flag.Bool("trouble", true, "play the disruption too")
+	model := flag.String("model", "daka:5b", "model of case 7")
 	flag.Parse()
-	os.Exit(play(flag.Arg(0), *node, *record, *trouble))
+	os.Exit(play(flag.Arg(0), *node, *record, *model, *trouble))
 }
 
 // play plays one case and returns the exit code.
-func play(name, node, record string, trouble bool) int {
+func play(name, node, record, model string, trouble bool) int {
 	run, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
@@ -52,6 +54,7 @@
 		return exitUnplayed
 	}
 	defer r.close()
+	r.model = model
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, maxCaseTime)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -33,6 +33,8 @@
 	runs    *platformtest.RunLog
 	bounds  bounds
 	nodes   []*node
+	// model is the model of case 7.
+	model string
 
 	mu     sync.Mutex
 	record *os.File
