review: case 6 judges the orders to each replica by themselves

The rule ONE looks at the orders to one replica. The case took those to all replicas together, so that two holders that order different ones within leaseMs counted as broken, which is stricter than the rule. Now there are two engines, both are ordered before the holder is killed, and newer weights make its successor order the same two.

--- a/review/rig2/lease.go
+++ b/review/rig2/lease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -13,8 +12,11 @@
 // model is the model of the engines.
 const model = "daka510000"
 
-// engines is the number of replicas of lm-desk on the sheet, which change their weights in turn.
-const engines = 9
+// Numbers of replicas. With two, both get orders at once; nine are those of the sheet, which change in turn.
+const (
+	fewEngines  = 2
+	manyEngines = 9
+)
 
 // longerLease is the lease bound of the changed settings.
 const longerLease = 6 * time.Second
@@ -22,14 +24,14 @@
 // settingsTime is more than the time in which a node notices that its settings file has changed.
 const settingsTime = 5 * time.Second
 
-// reloadedLease raises leaseMs in the settings files of running nodes, and then kills the node that gives orders. The
-// orders of its successor must come at least leaseMs later. Without the disruption, the nodes are started
-// with the same bound.
+// reloadedLease raises leaseMs in the settings files of running nodes, and then kills the node that gives orders, as
+// soon as each replica has one. Weights named then make its successor order the same replicas, which must be
+// at least leaseMs later. Without the disruption, the nodes are started with the same bound.
 func reloadedLease(ctx context.Context, r *rig) error {
 	if !r.trouble {
 		r.bounds.lease = longerLease
 	}
-	if err := r.startEngines(ctx); err != nil {
+	if err := r.startEngines(ctx, fewEngines); err != nil {
 		return err
 	}
 	if r.trouble {
@@ -44,32 +46,50 @@
 	if err := r.nameWeights(2); err != nil {
 		return err
 	}
-	if err := waitFor(ctx, 20*time.Second, func() bool { return len(r.runs.Orders()) >= 2 }); err != nil {
+	if err := waitFor(ctx, 20*time.Second, func() bool { return r.orderedReplicas() == fewEngines }); err != nil {
 		return fmt.Errorf("no orders: %w", err)
 	}
-	holder := r.runs.Orders()[0].Holder
-	for _, n := range r.nodes {
-		if n.name == holder {
-			if err := n.signal(syscall.SIGKILL); err != nil {
-				return err
-			}
-		}
+	holder := r.lastHolder()
+	if err := holder.signal(syscall.SIGKILL); err != nil {
+		return err
 	}
-	taken := func() bool {
-		orders := r.runs.Orders()
-		return orders[len(orders)-1].Holder != holder
+	if err := r.nameWeights(3); err != nil {
+		return err
 	}
-	if err := waitFor(ctx, 40*time.Second, taken); err != nil {
+	if err := waitFor(ctx, 40*time.Second, func() bool { return r.lastHolder() != holder }); err != nil {
 		return fmt.Errorf("no other node took over: %w", err)
 	}
 	if err := pause(ctx, 2*time.Second); err != nil {
 		return err
 	}
-	return r.judgeOrders(longerLease)
+	return r.judgeOrders(longerLease, thaw{})
+}
+
+// orderedReplicas returns the number of replicas that got orders.
+func (r *rig) orderedReplicas() int {
+	ordered := make(map[string]bool)
+	for _, o := range r.runs.Orders() {
+		ordered[o.Replica] = true
+	}
+	return len(ordered)
+}
+
+// lastHolder returns the node that gave the last order, or nil.
+func (r *rig) lastHolder() *node {
+	orders := r.runs.Orders()
+	if len(orders) == 0 {
+		return nil
+	}
+	for _, n := range r.nodes {
+		if n.name == orders[len(orders)-1].Holder {
+			return n
+		}
+	}
+	return nil
 }
 
 // startEngines starts engines, a configuration that names them, and three nodes.
-func (r *rig) startEngines(ctx context.Context) error {
+func (r *rig) startEngines(ctx context.Context, engines int) error {
 	for i := range engines {
 		if err := r.startReplica(fmt.Sprintf("i-%d", i), "lm-desk", platformtest.WithModel(model, 1)); err != nil {
 			return err
@@ -121,22 +141,41 @@
 	return nil
 }
 
-// judgeOrders records the orders that replicas received and checks the rule ONE.
-func (r *rig) judgeOrders(lease time.Duration) error {
-	var (
-		broken error
-		before platformtest.ReceivedOrder
-	)
-	for i, o := range r.runs.Orders() {
-		r.note("order at %8.3f to %s: holder %s, fence %d, version %d, status %d", r.seconds(o.Arrived), o.Replica, o.Holder, o.Fence, o.Version, o.Status)
-		if i > 0 && o.Holder != before.Holder {
-			gap := o.Arrived.Sub(before.Arrived)
-			r.note("the holder changes from %s to %s after %.3f s, leaseMs is %d", before.Holder, o.Holder, gap.Seconds(), lease.Milliseconds())
-			if gap < lease || o.Fence <= before.Fence {
-				broken = errors.Join(broken, errBroken)
-			}
+// thaw is the end of a freeze of a node.
+type thaw struct {
+	node string
+	at   time.Time
+}
+
+// thawSlack is thawSlackMs of the bounds: orders that arrive so soon after the thaw of their sender don't count.
+const thawSlack = 300 * time.Millisecond
+
+// excuses reports whether an order doesn't count.
+func (t thaw) excuses(o platformtest.ReceivedOrder) bool {
+	return o.Holder == t.node && !o.Arrived.Before(t.at) && o.Arrived.Sub(t.at) <= thawSlack
+}
+
+// judgeOrders records the orders that replicas received and checks the rule ONE on those of each replica.
+func (r *rig) judgeOrders(lease time.Duration, t thaw) error {
+	var broken error
+	last := make(map[string]platformtest.ReceivedOrder)
+	for _, o := range r.runs.Orders() {
+		excused := t.excuses(o)
+		r.note("order at %8.3f to %s: holder %s, fence %d, version %d, status %d, excused %t", r.seconds(o.Arrived), o.Replica, o.Holder, o.Fence, o.Version, o.Status, excused)
+		if excused {
+			continue
+		}
+		before, ok := last[o.Replica]
+		last[o.Replica] = o
+		if !ok || o.Holder == before.Holder {
+			continue
+		}
+		gap := o.Arrived.Sub(before.Arrived)
+		r.note("at %s the holder changes from %s (fence %d) to %s (fence %d) after %.3f s, leaseMs is %d",
+			o.Replica, before.Holder, before.Fence, o.Holder, o.Fence, gap.Seconds(), lease.Milliseconds())
+		if gap < lease || o.Fence <= before.Fence {
+			broken = errBroken
 		}
-		before = o
 	}
 	return broken
 }
