review: a thawed holder goes on with its lease after the store's return

While the node that gives orders is frozen, another one takes the lease and orders. The store comes back from a copy that is older than that, and the thawed node renews its old lease: Store.transact lets an answer of a newer era pass where the known one is 0. It then orders replicas with a generation number below that of the other holder.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -30,6 +30,7 @@
 	"5": lastTenantRemoved,
 	"6": reloadedLease,
 	"7": modelNameWithTag,
+	"8": restoredStore,
 }
 
 func main() {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -35,6 +35,8 @@
 	nodes   []*node
 	// model is the model of case 7.
 	model string
+	// link lies between nodes and the store; nil if they reach it straight.
+	link *storeLink
 
 	mu     sync.Mutex
 	record *os.File
@@ -85,6 +87,9 @@
 	for _, n := range r.nodes {
 		n.end()
 	}
+	if r.link != nil {
+		r.link.close()
+	}
 	r.store.Close()
 	_ = os.RemoveAll(r.dir)
 	_ = r.record.Close()
@@ -163,8 +168,14 @@
 			return err
 		}
 		name := fmt.Sprintf("frontend-%d", i+1)
+		store := endpoint.Addr
+		if r.link != nil {
+			if store, err = r.link.open(store); err != nil {
+				return err
+			}
+		}
 		p := &node{
-			rig: r, name: name, file: filepath.Join(r.dir, name+".toml"), ip: ip, store: endpoint.Addr,
+			rig: r, name: name, file: filepath.Join(r.dir, name+".toml"), ip: ip, store: store,
 			front: netip.AddrPortFrom(ip, 8782), readiness: netip.AddrPortFrom(ip, 8789), control: netip.AddrPortFrom(ip, 8783),
 			portRange: [2]uint16{7340, 7355},
 		}
