review/rig2: a test program without tests

As review/drill before, the rig's files are now test files; build-2.sh builds them with go test -c, and a case is played if the first argument is "play". Nothing else has changed in them.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -15,4 +15,4 @@
 if [[ ${TROUBLE:-1} == 0 ]]; then
 	trouble=false
 fi
-exec target/review-2/rig2 -record "$here/record.txt" -trouble=$trouble 7
+exec target/review-2/rig2 play -record "$here/record.txt" -trouble=$trouble 7
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/rig2
+go test -c -o target/review-2/rig2 ./review/rig2
--- a/review/rig2/main.go
+++ b/review/rig2/main_test.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"context"
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -33,13 +34,21 @@
 	"8": restoredStore,
 }
 
-func main() {
-	node := flag.String("node", "target/pathhead-node", "program of the nodes")
-	record := flag.String("record", "record.txt", "file that receives the record of the case")
-	trouble := flag.Bool("trouble", true, "play the disruption too")
-	model := flag.String("model", "daka:5b", "model of case 7")
-	flag.Parse()
-	os.Exit(play(flag.Arg(0), *node, *record, *model, *trouble))
+// TestMain plays a case if the first argument is "play". As a part of the default test run it does nothing: the
+// package has no tests.
+func TestMain(m *testing.M) {
+	if len(os.Args) < 2 || os.Args[1] != "play" {
+		os.Exit(m.Run())
+	}
+	flags := flag.NewFlagSet("play", flag.ContinueOnError)
+	node := flags.String("node", "target/pathhead-node", "program of the nodes")
+	record := flags.String("record", "record.txt", "file that receives the record of the case")
+	trouble := flags.Bool("trouble", true, "play the disruption too")
+	model := flags.String("model", "daka:5b", "model of case 7")
+	if flags.Parse(os.Args[2:]) != nil {
+		os.Exit(exitUnplayed)
+	}
+	os.Exit(play(flags.Arg(0), *node, *record, *model, *trouble))
 }
 
 // play plays one case and returns the exit code.
--- a/review/rig2/rig.go
+++ b/review/rig2/rig_test.go
@@ -1,4 +1,4 @@
-package main
+package rig2
 
 import (
 	"context"
