--- a/policy/config.go
+++ b/policy/config.go
@@ -78,11 +78,15 @@
 	KindKept    Kind = "kept"
 )
 
-// Pool is a set of targets chosen by a selector over their labels.
+// Pool is a set of targets chosen by their labels. A target belongs to it if it matches both the selector
+// and the labels to match, of which at least one is set.
 type Pool struct {
-	Name     string `yaml:"name" json:"name"`
-	Kind     Kind   `yaml:"kind" json:"kind"`
-	Selector string `yaml:"selector" json:"selector"`
+	Name string `yaml:"name" json:"name"`
+	Kind Kind   `yaml:"kind" json:"kind"`
+	// Selector is a label selector in the syntax of Kubernetes.
+	Selector string `yaml:"selector,omitempty" json:"selector,omitempty"`
+	// MatchLabels are labels that a target must have with exactly these values, which may be any text.
+	MatchLabels map[string]string `yaml:"matchLabels,omitempty" json:"matchLabels,omitempty"`
 	// Replicas is the number of targets that should serve each model of the pool; zero means all.
 	Replicas int `yaml:"replicas,omitempty" json:"replicas,omitempty"`
 	// Window is the number of requests that one target runs concurrently.
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -60,6 +60,11 @@
 
 // Matches reports whether a target with these labels belongs to the pool.
 func (p *CompiledPool) Matches(set map[string]string) bool {
+	for name, want := range p.MatchLabels {
+		if got, ok := set[name]; !ok || got != want {
+			return false
+		}
+	}
 	return p.selector.Matches(labels.Set(set))
 }
 
@@ -284,13 +289,21 @@
 		}
 		out = append(out, &Problem{
 			Path:    fmt.Sprintf("pools[%d].selector", i),
-			Message: fmt.Sprintf("%q matches no target", p.Selector),
+			Message: fmt.Sprintf("%q matches no target", p.selectorText()),
 			Warning: true,
 		})
 	}
 	return out
 }
 
+// selectorText returns what the pool's targets must match, for operators.
+func (p *CompiledPool) selectorText() string {
+	if len(p.MatchLabels) == 0 {
+		return p.Selector
+	}
+	return strings.TrimPrefix(p.Selector+","+labels.Set(p.MatchLabels).String(), ",")
+}
+
 func matchesAny(p *CompiledPool, targets []map[string]string) bool {
 	for _, set := range targets {
 		if p.Matches(set) {
--- a/policy/validate.go
+++ b/policy/validate.go
@@ -174,7 +174,9 @@
 	for i, p := range pools {
 		path := fmt.Sprintf("pools[%d]", i)
 		k.name(path+".name", p.Name, names)
-		k.selector(path+".selector", p.Selector)
+		if p.Selector != "" || len(p.MatchLabels) == 0 {
+			k.selector(path+".selector", p.Selector)
+		}
 		switch p.Kind {
 		case KindEngine, KindService, KindKept:
 		default:
