policy, route, node: a model's whole name goes before an adapter, and an unknown model shares no memory

ModelAt took what follows a colon for an adapter, which the platform has none of, so the model was not found. Such a request went out without Expect-Version, and its salt was of the organisation and pool alone.

The change: the exact name first, then each colon in turn. An attempt without a known model has a salt of its own, of a random text of the request.

--- a/node/forward.go
+++ b/node/forward.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -160,9 +161,15 @@
 		req.Priority = 0
 	}
 	v.applyHanded(n.now(), &req)
-	if m, _, ok := v.snap.ModelAt(req.Pool, v.info.Model); ok {
-		req.Model = m
+	m, adapter, ok := v.snap.ModelAt(req.Pool, v.info.Model)
+	if !ok {
+		req.Nonce = rand.Text()
+		if v.info.Model != "" {
+			n.counters.unknownModels.Inc()
+		}
+		return req
 	}
+	req.Model, req.Adapter = m, adapter
 	return req
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -15,8 +15,10 @@
 type counters struct {
 	set         *metrics.Set
 	badRequests *metrics.Counter
-	opened      *metrics.Counter
-	orders      *metrics.Counter
+	// unknownModels counts the requests for a model that their service does not have.
+	unknownModels *metrics.Counter
+	opened        *metrics.Counter
+	orders        *metrics.Counter
 	// holdersUnanswered counts the prompts that were placed without an answer from the owner of
 	// their parts.
 	holdersUnanswered *metrics.Counter
@@ -41,8 +43,11 @@
 	return counters{
 		set:         set,
 		badRequests: set.NewCounter("pathhead_bad_requests_total"),
-		opened:      set.NewCounter("pathhead_target_connections_total"),
-		orders:      set.NewCounter("pathhead_orders_total"),
+
+		unknownModels: set.NewCounter("pathhead_unknown_model_requests_total"),
+
+		opened: set.NewCounter("pathhead_target_connections_total"),
+		orders: set.NewCounter("pathhead_orders_total"),
 
 		holdersUnanswered: set.NewCounter("pathhead_holders_unanswered_total"),
 		first:             set.NewHistogram("pathhead_first_part_seconds"),
--- a/policy/models_test.go
+++ b/policy/models_test.go
@@ -36,3 +36,42 @@
 		})
 	}
 }
+
+// Guards against a model whose name has a colon and is taken for an adapter of another one, so that its requests
+// go out without a salt of their own and without expected weights.
+func TestModelNameWithColon(t *testing.T) {
+	snap, err := Compile(&Config{
+		Pools: []Pool{{Name: "p"}},
+		Models: []Model{
+			{Name: "daka:5b", Pool: "p"}, {Name: "daka", Pool: "p", Adapters: []string{"5b", "fr", "fr:ca"}},
+			{Name: "reg.example:5000/daka:5b", Pool: "p", Adapters: []string{"x"}},
+		},
+	}, 1)
+	require.NoError(t, err)
+	for asked, want := range map[string]struct{ model, adapter string }{
+		"daka:5b":                    {"daka:5b", ""},
+		"daka":                       {"daka", ""},
+		"daka:fr":                    {"daka", "fr"},
+		"daka:fr:ca":                 {"daka", "fr:ca"},
+		"reg.example:5000/daka:5b":   {"reg.example:5000/daka:5b", ""},
+		"reg.example:5000/daka:5b:x": {"reg.example:5000/daka:5b", "x"},
+		"daka:":                      {},
+		"daka:7b":                    {},
+		"daka:5b:fr":                 {},
+		"DAKA:5b":                    {},
+		":":                          {},
+		"":                           {},
+	} {
+		for what, find := range map[string]func() (*Model, string, bool){
+			"of a pool": func() (*Model, string, bool) { return snap.ModelAt("p", asked) },
+			"by name":   func() (*Model, string, bool) { return snap.Model(asked) },
+		} {
+			m, adapter, ok := find()
+			require.Equal(t, want.model != "", ok, "%q %s", asked, what)
+			if ok {
+				require.Equal(t, want.model, m.Name, "%q %s", asked, what)
+				require.Equal(t, want.adapter, adapter, "%q %s", asked, what)
+			}
+		}
+	}
+}
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -213,29 +213,28 @@
 }
 
 // Model returns a model by the name that callers use, which may include an adapter as
-// model:adapter.
+// model:adapter. A model that has the whole name goes before an adapter.
 func (s *Snapshot) Model(name string) (m *Model, adapter string, ok bool) {
-	base, adapter, _ := strings.Cut(name, ":")
-	return withAdapter(s.models[base], adapter)
+	return findModel(name, func(name string) *Model { return s.models[name] })
 }
 
 // ModelAt returns a model of a pool by the name that callers use.
 func (s *Snapshot) ModelAt(pool, name string) (m *Model, adapter string, ok bool) {
-	base, adapter, _ := strings.Cut(name, ":")
-	return withAdapter(s.pooled[modelKey{pool, base}], adapter)
+	return findModel(name, func(name string) *Model { return s.pooled[modelKey{pool, name}] })
 }
 
-// withAdapter checks that a model has an adapter, if one is named; m is nil if there is no such model.
-func withAdapter(m *Model, adapter string) (*Model, string, bool) {
-	if m == nil {
-		return nil, "", false
-	}
-	if adapter == "" {
+// findModel looks a model up by the name that callers use. Names of models and adapters may contain colons,
+// so that each colon may be where the adapter begins.
+func findModel(name string, lookup func(name string) *Model) (*Model, string, bool) {
+	if m := lookup(name); m != nil {
 		return m, "", true
 	}
-	for _, a := range m.Adapters {
-		if a == adapter {
-			return m, adapter, true
+	for i := range len(name) {
+		if name[i] != ':' {
+			continue
+		}
+		if m := lookup(name[:i]); m != nil && slices.Contains(m.Adapters, name[i+1:]) {
+			return m, name[i+1:], true
 		}
 	}
 	return nil, "", false
--- a/route/arrive.go
+++ b/route/arrive.go
@@ -257,9 +257,10 @@
 		target: c.target, release: c.target.release, sent: now, progress: now, heldTokens: c.held.tokens, heldAge: c.held.age,
 		predicted: c.timeToFirstToken(r),
 	}
+	id := r.newAttempt()
 	a.Attempt = Attempt{
-		ID: r.newAttempt(), Request: r.ID, Target: c.target.addr, Incarnation: c.target.incarnation,
-		Weights: c.weights, Salt: r.salt(c), Resume: r.delivered, Fetch: c.fetchFrom, Number: r.tries, Reason: c.reason(now, r, len(b.scratch)),
+		ID: id, Request: r.ID, Target: c.target.addr, Incarnation: c.target.incarnation,
+		Weights: c.weights, Salt: r.salt(c, id), Resume: r.delivered, Fetch: c.fetchFrom, Number: r.tries, Reason: c.reason(now, r, len(b.scratch)),
 	}
 	if c.chain != nil {
 		a.FirstToken = b.firstTokenIn(now, p, c, r)
@@ -293,11 +294,11 @@
 }
 
 // salt returns the salt for an attempt at a candidate.
-func (r *request) salt(c *candidate) string {
+func (r *request) salt(c *candidate, attempt string) string {
 	if c.chain != nil {
 		return c.chain.salt
 	}
-	return r.Salt("").String()
+	return r.privateSalt(attempt).String()
 }
 
 // recordExpectedFill records immediately what the target will have cached, so that requests
--- a/route/board_test.go
+++ b/route/board_test.go
@@ -133,6 +133,13 @@
 		return fmt.Errorf("attempt %s was sent to %s, which is draining in the list", a.ID, a.Incarnation)
 	}
 	r := w.asked[a.Request]
+	if r.Model == nil {
+		if other, ok := w.privateSalts[a.Salt]; ok {
+			return fmt.Errorf("attempts %s and %s have one salt, and their model is not known", a.ID, other)
+		}
+		w.privateSalts[a.Salt] = a.ID
+		return nil
+	}
 	if want := r.Salt(a.Weights).String(); a.Salt != want {
 		return fmt.Errorf("attempt %s has salt %s, want %s", a.ID, a.Salt, want)
 	}
--- a/route/prefix.go
+++ b/route/prefix.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"strings"
 
 	"github.com/zeebo/xxh3"
 )
@@ -33,20 +34,28 @@
 	Model   string
 	Adapter string
 	Weights string
-	// Pool is set in place of the model where that is unknown.
-	Pool string
+	// Pool and Attempt are set in place of the model where that is unknown. Attempt is unique, so that
+	// nothing is shared: the weights that made a block would not be known.
+	Pool, Attempt string
 }
 
-// fieldEnd separates the fields of a salt; names cannot contain it.
+// fieldEnd separates the fields of a salt.
 const fieldEnd = "\x1f"
 
+// escapeField keeps names that contain the separator from being taken for several fields.
+var escapeField = strings.NewReplacer("\x1e", "\x1e0", fieldEnd, "\x1e1")
+
 // String returns the salt as it is sent to engines: a hash, which does not reveal the
 // organisation's name.
 func (s Salt) String() string {
-	text := s.Org + fieldEnd + s.Model + fieldEnd + s.Adapter + fieldEnd + s.Weights
+	fields := []string{s.Org, s.Model, s.Adapter, s.Weights}
 	if s.Model == "" {
-		text += fieldEnd + s.Pool
+		fields = append(fields, s.Pool, s.Attempt)
+	}
+	for i, f := range fields {
+		fields[i] = escapeField.Replace(f)
 	}
+	text := strings.Join(fields, fieldEnd)
 	sum := xxh3.HashString128(text).Bytes()
 	return hex.EncodeToString(sum[:])
 }
--- a/route/request.go
+++ b/route/request.go
@@ -35,9 +35,12 @@
 	// Repeatable is false for a call that must run at most once.
 	Repeatable bool
 
-	// Model is nil for a request to a service pool.
+	// Model is nil for a request to a service pool, and for one whose model is not known.
 	Model   *policy.Model
 	Adapter string
+	// Nonce is a text that no other request has and that callers cannot foresee. It keeps the cached
+	// blocks of a request without a known model from others.
+	Nonce string
 	// Text is the prompt that the prefix chain is computed over, and Bounds the offsets in it
 	// at which messages end.
 	Text      []byte
@@ -75,20 +78,22 @@
 	Sent       bool
 }
 
-// Salt returns the salt of the request's cached blocks under the given weights. It isolates the
-// organisation also where the model is unknown. The name that the caller gave is not part of it then, since
-// the hash does not withstand chosen texts.
+// Salt returns the salt of the request's cached blocks under the given weights. Its model must be known.
 func (r *Request) Salt(weights string) Salt {
 	org := r.Org
 	if r.SharesCache {
 		org = ""
 	}
-	if r.Model == nil {
-		return Salt{Org: org, Pool: r.Pool}
-	}
 	return Salt{Org: org, Model: r.Model.Name, Adapter: r.Adapter, Weights: weights}
 }
 
+// privateSalt returns the salt of an attempt of a request without a known model, which no other attempt has.
+// The name of the model that the caller gave is not part of it, since the hash does not withstand chosen
+// texts.
+func (r *Request) privateSalt(attempt string) Salt {
+	return Salt{Org: r.Org, Pool: r.Pool, Attempt: r.Nonce + attempt}
+}
+
 // SharedParts returns the fingerprints of the request's parts without the last one, which belongs to
 // the request itself or to its session.
 func (r *Request) SharedParts() []Fingerprint {
--- a/route/world_test.go
+++ b/route/world_test.go
@@ -83,12 +83,14 @@
 	targets  []*fakeTarget
 	inFlight []Attempt
 	// stale are attempts whose end was reported already; late replies to them may follow.
-	stale  []Attempt
-	ends   map[string][]Action
-	asked  map[string]Request
-	ran    map[string]int
-	sends  map[string]int
-	nextID int
+	stale []Attempt
+	ends  map[string][]Action
+	asked map[string]Request
+	// privateSalts are the salts of attempts without a known model, with the attempt of each.
+	privateSalts map[string]string
+	ran          map[string]int
+	sends        map[string]int
+	nextID       int
 	// announcedDraining holds the incarnations that the board knows to be draining.
 	announcedDraining map[string]bool
 	events            []event.Event
@@ -96,7 +98,7 @@
 
 func newWorld(t require.TestingT, engines, services int, s testSetup) *world {
 	w := &world{
-		now: epoch, snap: s.snapshot(t), ends: make(map[string][]Action), asked: make(map[string]Request),
+		now: epoch, snap: s.snapshot(t), ends: make(map[string][]Action), asked: make(map[string]Request), privateSalts: make(map[string]string),
 		ran: make(map[string]int), sends: make(map[string]int), announcedDraining: make(map[string]bool),
 	}
 	w.board = NewBoard(WithSeed(1), WithEventHandler(func(e event.Event) { w.events = append(w.events, e) }))
--- a/router/callers.go
+++ b/router/callers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -274,6 +275,7 @@
 func (v *callerRequest) newRequest(id, pool string, timeout time.Duration) route.Request {
 	req := route.Request{
 		ID:        id,
+		Nonce:     rand.Text(),
 		Revision:  v.snap.Revision,
 		Org:       v.org.Name,
 		Print:     v.fingerprint,
