policy, node, platform: an empty list of tenants asks for keys, and every send is checked for them

The check before a send skipped the key for requests admitted without one, so that held and repeated ones went on past a configuration that asks for keys, or that makes their route no longer public.

Before each send the newest configuration must admit the request for the same organisation, or still without one.

TestBehindAdmits and the simulated store say now whether keys are asked for.

--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -59,6 +59,7 @@
 				declared, err := store.Parse(1, "one")
 				require.NoError(t, err)
 				declared.Config.Routes = []policy.Route{{Name: "o", Path: "/open/", Pool: simPool, Public: true}, {Name: "c", Path: "/closed/", Pool: simPool}}
+				declared.Config.Open = false
 				declared.Config.Organisations = []policy.Organisation{{Name: "org", Keys: []policy.Key{keyOf("k")}}}
 				admit := func() int {
 					w := httptest.NewRecorder()
--- a/node/callers.go
+++ b/node/callers.go
@@ -197,8 +197,7 @@
 	}
 	// A route or key that this configuration lacks may exist in a newer one.
 	confirmed := !status.behind && status.age <= fraction(n.settings().Bounds.Apply, confirmedFraction)
-	path, _, _ := strings.Cut(v.uri, "?")
-	rt, ok := v.snap.RouteFor(hostOf(v.r.Host), path)
+	rt, ok := v.routeIn(v.snap)
 	if !ok {
 		n.refuseUnknown(v, confirmed, http.StatusNotFound, "no route is configured for this host and path")
 		return false
@@ -208,7 +207,7 @@
 		n.refuse(v, unreadableEntry("route"))
 		return false
 	}
-	if rt.Public || len(v.snap.Config.Organisations) == 0 {
+	if !v.snap.NeedsKey(rt) {
 		return true
 	}
 	if !status.keysConfirmed {
@@ -230,6 +229,12 @@
 	return true
 }
 
+// routeIn returns the request's route in a configuration.
+func (v *callerRequest) routeIn(snap *policy.Snapshot) (*policy.Route, bool) {
+	path, _, _ := strings.Cut(v.uri, "?")
+	return snap.RouteFor(hostOf(v.r.Host), path)
+}
+
 // unreadableEntry refuses a request that needs an entry of the configuration that cannot be read.
 func unreadableEntry(what string) route.Refusal {
 	return route.Refusal{Cause: route.CauseFenced, RetryAfter: fencedRetry, Detail: "the configuration of its " + what + " cannot be read"}
--- a/node/fleet_store_test.go
+++ b/node/fleet_store_test.go
@@ -313,6 +313,7 @@
 // Parse implements [Store].
 func (s *simStore) Parse(revision int64, text string) (*Declared, error) {
 	return &Declared{Revision: revision, Text: text, Config: &policy.Config{
+		Open:    true,
 		Version: policy.Version,
 		Pools: []policy.Pool{{
 			Name: simPool, Kind: policy.KindEngine, Selector: LabelPool + "=" + simPool, Window: 24, Fetches: true,
--- a/node/forward.go
+++ b/node/forward.go
@@ -368,21 +368,34 @@
 const maxRefusalBody = 64 << 10
 
 // stillAllowed checks key and configuration again right before sending, since the process may have
-// been suspended after the request was admitted.
+// been suspended, or another configuration adopted, after the request was admitted.
 func (f *forwarding) stillAllowed() bool {
 	status := f.n.configStatus()
-	if f.v.org == nil {
+	snap, v := f.n.snapshot(), f.v
+	if snap != v.snap && !v.keepsOrg(snap) {
+		return false
+	}
+	if v.org == nil {
 		return !status.outdated
 	}
-	if !status.keysConfirmed {
+	return status.keysConfirmed
+}
+
+// keepsOrg reports whether a configuration admits the request for the organisation for which it was
+// admitted before, or still without one. The calls of a route that is gone may end by its rules.
+func (v *callerRequest) keepsOrg(snap *policy.Snapshot) bool {
+	rt, ok := v.routeIn(snap)
+	switch {
+	case !ok:
+		rt = v.route
+	case rt.Invalid:
 		return false
 	}
-	snap := f.n.snapshot()
-	if snap == f.v.snap {
-		return true
+	if v.org == nil {
+		return !snap.NeedsKey(rt)
 	}
-	org, ok := snap.Authenticate(f.v.info.Key)
-	return ok && !org.Invalid && org.Name == f.v.org.Name
+	org, ok := snap.Authenticate(v.info.Key)
+	return ok && !org.Invalid && org.Name == v.org.Name
 }
 
 // call builds the request for an attempt.
--- a/node/memory_budget.go
+++ b/node/memory_budget.go
@@ -7,7 +7,6 @@
 	"math"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"sync"
 	"time"
 
@@ -408,18 +407,18 @@
 	c := &callerClasses{snap: snap}
 	c.least, c.most = priorityRange(snap.Config)
 	n.classes.Store(c)
-	n.memory.setSole(soleOrganisation(snap.Config))
+	n.memory.setSole(soleOrganisation(snap))
 	return c
 }
 
 // soleOrganisation reports whether all requests belong to one organisation, or to none.
-func soleOrganisation(c *policy.Config) bool {
-	if len(c.Organisations) == 0 {
-		return true
+func soleOrganisation(snap *policy.Snapshot) bool {
+	keyed, open := false, false
+	for i := range snap.Config.Routes {
+		needsKey := snap.NeedsKey(&snap.Config.Routes[i])
+		keyed, open = keyed || needsKey, open || !needsKey
 	}
-	public := slices.IndexFunc(c.Routes, func(r policy.Route) bool { return r.Public }) >= 0
-	keyed := slices.IndexFunc(c.Routes, func(r policy.Route) bool { return !r.Public }) >= 0
-	return !keyed || len(c.Organisations) == 1 && !public
+	return !keyed || len(snap.Config.Organisations) <= 1 && !open
 }
 
 // priorityRange returns the least and the greatest priority of a configuration's requests.
--- a/node/unreadable_test.go
+++ b/node/unreadable_test.go
@@ -16,6 +16,7 @@
 // closedRoutes has a route without keys and one with the key k.
 func closedRoutes(declared *Declared) Declared {
 	declared.Config.Routes = []policy.Route{{Name: "o", Path: "/open/", Pool: simPool, Public: true}, {Name: "c", Path: "/closed/", Pool: simPool}}
+	declared.Config.Open = false
 	declared.Config.Organisations = []policy.Organisation{{Name: "org", Keys: []policy.Key{keyOf("k")}}}
 	return *declared
 }
--- a/policy/config.go
+++ b/policy/config.go
@@ -24,6 +24,9 @@
 	Policies      []Policy       `yaml:"policies,omitempty" json:"policies,omitempty"`
 	Placement     Placement      `yaml:"placement,omitempty" json:"placement"`
 	Requests      Requests       `yaml:"requests,omitempty" json:"requests"`
+	// Open means that no route asks for a key. Without it, every route that is not public does, also if there is no
+	// organisation.
+	Open bool `yaml:"-" json:"-"`
 	// UnknownKeys is set if some API keys could not be read, so that a key that is not known may be one of
 	// them.
 	UnknownKeys bool `yaml:"-" json:"-"`
--- a/policy/snapshot.go
+++ b/policy/snapshot.go
@@ -191,6 +191,9 @@
 	return k.org, true
 }
 
+// NeedsKey reports whether calls of a route must have the key of an organisation.
+func (s *Snapshot) NeedsKey(r *Route) bool { return !r.Public && !s.Config.Open }
+
 // Org returns an organisation by name.
 func (s *Snapshot) Org(name string) (*Org, bool) {
 	o, ok := s.orgs[name]
