transport: an answer whose status is none of HTTP is a broken answer

A replica's 600 or 999 reached callers as an answer; for 000 to 099, taken for interim answers, callers waited until the target closed or their time was over, though another replica could have served them.

The change: three digits from 100 to 599, and no 101, or the attempt is broken. Interim answers no longer count among the foreign ones to skip, as the bound on heads holds for them.

Holds because every reader of answers goes through readHead.

--- a/transport/send.go
+++ b/transport/send.go
@@ -194,15 +194,18 @@
 // readHead reads heads until one belongs to the request.
 func (x *exchange) readHead(req Request) (*Response, error) {
 	x.conn.headLeft = maxHeadBytes
-	for range maxForeignAnswers {
+	for foreign := 0; foreign < maxForeignAnswers; {
 		x.conn.readingHead = true
 		resp, err := http.ReadResponse(x.conn.r, &http.Request{Method: req.Method})
 		x.conn.readingHead = false
-		if err != nil {
-			return nil, err
+		if err == nil {
+			err = checkStatus(resp)
 		}
 		switch {
-		case resp.StatusCode < 200:
+		case err != nil:
+			return nil, err
+		case isInterim(resp.StatusCode):
+			// The bound on heads also bounds the number of interim answers.
 			continue
 		case req.Matches == nil || req.Matches(resp.Header):
 			b := &body{exchange: x, resp: resp, unframed: unframed(resp) && req.Method != http.MethodHead}
@@ -213,10 +216,29 @@
 		if err := discard(resp.Body); err != nil {
 			return nil, err
 		}
+		foreign++
 	}
 	return nil, errForeignAnswer.Errorf("none of %d answers matches the request", maxForeignAnswers)
 }
 
+// errStatus marks an answer whose status is none of HTTP. Its target is at fault, so no part of it
+// counts as an answer.
+var errStatus = errs.Tag("invalid status")
+
+// checkStatus checks that an answer has a status code of RFC 9110, section 15: three digits from 100 to
+// 599. A connection on which the target switches protocols cannot be used, since no request asks for it.
+func checkStatus(resp *http.Response) error {
+	code, _, _ := strings.Cut(resp.Status, " ")
+	if len(code) != 3 || strings.Trim(code, "0123456789") != "" || resp.StatusCode < 100 || resp.StatusCode >= 600 ||
+		resp.StatusCode == http.StatusSwitchingProtocols {
+		return errStatus.Errorf("%.20q", resp.Status)
+	}
+	return nil
+}
+
+// isInterim reports whether another answer follows one with this status.
+func isInterim(status int) bool { return status < http.StatusOK }
+
 // discard reads the body of an answer to another request to its end.
 func discard(body io.Reader) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxForeignBody+1))
