--- a/node/keys_test.go
+++ b/node/keys_test.go
@@ -5,7 +5,6 @@
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -55,16 +54,12 @@
 		for to := range keyChanges {
 			t.Run(from+" to "+to, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					store := newSimStore(1)
-					n, err := New(validSettings(), store, plainProtocol{}, store)
-					require.NoError(t, err)
+					n := newDeclaredNode(t)
 					adopt := func(revision int64, change func(*policy.Config)) {
-						d, err := store.Parse(revision, "one")
-						require.NoError(t, err)
-						d.Config.Open = false
-						d.Config.Routes = []policy.Route{{Name: "x", Path: "/x/", Pool: simPool}}
-						change(d.Config)
-						n.applyChanges(time.Now(), Changes{Declared: d})
+						n.declare(revision, func(c *policy.Config) {
+							c.Routes, c.Organisations = []policy.Route{{Name: "x", Path: "/x/", Pool: simPool}}, nil
+							change(c)
+						})
 					}
 					adopt(1, keyChanges[from])
 					v := &callerRequest{
@@ -75,7 +70,7 @@
 						return
 					}
 					require.Equal(t, org, v.orgName())
-					f := &forwarding{n: n, v: v}
+					f := &forwarding{n: n.Node, v: v}
 					require.True(t, f.stillAllowed())
 					adopt(2, keyChanges[to])
 					newOrg, admits := orgUnder(to)
--- a/node/unreadable_test.go
+++ b/node/unreadable_test.go
@@ -13,12 +13,36 @@
 	"github.com/pathhead/pathhead/policy"
 )
 
-// closedRoutes has a route without keys and one with the key k.
-func closedRoutes(declared *Declared) Declared {
-	declared.Config.Routes = []policy.Route{{Name: "o", Path: "/open/", Pool: simPool, Public: true}, {Name: "c", Path: "/closed/", Pool: simPool}}
-	declared.Config.Open = false
-	declared.Config.Organisations = []policy.Organisation{{Name: "org", Keys: []policy.Key{keyOf("k")}}}
-	return *declared
+// declaredNode is a node with a configuration of a public route /open/ and a route /closed/ for the key k.
+type declaredNode struct {
+	*Node
+	t     *testing.T
+	store *simStore
+}
+
+func newDeclaredNode(t *testing.T) *declaredNode {
+	store := newSimStore(1)
+	n, err := New(validSettings(), store, plainProtocol{}, store)
+	require.NoError(t, err)
+	return &declaredNode{Node: n, t: t, store: store}
+}
+
+// declared returns the configuration with a change.
+func (n *declaredNode) declared(revision int64, change func(*policy.Config)) *Declared {
+	d, err := n.store.Parse(revision, "one")
+	require.NoError(n.t, err)
+	d.Config.Open = false
+	d.Config.Routes = []policy.Route{{Name: "o", Path: "/open/", Pool: simPool, Public: true}, {Name: "c", Path: "/closed/", Pool: simPool}}
+	d.Config.Organisations = []policy.Organisation{{Name: "org", Keys: []policy.Key{keyOf("k")}}}
+	if change != nil {
+		change(d.Config)
+	}
+	return d
+}
+
+// declare brings the node an answer of the store with the configuration.
+func (n *declaredNode) declare(revision int64, change func(*policy.Config)) {
+	n.applyChanges(time.Now(), Changes{Declared: n.declared(revision, change)})
 }
 
 // admission returns the status of a refused request, or zero if it is admitted.
@@ -33,32 +57,23 @@
 // Guards against a newer revision that cannot be read or compiled while the store's further answers confirm the
 // previous one as the newest: keys that it takes away stayed in force for as long as the process lived.
 func TestUnreadableConfiguration(t *testing.T) {
-	for name, change := range map[string]func(newer Declared) Changes{
-		"unreadable": func(Declared) Changes {
+	for name, change := range map[string]func(n *declaredNode) Changes{
+		"unreadable": func(*declaredNode) Changes {
 			return Changes{Unreadable: true, UnreadableRevision: 2, Rejected: errs.Errorf("odd")}
 		},
-		"unreadable without a number": func(Declared) Changes { return Changes{Unreadable: true, Rejected: errs.Errorf("odd")} },
-		"does not compile": func(newer Declared) Changes {
-			newer.Config.Organisations = []policy.Organisation{{Name: "org", Keys: []policy.Key{{ID: "k", SHA256: "?"}}}}
-			return Changes{Declared: &newer}
+		"unreadable without a number": func(*declaredNode) Changes { return Changes{Unreadable: true, Rejected: errs.Errorf("odd")} },
+		"does not compile": func(n *declaredNode) Changes {
+			return Changes{Declared: n.declared(2, func(c *policy.Config) { c.Organisations[0].Keys[0].SHA256 = "?" })}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := newSimStore(1)
-				n, err := New(validSettings(), store, plainProtocol{}, store)
-				require.NoError(t, err)
-				declare := func(revision int64) Declared {
-					d, err := store.Parse(revision, "one")
-					require.NoError(t, err)
-					return closedRoutes(d)
-				}
-				first, last := declare(1), declare(3)
-				n.applyChanges(time.Now(), Changes{Declared: &first})
+				n := newDeclaredNode(t)
+				n.declare(1, nil)
 				require.Zero(t, n.admission("/closed/", "k"))
 
 				bound := n.settings().Bounds.Apply
-				n.applyChanges(time.Now(), change(declare(2)))
+				n.applyChanges(time.Now(), change(n))
 				for begun := time.Now(); time.Since(begun) < 2*bound; time.Sleep(bound / 20) {
 					n.applyChanges(time.Now(), Changes{})
 					for _, path := range []string{"/open/", "/closed/"} {
@@ -73,7 +88,7 @@
 				require.True(t, n.configStatus().behind)
 				require.False(t, n.ready())
 
-				n.applyChanges(time.Now(), Changes{Declared: &last})
+				n.declare(3, nil)
 				require.Zero(t, n.admission("/open/", ""))
 				require.Zero(t, n.admission("/closed/", "k"))
 				require.Equal(t, http.StatusNotFound, n.admission("/none/", "k"))
@@ -85,13 +100,8 @@
 // Guards against a rejected naming or roll-out that keeps the configuration from being confirmed.
 func TestRejectedRowConfirms(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newSimStore(1)
-		n, err := New(validSettings(), store, plainProtocol{}, store)
-		require.NoError(t, err)
-		d, err := store.Parse(1, "one")
-		require.NoError(t, err)
-		first := closedRoutes(d)
-		n.applyChanges(time.Now(), Changes{Declared: &first})
+		n := newDeclaredNode(t)
+		n.declare(1, nil)
 		for range 20 {
 			time.Sleep(n.settings().Bounds.Apply / 5)
 			n.applyChanges(time.Now(), Changes{Rejected: errs.Errorf("odd weights")})
@@ -104,25 +114,15 @@
 // against unknown keys that are rejected while some keys of the revision could not be read.
 func TestUnreadableEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newSimStore(1)
-		n, err := New(validSettings(), store, plainProtocol{}, store)
-		require.NoError(t, err)
-		adopt := func(revision int64, change func(*policy.Config)) {
-			d, err := store.Parse(revision, "one")
-			require.NoError(t, err)
-			closed := closedRoutes(d)
-			change(closed.Config)
-			closed.Invalid = []error{errs.Errorf("odd")}
-			n.applyChanges(time.Now(), Changes{Declared: &closed})
-		}
-		adopt(1, func(c *policy.Config) { c.Routes[0].Invalid = true })
+		n := newDeclaredNode(t)
+		n.declare(1, func(c *policy.Config) { c.Routes[0].Invalid = true })
 		require.Equal(t, http.StatusServiceUnavailable, n.admission("/open/", ""))
 		require.Zero(t, n.admission("/closed/", "k"))
-		adopt(2, func(c *policy.Config) { c.Organisations[0].Invalid = true })
+		n.declare(2, func(c *policy.Config) { c.Organisations[0].Invalid = true })
 		require.Zero(t, n.admission("/open/", ""))
 		require.Equal(t, http.StatusServiceUnavailable, n.admission("/closed/", "k"))
 		require.Equal(t, http.StatusUnauthorized, n.admission("/closed/", "z"))
-		adopt(3, func(c *policy.Config) { c.UnknownKeys = true })
+		n.declare(3, func(c *policy.Config) { c.UnknownKeys = true })
 		require.Zero(t, n.admission("/closed/", "k"))
 		require.Equal(t, http.StatusServiceUnavailable, n.admission("/closed/", "z"))
 	})
@@ -131,11 +131,8 @@
 // Guards against a limit on bodies that a configuration without limits sets to zero.
 func TestConfigurationWithoutLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newSimStore(1)
-		n, err := New(validSettings(), store, plainProtocol{}, store)
-		require.NoError(t, err)
-		d, err := store.Parse(1, "one")
-		require.NoError(t, err)
+		n := newDeclaredNode(t)
+		d := n.declared(1, nil)
 		d.Limits = Limits{}
 		n.applyChanges(time.Now(), Changes{Declared: d})
 		require.EqualValues(t, defaultLimits.MaxBody, n.snapshot().Config.Requests.MaxBody)
