fleet, node, platform: what names no revision is no newer configuration

They count as no revision of the operator's again, and the last valid configuration stays, as was settled for rows of other writers.

Adoption keeps the unreadable revision's number alone, apart from what peers know, so that nothing of it is left once the store has a readable one, whatever its number.

--- a/fleet/adoption.go
+++ b/fleet/adoption.go
@@ -24,10 +24,8 @@
 	confirmed      time.Time
 	outageReported time.Time
 	tableDown      bool
-	// unreadable is set while the newest revision in force cannot be read by this process;
-	// unreadableRevision is its number, or zero if that cannot be read either.
-	unreadable         bool
-	unreadableRevision int64
+	// unreadable is the newest revision in force if this process cannot read it, else zero.
+	unreadable int64
 }
 
 // AdoptionOption configures an [Adoption] at its construction.
@@ -67,25 +65,21 @@
 	if at.After(a.confirmed) {
 		a.confirmed = at
 	}
-	if revision <= a.revision && !a.unreadable && at.After(a.current) {
+	if revision <= a.revision && !a.HasUnreadable() && at.After(a.current) {
 		a.current = at
 	}
 }
 
-// Unreadable records that the newest revision in force, according to the table, cannot be read by
-// this process; revision is its number, or zero if that cannot be read either. From then on the
-// process is behind, and nothing confirms the revision that it serves under until another one is
-// read.
-func (a *Adoption) Unreadable(revision int64) {
-	a.known = max(a.known, revision)
-	a.unreadable, a.unreadableRevision = true, revision
-}
+// Unreadable records the newest revision in force, according to the table, if this process cannot read
+// it. The process is behind then, and nothing confirms the revision that it serves under.
+func (a *Adoption) Unreadable(revision int64) { a.unreadable = revision }
 
 // Readable records that the newest revision in force, according to the table, was read.
-func (a *Adoption) Readable() { a.unreadable, a.unreadableRevision = false, 0 }
+func (a *Adoption) Readable() { a.unreadable = 0 }
 
-// HasUnreadable reports whether the newest revision in force cannot be read by this process.
-func (a *Adoption) HasUnreadable() bool { return a.unreadable }
+// HasUnreadable reports whether a newer revision than the one served under cannot be read by this
+// process.
+func (a *Adoption) HasUnreadable() bool { return a.unreadable > a.revision }
 
 // TableUp records that the table answered.
 func (a *Adoption) TableUp() { a.tableDown = false }
@@ -119,10 +113,7 @@
 func (a *Adoption) Adopted(revision int64) {
 	a.revision = max(a.revision, revision)
 	a.known = max(a.known, revision)
-	if a.unreadableRevision > 0 && revision > a.unreadableRevision {
-		a.Readable()
-	}
-	if a.revision == a.known && !a.unreadable {
+	if a.revision == a.known && !a.HasUnreadable() {
 		a.current = a.confirmed
 	}
 }
@@ -132,11 +123,11 @@
 
 // NewestKnown returns the newest revision that the router knows of. It is above Revision until that
 // one is fetched.
-func (a *Adoption) NewestKnown() int64 { return a.known }
+func (a *Adoption) NewestKnown() int64 { return max(a.known, a.unreadable) }
 
 // Behind reports whether a newer revision is known than the one served under, be it one that cannot
 // be read.
-func (a *Adoption) Behind() bool { return a.revision < a.known || a.unreadable }
+func (a *Adoption) Behind() bool { return a.revision < a.NewestKnown() }
 
 // Outdated reports whether, as far as the router knows, its revision was replaced so long ago that
 // requests may no longer be served under it.
@@ -167,7 +158,7 @@
 
 // Status returns the configuration state that the router sends to its peers.
 func (a *Adoption) Status(now time.Time) ConfigStatus {
-	w := ConfigStatus{Revision: a.revision, ConfirmedAge: -1, TableDown: a.tableDown, Unreadable: a.unreadable}
+	w := ConfigStatus{Revision: a.revision, ConfirmedAge: -1, TableDown: a.tableDown, Unreadable: a.HasUnreadable()}
 	if !a.current.IsZero() {
 		w.ConfirmedAge = now.Sub(a.current)
 	}
--- a/node/ports.go
+++ b/node/ports.go
@@ -129,10 +129,9 @@
 	Named    []Naming
 	// Rollouts are the orders to move pools to other releases.
 	Rollouts []route.RolloutOrder
-	// Unreadable is set if the configuration changed and could not be read. UnreadableRevision is its
-	// revision, or zero if that could not be read either.
-	Unreadable         bool
-	UnreadableRevision int64
+	// Unreadable is the revision of a changed configuration that could not be read; zero if there is none.
+	// What names no revision is none of the operator's.
+	Unreadable int64
 	// Rejected has the reasons for which rows of the declaration could not be read, if any.
 	Rejected error
 }
--- a/node/watch.go
+++ b/node/watch.go
@@ -117,11 +117,11 @@
 // applyChanges applies the result of a watch that began at begun.
 func (n *Node) applyChanges(begun time.Time, c Changes) {
 	if c.Rejected != nil {
-		n.events.Record(event.Event{Code: event.ConfigRejected, Revision: c.UnreadableRevision, Detail: c.Rejected.Error()})
+		n.events.Record(event.Event{Code: event.ConfigRejected, Revision: c.Unreadable, Detail: c.Rejected.Error()})
 	}
-	unreadable, revision := c.Unreadable, c.UnreadableRevision
-	if c.Declared != nil {
-		unreadable, revision = !n.adopt(*c.Declared, "the store"), c.Declared.Revision
+	unreadable := c.Unreadable
+	if c.Declared != nil && !n.adopt(*c.Declared, "the store") {
+		unreadable = c.Declared.Revision
 	}
 	n.Lock()
 	defer n.Unlock()
@@ -129,8 +129,8 @@
 		n.Board().StartRollout(n.now(), o)
 	}
 	switch {
-	case unreadable:
-		n.adoption.Unreadable(revision)
+	case unreadable > 0:
+		n.adoption.Unreadable(unreadable)
 	case c.Declared != nil:
 		n.adoption.Readable()
 	}
