--- a/node/list_invalid.go
+++ b/node/list_invalid.go
@@ -6,8 +6,8 @@
 	"github.com/pathhead/pathhead/event"
 )
 
-// maxInvalidLogged limits the invalid list entries that are remembered as logged; further ones are
-// only counted.
+// maxInvalidLogged limits the invalid entries of the list that are remembered as logged, and those of a
+// configuration that are logged; further ones are only counted.
 const maxInvalidLogged = 256
 
 // logInvalidEntries counts the invalid entries of a reading, and logs each entry once for as long
